--- /dev/null
+++ b/call/reason.go
@@ -0,0 +1,94 @@
+package call
+
+import "net/http"
+
+// Reason says why a call was not answered by its backend server.
+type Reason string
+
+const (
+	// ReasonOverloaded means that the sidecar had neither a slot nor room in
+	// its queue.
+	ReasonOverloaded Reason = "overloaded"
+	// ReasonDisplaced means that a more important call took the place in the
+	// queue.
+	ReasonDisplaced Reason = "displaced"
+	// ReasonTooLate means that the call could not finish before its deadline.
+	ReasonTooLate Reason = "tooLate"
+	// ReasonDeadline means that the deadline passed after the call had started.
+	ReasonDeadline Reason = "deadline"
+	// ReasonDraining means that the backend server or its node is leaving.
+	ReasonDraining Reason = "draining"
+	// ReasonNoUpstream means that no backend server of the service is known.
+	ReasonNoUpstream Reason = "noUpstream"
+	// ReasonUnreachable means that no connection to the upstream was made.
+	ReasonUnreachable Reason = "unreachable"
+	// ReasonLost means that the connection broke before the answer was
+	// complete.
+	ReasonLost Reason = "lost"
+	// ReasonCanceled means that the caller went away.
+	ReasonCanceled Reason = "canceled"
+	// ReasonUnknownService means that the settings have no such service.
+	ReasonUnknownService Reason = "unknownService"
+	// ReasonUnknownRoute means that the service has no route for the path.
+	ReasonUnknownRoute Reason = "unknownRoute"
+	// ReasonBadRequest means that the request could not be understood.
+	ReasonBadRequest Reason = "badRequest"
+	// ReasonTooLarge means that the request body exceeds its bound.
+	ReasonTooLarge Reason = "tooLarge"
+	// ReasonTooDeep means that the chain of calls is longer than allowed.
+	ReasonTooDeep Reason = "tooDeep"
+	// ReasonNoTokens means that a backend server repeated a failed child call
+	// and no retry token is left.
+	ReasonNoTokens Reason = "noTokens"
+	// ReasonRepeated means that a booking was refused under a repeated call,
+	// because the first attempt may have made the same booking.
+	ReasonRepeated Reason = "repeated"
+	// ReasonKeyRequired means that a booking came without a key.
+	ReasonKeyRequired Reason = "keyRequired"
+	// ReasonKeyMalformed means that the key could not be read.
+	ReasonKeyMalformed Reason = "keyMalformed"
+	// ReasonKeyExpired means that the key is older than its validity.
+	ReasonKeyExpired Reason = "keyExpired"
+	// ReasonKeyReused means that the key belongs to another request.
+	ReasonKeyReused Reason = "keyReused"
+	// ReasonOwnerGone means that the sidecar incarnation that owns the key has
+	// ended.
+	ReasonOwnerGone Reason = "ownerGone"
+	// ReasonAnswerNotKept means that the booking ran but its answer was too
+	// large to keep for a repeat.
+	ReasonAnswerNotKept Reason = "answerNotKept"
+	// ReasonLogUnavailable means that a caller-chosen key could not be claimed.
+	ReasonLogUnavailable Reason = "logUnavailable"
+	// ReasonInternal means that a node failed to do its part.
+	ReasonInternal Reason = "internal"
+)
+
+// Status returns the HTTP status code for a call that ended with the outcome
+// and reason.
+func Status(outcome Outcome, reason Reason) int {
+	switch reason {
+	case ReasonOverloaded, ReasonDisplaced, ReasonNoTokens:
+		return http.StatusTooManyRequests
+	case ReasonTooLate, ReasonDeadline:
+		return http.StatusGatewayTimeout
+	case ReasonUnknownService, ReasonUnknownRoute:
+		return http.StatusNotFound
+	case ReasonBadRequest, ReasonKeyMalformed, ReasonTooDeep:
+		return http.StatusBadRequest
+	case ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case ReasonKeyRequired:
+		return http.StatusPreconditionRequired
+	case ReasonKeyReused, ReasonKeyExpired:
+		return http.StatusUnprocessableEntity
+	case ReasonOwnerGone, ReasonAnswerNotKept, ReasonRepeated:
+		return http.StatusConflict
+	case ReasonLost:
+		return http.StatusBadGateway
+	default:
+		if outcome == Unknown {
+			return http.StatusBadGateway
+		}
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/event/calls.go
@@ -0,0 +1,24 @@
+package event
+
+import "log/slog"
+
+// Events of calls.
+const (
+	CallAnswered     ID = 2001
+	CallNotRun       ID = 2002
+	CallUnknown      ID = 2003
+	CallRetried      ID = 2004
+	CallStarted      ID = 2005
+	AnswerCut        ID = 2006
+	AnswerMismatched ID = 2007
+)
+
+var callEvents = []Entry{
+	{ID: CallAnswered, Name: "callAnswered", Level: slog.LevelDebug, Meaning: "The complete answer of the backend server was passed on."},
+	{ID: CallNotRun, Name: "callNotRun", Level: slog.LevelInfo, Meaning: "The call was refused and did not run. The reason says why."},
+	{ID: CallUnknown, Name: "callUnknown", Level: slog.LevelWarn, Meaning: "The call may have run, but no complete answer was received."},
+	{ID: CallRetried, Name: "callRetried", Level: slog.LevelInfo, Meaning: "An attempt failed and another one is made, at the cost of one retry token."},
+	{ID: CallStarted, Name: "callStarted", Level: slog.LevelDebug, Meaning: "The sidecar passed the call to its backend server."},
+	{ID: AnswerCut, Name: "answerCut", Level: slog.LevelWarn, Meaning: "The answer broke off before its end. The connection to the receiver was aborted."},
+	{ID: AnswerMismatched, Name: "answerMismatched", Level: slog.LevelError, Meaning: "An answer carried the ID of another call and was discarded."},
+}
--- /dev/null
+++ b/event/load.go
@@ -0,0 +1,18 @@
+package event
+
+import "log/slog"
+
+// Events of admission and routing.
+const (
+	LimitChanged    ID = 4001
+	SheddingStarted ID = 4002
+	SheddingStopped ID = 4003
+	UpstreamAvoided ID = 4101
+)
+
+var loadEvents = []Entry{
+	{ID: LimitChanged, Name: "limitChanged", Level: slog.LevelDebug, Meaning: "The concurrency limit of the backend server was adapted."},
+	{ID: SheddingStarted, Name: "sheddingStarted", Level: slog.LevelWarn, Meaning: "The sidecar began to refuse calls because its queue was full."},
+	{ID: SheddingStopped, Name: "sheddingStopped", Level: slog.LevelInfo, Meaning: "The sidecar refuses no more calls."},
+	{ID: UpstreamAvoided, Name: "upstreamAvoided", Level: slog.LevelInfo, Meaning: "An upstream refused or failed and gets less work for a short time."},
+}
--- /dev/null
+++ b/event/settings.go
@@ -0,0 +1,22 @@
+package event
+
+import "log/slog"
+
+// Events of settings.
+const (
+	SettingsAccepted ID = 6001
+	SettingsRejected ID = 6002
+	SettingsGap      ID = 6003
+	SnapshotWritten  ID = 6004
+	SnapshotIgnored  ID = 6005
+	SettingsFromPeer ID = 6006
+)
+
+var settingsEvents = []Entry{
+	{ID: SettingsAccepted, Name: "settingsAccepted", Level: slog.LevelInfo, Meaning: "A change of settings was read from the log and is in force."},
+	{ID: SettingsRejected, Name: "settingsRejected", Level: slog.LevelWarn, Meaning: "A change of settings broke a rule and is ignored by every node."},
+	{ID: SettingsGap, Name: "settingsGap", Level: slog.LevelWarn, Meaning: "The log no longer holds records that this node has not read. It asks other nodes."},
+	{ID: SnapshotWritten, Name: "snapshotWritten", Level: slog.LevelInfo, Meaning: "The node appended a snapshot of the settings to the log."},
+	{ID: SnapshotIgnored, Name: "snapshotIgnored", Level: slog.LevelDebug, Meaning: "A snapshot covered less than what this node has read."},
+	{ID: SettingsFromPeer, Name: "settingsFromPeer", Level: slog.LevelInfo, Meaning: "Settings were received from another node."},
+}
