--- a/event/settings.go
+++ b/event/settings.go
@@ -10,6 +10,7 @@
 	SnapshotWritten  ID = 6004
 	SnapshotIgnored  ID = 6005
 	SettingsFromPeer ID = 6006
+	SettingsRestored ID = 6007
 )
 
 var settingsEvents = []Entry{
@@ -19,4 +20,5 @@
 	{ID: SnapshotWritten, Name: "snapshotWritten", Level: slog.LevelInfo, Meaning: "The node appended a snapshot of the settings to the log."},
 	{ID: SnapshotIgnored, Name: "snapshotIgnored", Level: slog.LevelDebug, Meaning: "A snapshot covered less than what this node has read."},
 	{ID: SettingsFromPeer, Name: "settingsFromPeer", Level: slog.LevelInfo, Meaning: "Settings were received from another node."},
+	{ID: SettingsRestored, Name: "settingsRestored", Level: slog.LevelInfo, Meaning: "A snapshot from the log closed a gap."},
 }
--- /dev/null
+++ b/settings/follower_test.go
@@ -0,0 +1,370 @@
+package settings
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/internal/standin/logservice"
+	"github.com/lacewingslip/lacewingslip/journal"
+)
+
+var (
+	rootPrivate = ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+	teamPrivate = ed25519.NewKeyFromSeed([]byte("seed of the key of team orders.."))
+)
+
+func publicKey(private ed25519.PrivateKey) ed25519.PublicKey {
+	return private.Public().(ed25519.PublicKey)
+}
+
+// rootChange lists the team orders with the key.
+func rootChange(t testing.TB, base int64, key ed25519.PrivateKey) Change {
+	text := fmt.Sprintf("teams:\n  orders:\n    publicKey: %s\n    services: [orders]\n", base64.StdEncoding.EncodeToString(publicKey(key)))
+	c, err := NewChange(RootBranch, base, []byte(text))
+	must.NoError(t, err)
+	return c.Sign(rootPrivate)
+}
+
+// ordersChange sets the slots of the service to the number.
+func ordersChange(t testing.TB, base int64, slots int) Change {
+	c, err := NewChange("orders", base, fmt.Appendf(nil, "services:\n  orders: {slots: %d, connections: 10000, routes: []}\n", slots))
+	must.NoError(t, err)
+	return c.Sign(teamPrivate)
+}
+
+func slotsOf(tree *Tree) int {
+	s, _ := tree.Service("orders")
+	return s.Slots
+}
+
+// fleet is a log service and nodes whose peers tell them every second how far
+// they have read, as the membership exchange does.
+type fleet struct {
+	t        *testing.T
+	log      *logservice.Service
+	ctx      context.Context
+	operator *History
+	mu       sync.Mutex
+	nodes    []*testNode
+}
+
+type testNode struct {
+	fleet    *fleet
+	name     string
+	follower *Follower
+	cutOff   atomic.Bool // from other nodes
+	noLog    atomic.Bool
+	events   sync.Map
+}
+
+func runFleet(t *testing.T, scenario func(f *fleet), opts ...logservice.Option) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := &fleet{t: t, log: logservice.New(opts...), ctx: ctx, operator: NewHistory(publicKey(rootPrivate))}
+		go f.exchange()
+		scenario(f)
+	})
+}
+
+func (f *fleet) start(opts ...Option) *testNode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := &testNode{fleet: f, name: fmt.Sprintf("node%d", len(f.nodes))}
+	highest := 0
+	opts = append([]Option{
+		WithHTTPClient(&http.Client{Transport: n}), WithRecorder(n), WithPeers(f.names), WithMembers(func() int { return 3 }),
+		OnChange(func(tree *Tree) {
+			test.LessEq(f.t, slotsOf(tree), highest, test.Sprintf("%s reverted", n.name))
+			highest = slotsOf(tree)
+		}),
+	}, opts...)
+	n.follower = NewFollower(n, NewHistory(publicKey(rootPrivate)), opts...)
+	f.nodes = append(f.nodes, n)
+	go func() { _ = n.follower.Run(f.ctx) }()
+	return n
+}
+
+func (f *fleet) names() (names []string) {
+	for _, n := range f.all() {
+		names = append(names, n.name)
+	}
+	return names
+}
+
+func (f *fleet) all() []*testNode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*testNode(nil), f.nodes...)
+}
+
+func (f *fleet) exchange() {
+	for f.ctx.Err() == nil {
+		nodes := f.all()
+		for i, n := range nodes {
+			peer := nodes[(i+1)%len(nodes)]
+			if !n.cutOff.Load() && !peer.cutOff.Load() {
+				n.follower.Behind(peer.follower.Offset(), peer.name)
+				peer.follower.Behind(n.follower.Offset(), n.name)
+			}
+		}
+		select {
+		case <-f.ctx.Done():
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+// publish publishes the changes in order, as an operator who reads the log.
+func (f *fleet) publish(changes ...Change) {
+	ctx, cancel := context.WithTimeout(f.ctx, time.Hour)
+	defer cancel()
+	for _, c := range changes {
+		v, err := Publish(ctx, f.log, f.operator, c, Nodes{})
+		must.NoError(f.t, err)
+		must.Eq(f.t, Accepted, v.Kind, must.Sprint(v.Reason))
+	}
+}
+
+// expect checks that after a while, which is below the bound of 19 s, all nodes
+// have the number of slots.
+func (f *fleet) expect(slots int) {
+	time.Sleep(15 * time.Second)
+	for _, n := range f.all() {
+		test.Eq(f.t, slots, slotsOf(n.follower.Tree()), test.Sprintf("slots at %s", n.name))
+	}
+}
+
+func (n *testNode) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	if n.noLog.Load() {
+		return 0, logservice.ErrFault
+	}
+	return n.fleet.log.Append(ctx, stream, data)
+}
+
+func (n *testNode) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (journal.Page, error) {
+	if n.noLog.Load() {
+		return journal.Page{}, logservice.ErrFault
+	}
+	return n.fleet.log.Read(ctx, stream, from, limit, wait)
+}
+
+func (n *testNode) Record(id event.ID, _ ...slog.Attr) { n.events.Store(id, true) }
+
+func (n *testNode) saw(id event.ID) bool { _, ok := n.events.Load(id); return ok }
+
+// RoundTrip hands the request to the handler of the node it is addressed to.
+func (n *testNode) RoundTrip(r *http.Request) (*http.Response, error) {
+	for _, peer := range n.fleet.all() {
+		if peer.name == r.URL.Host && peer != n && !n.cutOff.Load() && !peer.cutOff.Load() {
+			w := httptest.NewRecorder()
+			peer.follower.Handler().ServeHTTP(w, r)
+			return w.Result(), nil
+		}
+	}
+	return nil, logservice.ErrFault
+}
+
+// Guards against two accepted changes where the second operator has not seen the
+// first one's.
+func TestTwoOperatorsAtOnce(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.start()
+		f.start()
+		f.publish(rootChange(t, 0, teamPrivate))
+		kinds := make([]VerdictKind, 2)
+		var wait sync.WaitGroup
+		for i := range kinds {
+			wait.Go(func() {
+				v, err := Publish(f.ctx, f.log, NewHistory(publicKey(rootPrivate)), ordersChange(t, 0, 1+i), Nodes{})
+				test.NoError(t, err)
+				kinds[i] = v.Kind
+			})
+		}
+		wait.Wait()
+		must.SliceContains(t, kinds, Accepted)
+		must.SliceContains(t, kinds, Rejected)
+		winner := 1
+		if kinds[1] == Accepted {
+			winner = 2
+		}
+		f.expect(winner)
+	})
+}
+
+// Guards against an operator who is told that a change failed while it takes
+// effect, and against a change that takes effect twice.
+func TestLostAppendAnswers(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.start()
+		f.log.SetFaults(logservice.Faults{LoseAnswers: 3})
+		f.publish(rootChange(t, 0, teamPrivate), ordersChange(t, 0, 1), ordersChange(t, 1, 2), ordersChange(t, 2, 3))
+		f.expect(3)
+		page, err := f.log.Read(f.ctx, Stream, 0, 100, 0)
+		must.NoError(t, err)
+		changes := 0
+		for _, r := range page.Records {
+			if _, err := DecodeChange(r.Data); err == nil {
+				changes++
+			}
+		}
+		must.Eq(t, 4, changes)
+	})
+}
+
+// Guards against settings that are lost or delayed by an outage of the log, and
+// against a node that has none because it started during one.
+func TestLongOutage(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		first := f.start()
+		f.start()
+		f.publish(rootChange(t, 0, teamPrivate), ordersChange(t, 0, 1))
+		f.expect(1)
+		f.log.SetFaults(logservice.Faults{Down: true})
+		time.Sleep(3 * time.Hour)
+		f.start()
+		f.expect(1)
+		must.True(t, first.saw(event.LogUnavailable))
+		f.log.SetFaults(logservice.Faults{})
+		f.publish(ordersChange(t, 1, 2))
+		f.expect(2)
+	})
+}
+
+// Guards against a new node that has no settings, or old ones, after all records
+// expired while the log was down.
+func TestRetentionDuringOutage(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		old := f.start()
+		behind := f.start()
+		f.publish(rootChange(t, 0, teamPrivate), ordersChange(t, 0, 1))
+		f.expect(1)
+		behind.noLog.Store(true)
+		behind.cutOff.Store(true)
+		f.publish(ordersChange(t, 1, 2))
+		time.Sleep(15 * time.Second)
+		must.Eq(t, 2, slotsOf(old.follower.Tree()))
+		f.log.SetFaults(logservice.Faults{Down: true})
+		time.Sleep(5 * time.Hour)
+		f.log.SetFaults(logservice.Faults{})
+		behind.noLog.Store(false)
+		time.Sleep(15 * time.Second)
+		behind.cutOff.Store(false)
+		f.start().cutOff.Store(true) // has to start from a snapshot
+		f.expect(2)
+		must.True(t, behind.saw(event.SettingsGap) || behind.saw(event.SettingsRestored))
+	}, logservice.WithRetention(0, 4*time.Hour))
+}
+
+// Guards against a gap that stays open although another node has the records.
+func TestGapIsFilledByPeers(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.start()
+		for _, c := range []Change{rootChange(t, 0, teamPrivate), ordersChange(t, 0, 1), ordersChange(t, 1, 2), ordersChange(t, 2, 3)} {
+			f.publish(c)
+			time.Sleep(2 * time.Second)
+		}
+		f.expect(3)
+		late := f.start()
+		f.expect(3)
+		must.True(t, late.saw(event.SettingsFromPeer))
+	}, logservice.WithRetention(2, 0))
+}
+
+// Guards against a snapshot that a paused node wrote late and that takes other
+// nodes, or a new reader, back to old settings.
+func TestStaleSnapshot(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.start()
+		stale := NewHistory(publicKey(rootPrivate))
+		f.publish(rootChange(t, 0, teamPrivate), ordersChange(t, 0, 1))
+		_, _, err := stale.CatchUp(f.ctx, f.log)
+		must.NoError(t, err)
+		old, err := stale.Snapshot(time.Now())
+		must.NoError(t, err)
+		for i := range 8 {
+			f.publish(ordersChange(t, int64(i)+1, i+2))
+			time.Sleep(2 * time.Second)
+		}
+		f.expect(9)
+		_, err = f.log.Append(f.ctx, Stream, old)
+		must.NoError(t, err)
+		// The old snapshot is all that a new reader finds, and too little.
+		late := f.start()
+		late.cutOff.Store(true)
+		time.Sleep(15 * time.Second)
+		must.Eq(t, 0, slotsOf(late.follower.Tree()))
+		late.cutOff.Store(false)
+		f.expect(9)
+	}, logservice.WithRetention(6, 0))
+}
+
+// Guards against a node that never hears of a change because it can't reach the
+// log, and against one that reverts when the link returns.
+func TestPartition(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.start()
+		halfCut, cut := f.start(), f.start()
+		f.publish(rootChange(t, 0, teamPrivate), ordersChange(t, 0, 1))
+		f.expect(1)
+		halfCut.noLog.Store(true)
+		cut.noLog.Store(true)
+		cut.cutOff.Store(true)
+		f.publish(ordersChange(t, 1, 2))
+		time.Sleep(15 * time.Second)
+		test.Eq(t, 2, slotsOf(halfCut.follower.Tree()))
+		test.Eq(t, 1, slotsOf(cut.follower.Tree()))
+		cut.cutOff.Store(false)
+		f.expect(2)
+	})
+}
+
+// Guards against changes that wait for the next poll, whose interval in a large
+// fleet is longer than a change may take.
+func TestHintsOutpacePolls(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.start()
+		f.start(WithMembers(func() int { return 100 * maxPollsPerSecond }))
+		time.Sleep(time.Second)
+		f.publish(rootChange(t, 0, teamPrivate), ordersChange(t, 0, 1))
+		f.expect(1)
+	})
+}
+
+// Guards against a node that misses one of many changes, or the snapshot among
+// them, when the log keeps few records.
+func TestChangesInQuickSuccession(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		nodes := []*testNode{f.start(), f.start(), f.start()}
+		f.publish(rootChange(t, 0, teamPrivate))
+		for i := range 450 {
+			f.publish(ordersChange(t, int64(i), i+1))
+			time.Sleep(20 * time.Millisecond)
+		}
+		f.expect(450)
+		f.start().cutOff.Store(true)
+		f.expect(450)
+		must.True(t, nodes[0].saw(event.SnapshotWritten) || nodes[1].saw(event.SnapshotWritten) || nodes[2].saw(event.SnapshotWritten))
+	}, logservice.WithRetention(300, 0))
+}
+
+// Guards against a fleet that reads the log more often than it may.
+func TestPollInterval(t *testing.T) {
+	for members, interval := range map[int]time.Duration{0: time.Second, 1: time.Second, 50: time.Second, 100: 2 * time.Second, 1100: 22 * time.Second} {
+		test.Eq(t, interval, PollInterval(members))
+	}
+}
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -18,7 +18,7 @@
 
 // Bounds and defaults of settings.
 const (
-	maxBranchBytes  = 256 << 10
+	maxBranchBytes  = 64 << 10
 	maxSlots        = 10_000
 	maxConnections  = 100_000
 	maxQueueLength  = 100_000
--- a/settings/parse_test.go
+++ b/settings/parse_test.go
@@ -59,7 +59,7 @@
 		"tag":                 {testRoot(""), testBranch("{slots: !!int 1, connections: 1, routes: []}"), `orders.yaml:2:19: slots has the YAML tag "!!int"; expected none`},
 		"syntax":              {testRoot(""), File{"orders.yaml", []byte("services:\n  orders: {")}, `orders.yaml:2:1: not valid YAML: did not find expected node content`},
 		"two documents":       {testRoot(""), File{"orders.yaml", []byte("services: {}\n---\nservices: {}")}, `orders.yaml:2:1: second YAML document; expected one document per file`},
-		"long file":           {testRoot(""), File{"orders.yaml", []byte(strings.Repeat("#", maxBranchBytes+1))}, `orders.yaml:1:1: file has 262145 bytes; expected at most 262144`},
+		"long file":           {testRoot(""), File{"orders.yaml", []byte(strings.Repeat("#", maxBranchBytes+1))}, `orders.yaml:1:1: file has 65537 bytes; expected at most 65536`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := Parse(c.root, c.branch)
