Add issued keys and the ledger of a sidecar incarnation

A booking must run at most once, so each issued key names the one sidecar incarnation that may run it, and that sidecar keeps the key's state: running, done or refused. Both ends are terminal. A refusal and its successor are recorded in one step.

Forgetting entries was the difficult part. Comparing epochs alone can't tell a first attempt under an expired key from a repeat whose record is gone, so the ledger tracks the highest forgotten epoch: below it an unknown key never runs and its outcome is unknown; from it on an expired key certainly did not run. This also makes the bound on entries and a later change of the validity safe. A key with a future epoch answers unknown instead of notRun, because it would become valid as the incarnation ages.

Ruled out: signing keys (nodes share no secret), and evicting entries at random under the memory bound (a forgotten key could run again within its validity).

--- /dev/null
+++ b/booking/ledger_test.go
@@ -0,0 +1,180 @@
+package booking_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/booking"
+	"github.com/lacewingslip/lacewingslip/call"
+)
+
+const incarnation = 0xc0ffee
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func at(second int) time.Time { return start.Add(time.Duration(second) * time.Second) }
+
+func issue(epoch uint32) booking.Key { return booking.Issue("orders", "orders-1", incarnation, epoch) }
+
+func content(body string) booking.Fingerprint {
+	return booking.FingerprintOf("POST", "/orders/book", "", []byte(body))
+}
+
+// Guards against two texts for one key, and against keys cut or changed on
+// their way being taken for others.
+func TestParseKey(t *testing.T) {
+	good := issue(42)
+	parsed, err := booking.ParseKey(good.String())
+	must.NoError(t, err)
+	must.Eq(t, good.String(), parsed.String())
+	must.True(t, good == parsed)
+	must.LessEq(t, booking.MaxKeyLength, len(good.String()))
+	nonce := strings.Repeat("0a", 16)
+	bad := map[string]struct{ text, message string }{
+		"empty":                  {"", "does not have the form"},
+		"caller-chosen":          {"1700000000-order-7", "does not have the form"},
+		"other version":          {strings.Replace(good.String(), "k1", "k2", 1), "does not have the form"},
+		"too long":               {strings.Repeat("x", 500), "more than the allowed"},
+		"no service":             {"k1::n:0000000000000001:1:" + nonce, `service "" does not have 1 to 64 characters`},
+		"space in node":          {"k1:s:a b:0000000000000001:1:" + nonce, `node "a b" has a character`},
+		"short incarnation":      {"k1:s:n:1:1:" + nonce, "not 16 lower-case hexadecimal digits"},
+		"upper-case incarnation": {"k1:s:n:000000000000000A:1:" + nonce, "not 16 lower-case hexadecimal digits"},
+		"leading zero in epoch":  {"k1:s:n:0000000000000001:01:" + nonce, "not a whole number of seconds"},
+		"epoch too large":        {"k1:s:n:0000000000000001:4294967296:" + nonce, "not a whole number of seconds"},
+		"short nonce":            {"k1:s:n:0000000000000001:1:0a", "not 32 lower-case hexadecimal digits"},
+		"upper-case nonce":       {"k1:s:n:0000000000000001:1:" + strings.ToUpper(nonce), "not 32 lower-case hexadecimal digits"},
+	}
+	for name, c := range bad {
+		t.Run(name, func(t *testing.T) {
+			_, err := booking.ParseKey(c.text)
+			must.ErrorContains(t, err, c.message)
+		})
+	}
+}
+
+// Guards against a changed booking running or being answered under an old key.
+func TestFingerprintOf(t *testing.T) {
+	base := booking.FingerprintOf("POST", "/a", "x", []byte("b"))
+	others := map[string]booking.Fingerprint{
+		"method":        booking.FingerprintOf("PUT", "/a", "x", []byte("b")),
+		"uri":           booking.FingerprintOf("POST", "/b", "x", []byte("b")),
+		"authorization": booking.FingerprintOf("POST", "/a", "y", []byte("b")),
+		"body":          booking.FingerprintOf("POST", "/a", "x", []byte("c")),
+		"shifted":       booking.FingerprintOf("POST", "/ax", "", []byte("b")),
+	}
+	for name, other := range others {
+		test.NotEq(t, base, other, test.Sprint(name))
+	}
+}
+
+// Guards against a second run of a key and against a wrong answer to a repeat.
+func TestLedgerRepeats(t *testing.T) {
+	answer := &booking.Answer{Status: 201, Body: []byte("booked")}
+	large := &booking.Answer{Status: 200, Body: bytes.Repeat([]byte("x"), booking.MaxAnswerBytes+1)}
+	successor := issue(0)
+	type end func(l *booking.Ledger, k booking.Key)
+	cases := map[string]struct {
+		end     end
+		verdict booking.Verdict
+		outcome call.Outcome
+		reason  call.Reason
+	}{
+		"running":        {func(*booking.Ledger, booking.Key) {}, booking.Wait, call.Unknown, ""},
+		"answered":       {func(l *booking.Ledger, k booking.Key) { l.Finish(at(1), k, call.Answered, "", answer) }, booking.Replay, call.Answered, ""},
+		"large answer":   {func(l *booking.Ledger, k booking.Key) { l.Finish(at(1), k, call.Answered, "", large) }, booking.Replay, call.Unknown, call.ReasonAnswerNotKept},
+		"no answer kept": {func(l *booking.Ledger, k booking.Key) { l.Finish(at(1), k, call.Answered, "", nil) }, booking.Replay, call.Unknown, call.ReasonAnswerNotKept},
+		"lost":           {func(l *booking.Ledger, k booking.Key) { l.Finish(at(1), k, call.Unknown, call.ReasonLost, nil) }, booking.Replay, call.Unknown, call.ReasonLost},
+		"refused":        {func(l *booking.Ledger, k booking.Key) { l.Refuse(at(1), k, call.ReasonOverloaded, nil) }, booking.Sealed, call.NotRun, call.ReasonOverloaded},
+		"successor":      {func(l *booking.Ledger, k booking.Key) { l.Refuse(at(1), k, call.ReasonDraining, &successor) }, booking.Follow, call.NotRun, call.ReasonDraining},
+		"own successor":  {func(l *booking.Ledger, k booking.Key) { l.Refuse(at(1), k, call.ReasonDraining, &k) }, booking.Sealed, call.NotRun, call.ReasonDraining},
+		"ended twice": {func(l *booking.Ledger, k booking.Key) {
+			l.Refuse(at(1), k, call.ReasonTooLate, nil)
+			l.Finish(at(1), k, call.Answered, "", answer)
+		}, booking.Sealed, call.NotRun, call.ReasonTooLate},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l, k := booking.New(incarnation, start), issue(0)
+			must.Eq(t, booking.Run, l.Begin(at(0), k, content("a")).Verdict)
+			waiting := l.Begin(at(0), k, content("a"))
+			must.Eq(t, booking.Wait, waiting.Verdict)
+			c.end(l, k)
+			again := l.Begin(at(2), k, content("a"))
+			must.Eq(t, c.verdict, again.Verdict)
+			must.Eq(t, c.outcome, again.Outcome)
+			must.Eq(t, c.reason, again.Reason)
+			must.Eq(t, c.verdict == booking.Follow, again.HasSuccessor)
+			must.Eq(t, c.outcome == call.Answered, again.Answer == answer)
+			must.Eq(t, booking.Reused, l.Begin(at(2), k, content("b")).Verdict)
+			select {
+			case <-waiting.Done:
+				must.NotEq(t, booking.Wait, c.verdict)
+			default:
+				must.Eq(t, booking.Wait, c.verdict)
+			}
+		})
+	}
+}
+
+// Guards against keys that this incarnation must never run.
+func TestLedgerRejects(t *testing.T) {
+	other := booking.Issue("orders", "orders-1", incarnation+1, 0)
+	cases := map[string]struct {
+		key     booking.Key
+		second  int
+		verdict booking.Verdict
+		outcome call.Outcome
+	}{
+		"another incarnation": {other, 0, booking.OwnerGone, call.Unknown},
+		"future epoch":        {issue(6), 5, booking.Malformed, call.Unknown},
+		"last valid second":   {issue(5), 65, booking.Run, call.Unknown},
+		"expired":             {issue(5), 66, booking.Expired, call.NotRun},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := booking.New(incarnation, start, booking.WithValidity(time.Minute))
+			begun := l.Begin(at(c.second), c.key, content("a"))
+			must.Eq(t, c.verdict, begun.Verdict)
+			must.Eq(t, c.outcome, begun.Outcome)
+		})
+	}
+}
+
+// Guards against notRun, or a second run, for a key whose record is gone.
+func TestLedgerForgets(t *testing.T) {
+	l := booking.New(incarnation, start, booking.WithValidity(time.Minute))
+	k := issue(0)
+	l.Begin(at(0), k, content("a"))
+	l.Tick(at(1000))
+	must.Eq(t, booking.Wait, l.Begin(at(1000), k, content("a")).Verdict)
+	l.Finish(at(1000), k, call.Answered, "", nil)
+	l.Tick(at(1001))
+	l.SetValidity(time.Hour)
+	again := l.Begin(at(1001), k, content("a"))
+	must.Eq(t, booking.Expired, again.Verdict)
+	must.Eq(t, call.Unknown, again.Outcome)
+	must.Eq(t, booking.Run, l.Begin(at(1001), issue(1), content("a")).Verdict)
+}
+
+// Guards against unbounded memory, and against a forgotten key that runs again
+// because the bound took effect before its validity ended.
+func TestLedgerBounds(t *testing.T) {
+	l := booking.New(incarnation, start, booking.WithMaxEntries(10), booking.WithKeptBytes(4<<10))
+	keys := make([]booking.Key, 100)
+	for i := range keys {
+		keys[i] = issue(uint32(i))
+		must.Eq(t, booking.Run, l.Begin(at(i), keys[i], content("a")).Verdict)
+		l.Finish(at(i), keys[i], call.Answered, "", &booking.Answer{Status: 200, Body: make([]byte, 1000)})
+	}
+	entries, bytes := l.Len()
+	must.Eq(t, 10, entries)
+	must.LessEq(t, 4<<10, bytes)
+	must.Eq(t, booking.Expired, l.Begin(at(100), keys[0], content("a")).Verdict)
+	must.Eq(t, call.ReasonAnswerNotKept, l.Begin(at(100), keys[90], content("a")).Reason)
+	must.NotNil(t, l.Begin(at(100), keys[99], content("a")).Answer)
+}
