--- /dev/null
+++ b/metrics/catalogue.go
@@ -0,0 +1,117 @@
+// Package metrics holds a node's OpenTelemetry instruments and serves them to
+// Prometheus.
+//
+// # Usage
+//
+//	m, err := metrics.New()
+//	router.Handle("/metrics", m.Handler())
+//	m.CallEnded(metrics.Call{Hop: metrics.Ingress, Service: "orders", Importance: call.Critical, Outcome: call.Answered}, latency)
+//
+// Service names must come from the settings, not from callers: each value of a
+// label costs memory at the node and at Prometheus. Calls to unknown services
+// are counted with an empty service.
+package metrics
+
+// Kind is the type of an instrument.
+type Kind uint8
+
+const (
+	// Counter only rises while the process runs.
+	Counter Kind = iota
+	// Gauge is the present value.
+	Gauge
+	// Histogram counts observations by size.
+	Histogram
+)
+
+var kindNames = [...]string{Counter: "counter", Gauge: "gauge", Histogram: "histogram"}
+
+// String returns the name used by Prometheus.
+func (k Kind) String() string { return kindNames[k] }
+
+// Instrument describes one instrument in the catalogue.
+type Instrument struct {
+	// Name is the OpenTelemetry name.
+	Name string
+	// Exported is the name on the scrape endpoint.
+	Exported string
+	Kind     Kind
+	// Unit is in UCUM notation.
+	Unit string
+	// Labels are the attributes, in order.
+	Labels []string
+	// Meaning tells an operator what is measured.
+	Meaning string
+}
+
+// Labels of instruments.
+const (
+	labelHop        = "hop"
+	labelService    = "service"
+	labelImportance = "importance"
+	labelOutcome    = "outcome"
+	labelReason     = "reason"
+	labelVerdict    = "verdict"
+	labelRegion     = "region"
+	labelHealth     = "health"
+)
+
+var (
+	calls = Instrument{
+		Name: "lacewingslip.calls", Exported: "lacewingslip_calls_total", Kind: Counter, Unit: "{call}",
+		Labels:  []string{labelHop, labelService, labelImportance, labelOutcome, labelReason},
+		Meaning: "Calls that ended. The reason is empty for answered calls.",
+	}
+	callDuration = Instrument{
+		Name: "lacewingslip.call.duration", Exported: "lacewingslip_call_duration_seconds", Kind: Histogram, Unit: "s",
+		Labels:  []string{labelHop, labelService},
+		Meaning: "Time from the arrival of a call at this hop to the end of its answer.",
+	}
+	retries = Instrument{
+		Name: "lacewingslip.retries", Exported: "lacewingslip_retries_total", Kind: Counter, Unit: "{retry}",
+		Labels:  []string{labelHop, labelService},
+		Meaning: "Attempts after the first, each at the cost of one retry token.",
+	}
+	queueLength = Instrument{
+		Name: "lacewingslip.queue.length", Exported: "lacewingslip_queue_length", Kind: Gauge, Unit: "{call}",
+		Labels:  []string{labelService},
+		Meaning: "Calls that wait in the sidecar for a slot.",
+	}
+	running = Instrument{
+		Name: "lacewingslip.running", Exported: "lacewingslip_running", Kind: Gauge, Unit: "{call}",
+		Labels:  []string{labelService},
+		Meaning: "Calls that run at the backend server.",
+	}
+	limit = Instrument{
+		Name: "lacewingslip.limit", Exported: "lacewingslip_limit", Kind: Gauge, Unit: "{call}",
+		Labels:  []string{labelService},
+		Meaning: "Calls that may run at once. It adapts between floor and slots.",
+	}
+	bookings = Instrument{
+		Name: "lacewingslip.bookings", Exported: "lacewingslip_bookings_total", Kind: Counter, Unit: "{booking}",
+		Labels:  []string{labelService, labelVerdict},
+		Meaning: "Bookings by what the key's owner decided, such as run or replay.",
+	}
+	crossRegionBytes = Instrument{
+		Name: "lacewingslip.cross.region.bytes", Exported: "lacewingslip_cross_region_bytes_total", Kind: Counter, Unit: "By",
+		Labels:  []string{labelService, labelRegion},
+		Meaning: "Bytes of requests and answers exchanged with the other region.",
+	}
+	members = Instrument{
+		Name: "lacewingslip.members", Exported: "lacewingslip_members", Kind: Gauge, Unit: "{node}",
+		Labels:  []string{labelHealth},
+		Meaning: "Nodes that this node knows, by health.",
+	}
+	settingsOffset = Instrument{
+		Name: "lacewingslip.settings.offset", Exported: "lacewingslip_settings_offset", Kind: Gauge, Unit: "{record}",
+		Meaning: "Offset of the last settings record that was read. It is equal on all nodes when a change is in effect everywhere.",
+	}
+)
+
+// Catalogue returns all instruments in the order of docs/operate/metrics.md.
+func Catalogue() []Instrument {
+	return []Instrument{
+		calls, callDuration, retries, queueLength, running, limit,
+		bookings, crossRegionBytes, members, settingsOffset,
+	}
+}
