--- /dev/null
+++ b/admission/limiter.go
@@ -0,0 +1,132 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// adaptInterval is the shortest time between two changes of the limit.
+	adaptInterval = 200 * time.Millisecond
+	// adaptSamples is the number of finished calls that a change needs.
+	adaptSamples = 10
+	// latencyTolerance is how far mean latency may exceed the baseline before
+	// the limit is lowered.
+	latencyTolerance = 2.0
+	cutFactor        = 0.7
+	// helpFactor is the drop of latency that shows that a cut helped. A backend
+	// server that shares a fixed capacity among its calls gets faster by
+	// cutFactor.
+	helpFactor = 0.9
+)
+
+// limiter adapts the concurrency limit. It lowers the limit when latency rises,
+// and takes the cut back if latency does not follow: then the cause lies
+// elsewhere, usually in a service further down the chain, and a low limit would
+// only lower throughput.
+type limiter struct {
+	limit    float64
+	current  int
+	baseline time.Duration
+
+	changed time.Time
+	samples int
+	total   time.Duration
+	// peak is the largest number of running calls since the last change.
+	peak int
+
+	// cutLatency and cutLimit are the values before the present series of cuts.
+	cutLatency time.Duration
+	cutLimit   float64
+}
+
+// observe records a finished call. Quick failures say nothing about load.
+func (l *limiter) observe(running int, r Result) {
+	l.peak = max(l.peak, running)
+	if r.Failed && r.Latency < l.baseline {
+		return
+	}
+	l.samples++
+	l.total += r.Latency
+}
+
+func (l *limiter) adapt(now time.Time, limits Limits) {
+	if l.changed.IsZero() {
+		l.changed = now
+	}
+	if now.Sub(l.changed) < adaptInterval || l.samples < adaptSamples {
+		return
+	}
+	l.change(l.total / time.Duration(l.samples))
+	l.clamp(limits)
+	l.changed, l.samples, l.total, l.peak = now, 0, 0, 0
+}
+
+func (l *limiter) change(latency time.Duration) {
+	if l.baseline == 0 || latency < l.baseline {
+		l.baseline = latency
+	}
+	slow := float64(latency) > latencyTolerance*float64(l.baseline)
+	switch {
+	case !slow:
+		l.cutLatency = 0
+		// An unused limit says nothing about a higher one.
+		if float64(l.peak) >= l.limit/2 {
+			l.limit += math.Sqrt(l.limit)
+		}
+	case l.cutLatency == 0:
+		l.cutLatency, l.cutLimit = latency, l.limit
+		l.limit *= cutFactor
+	case float64(latency) < helpFactor*float64(l.cutLatency):
+		l.cutLatency = latency
+		l.limit *= cutFactor
+	default:
+		l.baseline = latency
+		l.limit = l.cutLimit
+		l.cutLatency = 0
+	}
+}
+
+func (l *limiter) clamp(limits Limits) {
+	l.limit = min(max(l.limit, float64(limits.Floor)), float64(limits.Slots))
+}
+
+// estimateWindow is how long a measured latency counts.
+const estimateWindow = time.Second
+
+// estimate is the lowest latency of the present and the previous window. It is
+// zero, and so refuses nothing, if no call was answered in that time.
+type estimate struct {
+	since             time.Time
+	present, previous time.Duration
+}
+
+func (e *estimate) observe(now time.Time, r Result) {
+	if r.Failed || r.Latency <= 0 {
+		return
+	}
+	e.advance(now)
+	if e.present == 0 || r.Latency < e.present {
+		e.present = r.Latency
+	}
+}
+
+func (e *estimate) low(now time.Time) time.Duration {
+	e.advance(now)
+	if e.present == 0 || e.previous == 0 {
+		return max(e.present, e.previous)
+	}
+	return min(e.present, e.previous)
+}
+
+func (e *estimate) advance(now time.Time) {
+	age := now.Sub(e.since)
+	if age < estimateWindow {
+		return
+	}
+	e.previous = e.present
+	if age >= 2*estimateWindow {
+		e.previous = 0
+	}
+	e.present, e.since = 0, now
+}
