Add claims that map caller-chosen keys to issued keys

Callers that choose their own keys need one decision across all nodes. Each claim goes to one of 16 log streams by hash, claims that arrive during an append share the next one, and a node reads the stream back until its keys are decided. The issued key proposed in a claim is unique, so it serves as the claim's ID when the answer to an append is lost.

A record that directly follows what the node has read is applied without reading it back, since nothing can be before it.

A failed claim has the outcome unknown, not notRun as the failure modes in docs/design.md say for a log that is down. A repeat of a booking that ran would otherwise be told notRun during an outage, which is false. The view is bounded: beyond its limit the oldest keys expire early, and a key that may have been dropped is refused even if the validity is raised later.

--- a/booking/option.go
+++ b/booking/option.go
@@ -9,6 +9,8 @@
 	validity   time.Duration
 	keptBytes  int64
 	maxEntries int
+	logTimeout time.Duration
+	recorder   Recorder
 }
 
 func (o *options) apply(opts []Option) {
@@ -30,8 +32,21 @@
 	return func(o *options) { o.keptBytes = bytes }
 }
 
-// WithMaxEntries bounds the number of ended keys that a ledger remembers. The
-// default of 200,000 is ten minutes of 333 bookings per second.
+// WithMaxEntries bounds the number of keys that are remembered. The default of
+// a ledger, 200,000 ended keys, is ten minutes of 333 bookings per second; that
+// of claims, 500,000, is an hour of 139 bookings per second in all nodes
+// together. Beyond it the oldest keys expire early.
 func WithMaxEntries(n int) Option {
 	return func(o *options) { o.maxEntries = n }
 }
+
+// WithLogTimeout bounds the time for appending a claim and reading it back. The
+// default is one second; a booking can't wait much longer.
+func WithLogTimeout(timeout time.Duration) Option {
+	return func(o *options) { o.logTimeout = timeout }
+}
+
+// WithRecorder sets where claims report their events.
+func WithRecorder(r Recorder) Option {
+	return func(o *options) { o.recorder = r }
+}
