Add the client library for Go callers

Go programs that call services through nodes need one Do that knows whether a call ran, keeps issued keys at hand and repeats bookings safely.

A node reports notRun for its own attempt and knows nothing of earlier ones, so the client reports notRun only if no attempt of the call ended unknown. Anything uncertain counts as unknown: a response without the outcome header, an answer without a checkable end, notRun with a success status.

A test found that net/http sends a request with an Idempotency-Key again by itself when a reused connection is lost, and that neither error nor response tells of it. Seen before the fix: a booking that was reset and then refused was sent again under a fresh key (k1, k1, k2, k3), which could have run twice. The client now counts connections per attempt through httptrace and treats a resent request as one that may have run. Making requests non-replayable instead was ruled out: it would also stop the safe repeat on an idle connection that the server had closed.

--- /dev/null
+++ b/attempt.go
@@ -0,0 +1,220 @@
+package lacewingslip
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lacewingslip/lacewingslip/call"
+)
+
+const (
+	maxErrorBytes = 64 << 10
+	// avoidFor is how long a node that refused a connection is tried last.
+	avoidFor = 5 * time.Second
+)
+
+// attempt sends the call once.
+func (d *delivery) attempt(ctx context.Context) (answer Answer, failure *Error) {
+	if failure := d.ensureKey(ctx); failure != nil {
+		return Answer{}, failure
+	}
+	address := d.client.nodes.pick()
+	req, err := d.newRequest(ctx, address)
+	if err != nil {
+		return Answer{}, &Error{outcome: call.NotRun, reason: call.ReasonBadRequest, cause: err}
+	}
+	resp, resent, failure := d.client.send(req, address)
+	if failure != nil {
+		return Answer{}, failure
+	}
+	defer resp.Body.Close()
+	if d.request.Repeat == call.Never {
+		d.client.keys.put(d.request.Service, resp.Header.Get(call.HeaderNextKey))
+	}
+	answer, failure = d.client.read(resp)
+	if failure != nil && resent {
+		failure.outcome = call.Unknown
+	}
+	return answer, failure
+}
+
+// ensureKey gives a booking a key. A booking without a key has not been sent.
+func (d *delivery) ensureKey(ctx context.Context) (failure *Error) {
+	if d.request.Repeat != call.Never || d.key != "" {
+		return nil
+	}
+	key, failure := d.client.issuedKey(ctx, d.request.Service)
+	if failure != nil {
+		failure.outcome = call.NotRun
+		failure.message = "no key was issued for the booking"
+		return failure
+	}
+	d.key = key
+	return nil
+}
+
+func (d *delivery) newRequest(ctx context.Context, address string) (req *http.Request, err error) {
+	target := "http://" + address + "/" + d.request.Service + d.request.Path
+	req, err = http.NewRequestWithContext(ctx, d.request.Method, target, bytes.NewReader(d.request.Body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range d.request.Header {
+		req.Header[http.CanonicalHeaderKey(name)] = values
+	}
+	call.RemoveInternal(req.Header)
+	if deadline, ok := ctx.Deadline(); ok {
+		remaining := min(time.Until(deadline), call.MaxTimeout)
+		req.Header.Set(call.HeaderTimeout, call.FormatTimeout(remaining))
+	}
+	if d.key != "" {
+		req.Header.Set(call.HeaderKey, d.key)
+	}
+	return req, nil
+}
+
+// send sends the request to the node. Its failure is notRun only if no
+// connection was made.
+//
+// The transport itself sends a request with an idempotency key again, and some
+// others, if a reused connection was lost. Neither its error nor the response
+// tells of that, so connections are counted: resent means that an earlier
+// transmission may have run.
+func (c *Client) send(req *http.Request, address string) (resp *http.Response, resent bool, failure *Error) {
+	var connections atomic.Int32
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connections.Add(1) }}
+	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	switch {
+	case err == nil:
+		return resp, connections.Load() > 1, nil
+	case connections.Load() > 0:
+		return nil, false, &Error{outcome: call.Unknown, reason: lostReason(req.Context()), cause: err}
+	case req.Context().Err() != nil:
+		return nil, false, &Error{outcome: call.NotRun, reason: call.ReasonCanceled, cause: err}
+	default:
+		c.nodes.avoid(address)
+		return nil, false, &Error{outcome: call.NotRun, reason: call.ReasonUnreachable, cause: err, notSent: true}
+	}
+}
+
+// read turns a response into an answer or a failure. What is not certain counts
+// as unknown.
+func (c *Client) read(resp *http.Response) (answer Answer, failure *Error) {
+	outcome, err := call.ParseOutcome(resp.Header.Get(call.HeaderOutcome))
+	switch {
+	case err != nil:
+		return Answer{}, &Error{
+			outcome: call.Unknown, reason: call.ReasonInternal, status: resp.StatusCode,
+			message: "the answer does not come from a node", cause: err,
+		}
+	case outcome == call.Answered:
+		return c.readAnswer(resp)
+	default:
+		return Answer{}, readFailure(resp, outcome)
+	}
+}
+
+func (c *Client) readAnswer(resp *http.Response) (answer Answer, failure *Error) {
+	lost := func(err error) (Answer, *Error) {
+		return Answer{}, &Error{outcome: call.Unknown, reason: call.ReasonLost, status: resp.StatusCode, cause: err}
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed {
+		return lost(errors.New("the end of the answer can't be checked: it has neither a length nor chunks"))
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxAnswerBytes+1))
+	if err != nil {
+		return lost(err)
+	}
+	if int64(len(body)) > c.maxAnswerBytes {
+		return Answer{}, &Error{
+			outcome: call.Unknown, reason: call.ReasonTooLarge, status: resp.StatusCode,
+			message: fmt.Sprintf("the answer is larger than %d bytes", c.maxAnswerBytes),
+		}
+	}
+	retries, _ := strconv.Atoi(resp.Header.Get(call.HeaderRetries))
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Retries: retries}, nil
+}
+
+type errorBody struct {
+	Message   string `json:"message"`
+	RequestID string `json:"requestId"`
+}
+
+func readFailure(resp *http.Response, outcome call.Outcome) *Error {
+	var body errorBody
+	// The body only explains; the headers decide.
+	_ = json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(&body)
+	seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
+	failure := &Error{
+		outcome:    outcome,
+		reason:     call.Reason(resp.Header.Get(call.HeaderReason)),
+		status:     resp.StatusCode,
+		message:    body.Message,
+		requestID:  body.RequestID,
+		retryAfter: time.Duration(max(seconds, 0)) * time.Second,
+	}
+	if outcome == call.NotRun && resp.StatusCode < http.StatusBadRequest {
+		failure.outcome = call.Unknown
+		failure.message = fmt.Sprintf("the node reports notRun with status %d, which contradict each other", resp.StatusCode)
+	}
+	return failure
+}
+
+func lostReason(ctx context.Context) call.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return call.ReasonDeadline
+	case ctx.Err() != nil:
+		return call.ReasonCanceled
+	default:
+		return call.ReasonLost
+	}
+}
+
+// nodes chooses among the node addresses.
+type nodes struct {
+	mu        sync.Mutex
+	addresses []string
+	avoided   map[string]time.Time
+	next      int
+}
+
+func newNodes(addresses []string) *nodes {
+	return &nodes{addresses: addresses, avoided: make(map[string]time.Time), next: rand.IntN(len(addresses))}
+}
+
+// pick returns the nodes in turn, those to avoid only if there are no others.
+func (n *nodes) pick() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	for range n.addresses {
+		address := n.advance()
+		if now.After(n.avoided[address]) {
+			return address
+		}
+	}
+	return n.advance()
+}
+
+func (n *nodes) advance() string {
+	n.next = (n.next + 1) % len(n.addresses)
+	return n.addresses[n.next]
+}
+
+func (n *nodes) avoid(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.avoided[address] = time.Now().Add(avoidFor)
+}
--- /dev/null
+++ b/client_test.go
@@ -0,0 +1,293 @@
+package lacewingslip_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip"
+	"github.com/lacewingslip/lacewingslip/call"
+)
+
+// step is what the fake node does with one attempt.
+type step func(http.ResponseWriter)
+
+func refuse(outcome call.Outcome, reason call.Reason) step {
+	return func(w http.ResponseWriter) {
+		w.Header().Set(call.HeaderOutcome, outcome.String())
+		w.Header().Set(call.HeaderReason, string(reason))
+		w.WriteHeader(call.Status(outcome, reason))
+		_, _ = io.WriteString(w, `{"message":"as scripted","requestId":"r1"}`)
+	}
+}
+
+func answer(status int) step {
+	return func(w http.ResponseWriter) {
+		w.Header().Set(call.HeaderOutcome, call.Answered.String())
+		w.Header().Set(call.HeaderRetries, "2")
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, "done")
+	}
+}
+
+// cut ends the answer before its declared length.
+func cut(w http.ResponseWriter) {
+	w.Header().Set(call.HeaderOutcome, call.Answered.String())
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, "do")
+}
+
+func unframed(w http.ResponseWriter) {
+	hijack(w, "HTTP/1.0 200 OK\r\nLacewingslip-Outcome: answered\r\n\r\ndone")
+}
+func reset(w http.ResponseWriter)   { hijack(w, "") }
+func foreign(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
+func contradict(w http.ResponseWriter) {
+	w.Header().Set(call.HeaderOutcome, call.NotRun.String())
+}
+
+func retryAfter(seconds string, then step) step {
+	return func(w http.ResponseWriter) { w.Header().Set("Retry-After", seconds); then(w) }
+}
+
+func nextKey(key string, then step) step {
+	return func(w http.ResponseWriter) { w.Header().Set(call.HeaderNextKey, key); then(w) }
+}
+
+// Guards against promise 4 being broken at the caller: a call that may have run
+// is reported as not run. It also guards against a repeat that the policy
+// forbids, and against a booking that is repeated with another key. A reset of
+// the reused connection makes the HTTP transport send a booking again by
+// itself, which counts as an attempt that may have run.
+func TestOutcomes(t *testing.T) {
+	notRun, unknown := call.NotRun, call.Unknown
+	busy := refuse(notRun, call.ReasonOverloaded)
+	lost := refuse(unknown, call.ReasonLost)
+	cases := map[string]struct {
+		repeat call.RepeatPolicy
+		steps  []step
+		want   call.Outcome
+		keys   []string
+	}{
+		"answered":                        {call.IfNotRun, []step{answer(200)}, call.Answered, []string{""}},
+		"answered with an error status":   {call.IfNotRun, []step{answer(500)}, call.Answered, []string{""}},
+		"redirect is an answer":           {call.IfNotRun, []step{answer(302)}, call.Answered, []string{""}},
+		"refused, then answered":          {call.IfNotRun, []step{busy, answer(200)}, call.Answered, []string{"", ""}},
+		"refused for good":                {call.IfNotRun, []step{busy, busy, busy, answer(200)}, notRun, []string{"", "", ""}},
+		"bad request is not repeated":     {call.IfNotRun, []step{refuse(notRun, call.ReasonUnknownRoute)}, notRun, []string{""}},
+		"lost lookup is not repeated":     {call.IfNotRun, []step{lost}, unknown, []string{""}},
+		"reset lookup is not repeated":    {call.IfNotRun, []step{reset}, unknown, []string{""}},
+		"truncated answer":                {call.IfNotRun, []step{cut}, unknown, []string{""}},
+		"answer without a checkable end":  {call.IfNotRun, []step{unframed}, unknown, []string{""}},
+		"answer of something else":        {call.IfNotRun, []step{foreign}, unknown, []string{""}},
+		"notRun with status 200":          {call.IfNotRun, []step{contradict}, unknown, []string{""}},
+		"always: lost, then answered":     {call.Always, []step{lost, answer(200)}, call.Answered, []string{"", ""}},
+		"always: lost, then refused":      {call.Always, []step{lost, busy, busy}, unknown, []string{"", "", ""}},
+		"booking answered":                {call.Never, []step{answer(200)}, call.Answered, []string{"k1"}},
+		"booking lost, same key":          {call.Never, []step{lost, answer(200)}, call.Answered, []string{"k1", "k1"}},
+		"booking truncated, same key":     {call.Never, []step{cut, answer(200)}, call.Answered, []string{"k1", "k1"}},
+		"booking reset, then refused":     {call.Never, []step{reset, busy, busy, busy}, unknown, []string{"k1", "k1", "k1", "k1"}},
+		"booking lost, then key expired":  {call.Never, []step{lost, refuse(notRun, call.ReasonKeyExpired)}, unknown, []string{"k1", "k1"}},
+		"booking's owner gone":            {call.Never, []step{refuse(unknown, call.ReasonOwnerGone)}, unknown, []string{"k1"}},
+		"booking refused, fresh key":      {call.Never, []step{busy, answer(200)}, call.Answered, []string{"k1", "k2"}},
+		"booking refused, lost, refused":  {call.Never, []step{busy, lost, busy}, unknown, []string{"k1", "k2", "k2"}},
+		"booking refused, key from node":  {call.Never, []step{nextKey("n1", busy), answer(200)}, call.Answered, []string{"k1", "n1"}},
+		"booking's key expired, then run": {call.Never, []step{refuse(notRun, call.ReasonKeyExpired), answer(200)}, call.Answered, []string{"k1", "k5"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				node := newFakeNode(t, tc.steps...)
+				got, err := node.client(t).Do(t.Context(), lacewingslip.Request{Service: "orders", Method: "POST", Path: "/book", Body: []byte("trays"), Repeat: tc.repeat})
+				must.EqOp(t, tc.want, lacewingslip.OutcomeOf(err))
+				must.Eq(t, tc.keys, node.keys)
+				if err == nil {
+					must.EqOp(t, "done", string(got.Body))
+					must.EqOp(t, 2, got.Retries)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a caller-chosen key that is replaced, which would book twice.
+func TestCallerChosenKeyIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		busy := refuse(call.NotRun, call.ReasonLogUnavailable)
+		node := newFakeNode(t, nextKey("n1", busy), refuse(call.Unknown, call.ReasonLost), busy)
+		_, err := node.client(t).Do(t.Context(), lacewingslip.Request{Service: "orders", Method: "POST", Path: "/book", Repeat: call.Never, Key: "mine"})
+		must.Eq(t, []string{"mine", "mine", "mine"}, node.keys)
+		var failure *lacewingslip.Error
+		must.True(t, errors.As(err, &failure))
+		must.EqOp(t, "mine", failure.Key())
+		must.EqOp(t, "r1", failure.RequestID())
+	})
+}
+
+// Guards against callers that return too early, or all at the same moment,
+// after a refusal, and against waiting past the deadline.
+func TestRetryAfter(t *testing.T) {
+	busy := retryAfter("4", refuse(call.NotRun, call.ReasonOverloaded))
+	cases := map[string]struct {
+		timeout   time.Duration
+		low, high time.Duration
+		want      call.Outcome
+	}{
+		"waits at least as long as asked": {20 * time.Second, 4 * time.Second, 6 * time.Second, call.Answered},
+		"gives up at once without time":   {3 * time.Second, 0, 0, call.NotRun},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), tc.timeout)
+				defer cancel()
+				client, begun := newFakeNode(t, busy, answer(200)).client(t), time.Now()
+				_, err := client.Do(ctx, lacewingslip.Request{Service: "orders", Path: "/stock"})
+				must.EqOp(t, tc.want, lacewingslip.OutcomeOf(err))
+				must.Between(t, tc.low, time.Since(begun), tc.high)
+			})
+		})
+	}
+}
+
+// Guards against a hanging node: the deadline ends the call, and the outcome
+// admits that it may have run.
+func TestDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		node := newFakeNode(t, func(http.ResponseWriter) { time.Sleep(2 * time.Second) })
+		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+		defer cancel()
+		_, err := node.client(t).Do(ctx, lacewingslip.Request{Service: "orders", Path: "/stock"})
+		must.EqOp(t, call.Unknown, lacewingslip.OutcomeOf(err))
+		must.ErrorIs(t, err, context.DeadlineExceeded)
+		synctest.Wait()
+		must.EqOp(t, "1500", node.timeout)
+	})
+}
+
+// Guards against a dead node that makes calls fail although others are up, and
+// against an unknown outcome for what was never sent.
+func TestUnreachableNode(t *testing.T) {
+	closed := httptest.NewServer(http.NotFoundHandler())
+	dead := closed.Listener.Addr().String()
+	closed.Close()
+	live := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { answer(200)(w) }))
+	defer live.Close()
+	request := lacewingslip.Request{Service: "orders", Path: "/stock"}
+
+	client, err := lacewingslip.New([]string{dead, live.Listener.Addr().String()})
+	must.NoError(t, err)
+	for range 4 {
+		_, err = client.Do(t.Context(), request)
+		must.NoError(t, err)
+	}
+	client, err = lacewingslip.New([]string{dead})
+	must.NoError(t, err)
+	_, err = client.Do(t.Context(), request)
+	must.EqOp(t, call.NotRun, lacewingslip.OutcomeOf(err))
+}
+
+// Guards against requests and addresses that could only fail later, and with a
+// message that does not name the mistake.
+func TestMistakes(t *testing.T) {
+	_, err := lacewingslip.New(nil)
+	must.Error(t, err)
+	_, err = lacewingslip.New([]string{"10.0.0.1"})
+	must.ErrorContains(t, err, `"10.0.0.1" is not HOST:PORT`)
+	client, err := lacewingslip.New([]string{"127.0.0.1:1"})
+	must.NoError(t, err)
+	cases := map[string]lacewingslip.Request{
+		`service "a/b"`:    {Service: "a/b", Path: "/"},
+		`path "stock"`:     {Service: "orders", Path: "stock"},
+		`set Repeat to`:    {Service: "orders", Path: "/book", Key: "k"},
+		`invalid method`:   {Service: "orders", Path: "/", Method: "A B"},
+		`invalid URL esca`: {Service: "orders", Path: "/%zz"},
+	}
+	for message, request := range cases {
+		_, err := client.Do(t.Context(), request)
+		must.ErrorContains(t, err, message)
+		must.EqOp(t, call.NotRun, lacewingslip.OutcomeOf(err))
+	}
+}
+
+// fakeNode answers attempts as scripted and issues keys k1, k2 and so on. Its
+// connections are pipes, so that it can run in a synctest bubble.
+type fakeNode struct {
+	connections chan net.Conn
+	closed      chan struct{}
+	close       sync.Once
+	steps       []step
+	// keys and timeout are what the attempts carried.
+	keys    []string
+	timeout string
+	issued  int
+}
+
+func newFakeNode(t *testing.T, steps ...step) *fakeNode {
+	node := &fakeNode{connections: make(chan net.Conn), closed: make(chan struct{}), steps: steps}
+	server := &httptest.Server{Listener: node, Config: &http.Server{Handler: node}}
+	server.Start()
+	t.Cleanup(server.Close)
+	return node
+}
+
+func (n *fakeNode) client(t *testing.T) *lacewingslip.Client {
+	transport := &http.Transport{DisableCompression: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		near, far := net.Pipe()
+		select {
+		case n.connections <- far:
+			return near, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}}
+	t.Cleanup(transport.CloseIdleConnections)
+	client, err := lacewingslip.New([]string{"node:1"}, lacewingslip.WithTransport(transport))
+	must.NoError(t, err)
+	return client
+}
+
+func (n *fakeNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/lacewingslip/v1/keys" {
+		n.issued += 4
+		_, _ = fmt.Fprintf(w, `{"keys":["k%d","k%d","k%d","k%d"]}`, n.issued-3, n.issued, n.issued-1, n.issued-2)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	n.keys = append(n.keys, r.Header.Get(call.HeaderKey))
+	n.timeout = r.Header.Get(call.HeaderTimeout)
+	next := n.steps[0]
+	n.steps = n.steps[1:]
+	next(w)
+}
+
+func (n *fakeNode) Accept() (net.Conn, error) {
+	select {
+	case connection := <-n.connections:
+		return connection, nil
+	case <-n.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (n *fakeNode) Close() error   { n.close.Do(func() { close(n.closed) }); return nil }
+func (n *fakeNode) Addr() net.Addr { return &net.TCPAddr{} }
+
+func hijack(w http.ResponseWriter, raw string) {
+	connection, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = io.WriteString(connection, raw)
+	_ = connection.Close()
+}
