--- /dev/null
+++ b/cmd/lacewingslip/main.go
@@ -0,0 +1,18 @@
+// Command lacewingslip is the operators' program.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/lacewingslip/lacewingslip/internal/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := command.Run(ctx, os.Args, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/command/fleet.go
@@ -0,0 +1,132 @@
+package command
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	membersPath = "/lacewingslip/v1/members"
+	statusPath  = "/lacewingslip/v1/status"
+
+	// nodesAtOnce bounds the connections that are open at the same time.
+	nodesAtOnce = 32
+	// maxReplyBytes holds the list of members at the target size of 1,100
+	// nodes, about 400 bytes each, many times over.
+	maxReplyBytes = 8 << 20
+)
+
+// member is a node as another node knows it.
+type member struct {
+	Node     string `json:"node"`
+	Operator string `json:"operator"`
+	Service  string `json:"service"`
+	Region   string `json:"region"`
+	Zone     string `json:"zone"`
+	State    string `json:"state"`
+	Health   string `json:"health"`
+}
+
+type membersReply struct {
+	Members []member `json:"members"`
+}
+
+// fleet asks nodes at their operator addresses.
+type fleet struct {
+	client *http.Client
+	first  string
+}
+
+func fleetFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{
+			Name:     "operator",
+			Usage:    "`HOST:PORT` is the operator address of any node",
+			Sources:  cli.EnvVars("LACEWINGSLIP_OPERATOR"),
+			Required: true,
+		},
+		&cli.DurationFlag{
+			Name:  "timeout",
+			Usage: "wait `TIME` for each node, for example 500ms",
+			Value: 2 * time.Second,
+		},
+	}
+}
+
+func newFleet(c *cli.Command) *fleet {
+	return &fleet{
+		client: &http.Client{Timeout: c.Duration("timeout")},
+		first:  c.String("operator"),
+	}
+}
+
+// members asks the first node. Nodes that left are not listed.
+func (f *fleet) members(ctx context.Context) (members []member, err error) {
+	var reply membersReply
+	if err := f.get(ctx, f.first, membersPath, &reply); err != nil {
+		return nil, err
+	}
+	members = slices.DeleteFunc(reply.Members, func(m member) bool { return m.Health == "left" })
+	slices.SortFunc(members, func(a, b member) int { return cmp.Compare(a.Node, b.Node) })
+	return members, nil
+}
+
+// each calls ask for every member with an operator address, some at a time, and
+// returns the errors in order of members.
+func (f *fleet) each(members []member, ask func(i int, m member) error) (errs []error) {
+	errs = make([]error, len(members))
+	var group errgroup.Group
+	group.SetLimit(nodesAtOnce)
+	for i, m := range members {
+		group.Go(func() error {
+			if m.Operator == "" {
+				errs[i] = fmt.Errorf("node %s has no operator address", m.Node)
+				return nil
+			}
+			errs[i] = ask(i, m)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return errs
+}
+
+func (f *fleet) get(ctx context.Context, address, path string, reply any) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("ask node at %s: %w", address, err)
+		}
+	}()
+	target := url.URL{Scheme: "http", Host: address, Path: path}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), http.NoBody)
+	if err != nil {
+		return err
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered %s: %s", path, resp.Status, strings.TrimSpace(string(body)))
+	}
+	if err := json.Unmarshal(body, reply); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
