Test admission, routing and retry, and correct what the tests found

They found three faults. An arrival that was too late returned before queued calls were admitted to slots that the warm-up had freed. The limiter judged a cut by calls that had begun before it, and by an interval in which latency had only begun to rise, so cuts were taken back that would have helped; both are now left out. Refused local calls counted as traffic and so raised the allowance of other regions.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -113,7 +113,8 @@
 	limits  Limits
 	random  *rand.Rand
 	started time.Time
-	running map[uint64]struct{}
+	// running holds the start of each running call.
+	running map[uint64]time.Time
 	// queue has one list per importance. Each is sorted by falling deadline, so
 	// that the next call to run is the last element.
 	queue    [call.Critical + 1][]Request
@@ -133,7 +134,7 @@
 // New returns a controller without calls. The warm-up begins with the first
 // event.
 func New(limits Limits, opts ...Option) *Controller {
-	c := &Controller{running: make(map[uint64]struct{}, limits.Slots)}
+	c := &Controller{running: make(map[uint64]time.Time, max(limits.Slots, 0))}
 	c.setLimits(limits)
 	c.limiter.limit = float64(c.limits.Slots)
 	c.limiter.current = c.warmUpCap(0)
@@ -166,7 +167,7 @@
 	r.Importance = min(r.Importance, call.Critical)
 	out = c.expire(now, out)
 	if !c.feasible(now, r) {
-		return append(out, c.refusal(r, call.ReasonTooLate))
+		return c.settle(now, append(out, c.refusal(r, call.ReasonTooLate)))
 	}
 	c.enqueue(r)
 	out = c.admit(now, out)
@@ -177,10 +178,11 @@
 // free slot allows to out.
 func (c *Controller) Finish(now time.Time, id uint64, r Result, out []Decision) []Decision {
 	c.begin(now)
-	if _, ok := c.running[id]; !ok {
+	started, ok := c.running[id]
+	if !ok {
 		return c.settle(now, out)
 	}
-	c.limiter.observe(len(c.running), r)
+	c.limiter.observe(started, len(c.running), r)
 	c.estimate.observe(now, r)
 	delete(c.running, id)
 	return c.settle(now, out)
@@ -283,7 +285,7 @@
 	for i := int(call.Critical); i >= 0; i-- {
 		for len(c.queue[i]) > 0 && len(c.running) < c.limiter.current {
 			r := c.dequeue(i)
-			c.running[r.ID] = struct{}{}
+			c.running[r.ID] = now
 			out = append(out, Decision{ID: r.ID, Verdict: Admitted})
 		}
 	}
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -80,3 +80,106 @@
 	s.finish(202, 5, 150)
 	must.EqOp(t, "8 admitted ;", s.arrive(203, 8, call.Low, 210), must.Sprint("an idle server tries any call"))
 }
+
+// simulate keeps a controller busy for some seconds and returns its last limit.
+// latency gives the time in ms of a call that starts as one of several.
+func simulate(c *admission.Controller, fromMs, toMs int, latency func(running int) int) int {
+	type running struct {
+		end     int
+		latency time.Duration
+	}
+	calls := map[uint64]running{}
+	id := uint64(fromMs) * 100
+	for ms := fromMs; ms < toMs; ms++ {
+		for id, r := range calls {
+			if r.end <= ms {
+				delete(calls, id)
+				c.Finish(at(ms), id, admission.Result{Latency: r.latency}, nil)
+			}
+		}
+		for c.Load().Running < c.Load().Limit {
+			id++
+			c.Arrive(at(ms), admission.Request{ID: id, Deadline: at(ms + 60_000)}, nil)
+			lasts := latency(c.Load().Running)
+			calls[id] = running{end: ms + lasts, latency: time.Duration(lasts) * time.Millisecond}
+		}
+		c.Tick(at(ms), nil)
+	}
+	for id := range calls {
+		c.Finish(at(toMs), id, admission.Result{Failed: true}, nil)
+	}
+	return c.Load().Limit
+}
+
+// Guards against a limit that stays high when the backend server is overloaded,
+// and against one that falls when the cause is further down the chain.
+func TestAdaptiveLimit(t *testing.T) {
+	newController := func() *admission.Controller {
+		return admission.New(admission.Limits{Slots: 50, Floor: 5}, seeded())
+	}
+	shared := newController()
+	simulate(shared, 0, 1000, func(int) int { return 10 })
+	limit := simulate(shared, 1000, 6000, func(running int) int { return max(10, running*2) })
+	must.Between(t, 5, limit, 25, must.Sprint("capacity for 5 calls at 10 ms"))
+	must.EqOp(t, 50, simulate(shared, 6000, 9000, func(int) int { return 10 }), must.Sprint("after the cause has passed"))
+
+	deep := newController()
+	simulate(deep, 0, 1000, func(int) int { return 10 })
+	must.EqOp(t, 50, simulate(deep, 1000, 6000, func(int) int { return 100 }), must.Sprint("latency does not depend on the limit"))
+}
+
+// Guards against full load on a cold backend server.
+func TestWarmUp(t *testing.T) {
+	c := admission.New(admission.Limits{Slots: 50, Floor: 10, WarmUp: time.Second}, seeded())
+	for ms, limit := range map[int]int{0: 10, 500: 30, 1000: 50} {
+		c := *c
+		c.Tick(at(0), nil)
+		c.Tick(at(ms), nil)
+		must.EqOp(t, limit, c.Load().Limit)
+	}
+}
+
+// Guards against calls that stay queued, or are admitted, against new limits.
+func TestConfigure(t *testing.T) {
+	s := newScript(1, 3)
+	for id := range uint64(4) {
+		s.arrive(0, id, call.Importance(id), 900)
+	}
+	s.c.Configure(at(1), admission.Limits{Slots: 1, Floor: 1, QueueLength: 1})
+	must.EqOp(t, "1 refused overloaded;2 refused overloaded;", s.tick(1))
+	s.c.Configure(at(2), admission.Limits{Slots: 2, Floor: 1, QueueLength: 1})
+	must.EqOp(t, "3 admitted ;", s.tick(2))
+}
+
+// Guards against refused callers that all come back at the same time.
+func TestRetryAfter(t *testing.T) {
+	c := admission.New(admission.Limits{}, seeded())
+	seen := map[time.Duration]bool{}
+	for id := range uint64(100) {
+		seen[c.Arrive(start, admission.Request{ID: id, Deadline: at(9)}, nil)[0].RetryAfter] = true
+	}
+	must.Eq(t, map[time.Duration]bool{time.Second: true, 2 * time.Second: true, 3 * time.Second: true}, seen)
+}
+
+func BenchmarkOverload(b *testing.B) {
+	c := admission.New(admission.Limits{Slots: 50, Floor: 5, QueueLength: 100}, seeded())
+	random := rand.New(rand.NewPCG(3, 4))
+	out := make([]admission.Decision, 0, 256)
+	running := make([]uint64, 0, 256)
+	now, id := start, uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		id++
+		out = c.Arrive(now, admission.Request{ID: id, Importance: call.Importance(random.IntN(4)), Deadline: now.Add(time.Second)}, out[:0])
+		if id%4 == 0 && len(running) > 0 {
+			out = c.Finish(now, running[0], admission.Result{Latency: 10 * time.Millisecond}, out)
+			running = append(running[:0], running[1:]...)
+		}
+		for _, d := range out {
+			if d.Verdict == admission.Admitted {
+				running = append(running, d.ID)
+			}
+		}
+	}
+}
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -35,15 +35,18 @@
 	// peak is the largest number of running calls since the last change.
 	peak int
 
+	// slow is true if latency was too high at the last change.
+	slow bool
 	// cutLatency and cutLimit are the values before the present series of cuts.
 	cutLatency time.Duration
 	cutLimit   float64
 }
 
-// observe records a finished call. Quick failures say nothing about load.
-func (l *limiter) observe(running int, r Result) {
+// observe records a finished call. Calls that began under the previous limit
+// would hide the effect of a change, and quick failures say nothing about load.
+func (l *limiter) observe(started time.Time, running int, r Result) {
 	l.peak = max(l.peak, running)
-	if r.Failed && r.Latency < l.baseline {
+	if started.Before(l.changed) || r.Failed && r.Latency < l.baseline {
 		return
 	}
 	l.samples++
@@ -66,14 +69,18 @@
 	if l.baseline == 0 || latency < l.baseline {
 		l.baseline = latency
 	}
-	slow := float64(latency) > latencyTolerance*float64(l.baseline)
+	before := l.slow
+	l.slow = float64(latency) > latencyTolerance*float64(l.baseline)
 	switch {
-	case !slow:
+	case !l.slow:
 		l.cutLatency = 0
 		// An unused limit says nothing about a higher one.
 		if float64(l.peak) >= l.limit/2 {
 			l.limit += math.Sqrt(l.limit)
 		}
+	case !before:
+		// Latency rose within this interval, so its mean is too low to judge a
+		// cut by.
 	case l.cutLatency == 0:
 		l.cutLatency, l.cutLimit = latency, l.limit
 		l.limit *= cutFactor
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -257,6 +257,10 @@
 	r.inFlight = max(r.inFlight-1, 0)
 	r.cost = max(r.cost-cost, 0)
 	t.count(s, r, report.Bytes)
+	if report.End >= Refused && report.End != Failed && r.tier != remoteTier {
+		// Calls that did not run would raise the allowance of other regions.
+		s.local = max(s.local-float64(cost+callCost), 0)
+	}
 	if report.HasLoad {
 		r.load, r.reportedAt, r.reportedInFlight = report.Load, now, r.inFlight
 	}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,167 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingslip/lacewingslip/admission"
+	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/routing"
+)
+
+var start = time.Unix(1_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// upstreams returns n upstreams per place, a place being region/zone.
+func upstreams(n, slots int, places ...[2]string) (all []routing.Upstream) {
+	for _, p := range places {
+		for i := range n {
+			all = append(all, routing.Upstream{Node: fmt.Sprintf("%s%d", p[1], i), Address: "a", Region: p[0], Zone: p[1], Slots: slots})
+		}
+	}
+	return all
+}
+
+var zoneA, zoneB, far = [2]string{"r", "a"}, [2]string{"r", "b"}, [2]string{"q", "c"}
+
+func newTable(all []routing.Upstream, opts ...routing.Option) *routing.Table {
+	t := routing.New("r", "a", append(opts, routing.WithRandom(rand.New(rand.NewPCG(1, 2))))...)
+	t.Replace(start, "s", all)
+	return t
+}
+
+// picks sends n calls, answers none, and counts the first letters of the nodes.
+func picks(t *routing.Table, n int) map[byte]int {
+	counts := map[byte]int{}
+
+	for range n {
+		if u, ok := t.Choose(start, routing.Query{Service: "s"}); ok {
+			counts[u.Node[0]]++
+			t.Sent(start, "s", u.Node, 0)
+		}
+	}
+	return counts
+}
+
+// Guards against retries at an upstream that has refused, and against traffic
+// that leaves a place that has room.
+func TestChoose(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		all := upstreams(rapid.IntRange(1, 4).Draw(rt, "n"), 3, zoneA, zoneB, far)
+		table := newTable(all)
+		inFlight, tried := map[string]int{}, []string(nil)
+		for _, u := range all {
+			inFlight[u.Node] = rapid.IntRange(0, 4).Draw(rt, "inFlight")
+			for range inFlight[u.Node] {
+				table.Sent(start, "s", u.Node, 0)
+			}
+			if rapid.Bool().Draw(rt, "tried") {
+				tried = append(tried, u.Node)
+			}
+		}
+		u, ok := table.Choose(start, routing.Query{Service: "s", Tried: tried})
+		excluded := map[string]bool{}
+		for _, node := range tried {
+			excluded[node] = true
+		}
+		must.True(rt, !ok || !excluded[u.Node])
+		// all is sorted by distance: the first place with room must be chosen.
+		for _, first := range all {
+			if !excluded[first.Node] && inFlight[first.Node] < 3 && (first.Region == "r" || ok) {
+				must.EqOp(rt, first.Zone, u.Zone)
+				break
+			}
+		}
+	})
+}
+
+// Guards against an unbounded share of traffic between regions.
+func TestRemoteShare(t *testing.T) {
+	counts := picks(newTable(upstreams(2, 1, zoneA, zoneB, far)), 4)
+	must.Eq(t, map[byte]int{'a': 2, 'b': 2}, counts)
+	table := newTable(upstreams(2, 1000, zoneA, far), routing.WithRemoteShare(0.2))
+	counts = picks(table, 5_000)
+	must.Between(t, 950, counts['c'], 1000, must.Sprint("a fifth of all"))
+	must.EqOp(t, int64(counts['c'])<<10, table.RemoteBytes())
+	must.EqOp(t, 9, picks(newTable(upstreams(2, 1, far)), 9)['c'], must.Sprint("no upstream in the region"))
+}
+
+// Guards against work sent to upstreams that refuse, fail or are full.
+func TestAvoid(t *testing.T) {
+	share := func(r routing.Report, cost int64, afterMs int) (calls int) {
+		table := newTable(upstreams(2, 1_000_000, zoneA))
+		table.Sent(start, "s", "a0", cost)
+		if cost == 0 {
+			table.Done(start, "s", "a0", 0, r)
+		}
+		for range 1000 {
+			u, _ := table.Choose(at(afterMs), routing.Query{Service: "s"})
+			table.Sent(at(afterMs), "s", u.Node, 0)
+			if u.Node == "a0" {
+				calls++
+			}
+		}
+		return calls
+	}
+	for name, c := range map[string]struct {
+		report           routing.Report
+		cost             int64
+		after, low, high int
+	}{
+		"none":        {routing.Report{}, 0, 0, 495, 505},
+		"refused":     {routing.Report{End: routing.Refused}, 0, 0, 325, 340},
+		"failed":      {routing.Report{End: routing.Failed}, 0, 0, 325, 340},
+		"unreachable": {routing.Report{End: routing.Unreachable}, 0, 0, 85, 95},
+		"recovered":   {routing.Report{End: routing.Unreachable}, 0, 1600, 495, 505},
+		"full":        {routing.Report{HasLoad: true, Load: admission.Load{Running: 9, Limit: 9}}, 0, 0, 0, 0},
+		"stale":       {routing.Report{HasLoad: true, Load: admission.Load{Running: 9, Limit: 9}}, 0, 1100, 495, 505},
+		"large":       {routing.Report{}, 100 * 64 << 10, 0, 440, 455},
+	} {
+		must.Between(t, c.low, share(c.report, c.cost, c.after), c.high, must.Sprint(name))
+	}
+}
+
+// Guards against lookups that take the place of a refused booking.
+func TestShed(t *testing.T) {
+	table := newTable(nil)
+	must.False(t, table.Sheds(start, "s", call.Low))
+	table.Shed(start, "s", call.Critical)
+	table.Shed(at(1), "s", call.Normal)
+	must.True(t, table.Sheds(at(999), "s", call.High))
+	must.False(t, table.Sheds(at(999), "s", call.Critical))
+	must.False(t, table.Sheds(at(1000), "s", call.High))
+	must.False(t, table.Sheds(at(999), "other", call.Low))
+}
+
+// Guards against lost counts when membership changes.
+func TestReplace(t *testing.T) {
+	table := newTable(upstreams(2, 1, zoneA, zoneB))
+	table.Sent(start, "s", "a0", 0)
+	table.Replace(start, "s", upstreams(1, 1, zoneA, zoneB))
+	must.Eq(t, map[byte]int{'b': 1}, picks(table, 1))
+	table.Done(start, "s", "gone", 0, routing.Report{})
+	table.Done(start, "s", "a0", 0, routing.Report{})
+	must.Eq(t, map[byte]int{'a': 1}, picks(table, 1))
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for name, n := range map[string]int{"6 upstreams": 2, "30 upstreams": 10} {
+		b.Run(name, func(b *testing.B) {
+			table := newTable(upstreams(n, 50, zoneA, zoneB, far))
+			report := routing.Report{HasLoad: true, Load: admission.Load{Running: 20, Limit: 50}}
+			tried := []string{"a0"}
+			b.ReportAllocs()
+			for b.Loop() {
+				u, _ := table.Choose(start, routing.Query{Service: "s", Tried: tried})
+				table.Sent(start, "s", u.Node, 100)
+				table.Done(start, "s", u.Node, 100, report)
+			}
+		})
+	}
+}
