Read members and issued keys in the form that the node serves

The node serves members as a list with availabilityZone, and takes service and count of a key request from the query.

The client and the program now use these forms, and their fakes with them. The wrapping object was ruled out, because the node was written first without it. Tests pass with the race detector.

--- a/client_test.go
+++ b/client_test.go
@@ -258,7 +258,7 @@
 }
 
 func (n *fakeNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/lacewingslip/v1/keys" {
+	if r.URL.Path == "/lacewingslip/v1/keys" && r.URL.Query().Get("service") == "orders" {
 		n.issued += 4
 		_, _ = fmt.Fprintf(w, `{"keys":["k%d","k%d","k%d","k%d"]}`, n.issued-3, n.issued, n.issued-1, n.issued-2)
 		return
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -84,7 +84,7 @@
 func newFakeNodes(t *testing.T) fakeNodes {
 	var servers []*httptest.Server
 	var recorders []*timeline.Recorder
-	members := `{"node":"dispatch-1","operator":"127.0.0.1:1","service":"dispatch","region":"dire","zone":"dire-a","state":"ready","health":"unreachable"},
+	members := `{"node":"dispatch-1","operator":"127.0.0.1:1","service":"dispatch","region":"dire","availabilityZone":"dire-a","state":"ready","health":"unreachable"},
 		{"node":"old-1","operator":"127.0.0.1:1","health":"left"}`
 	for i, zone := range []string{"a", "b"} {
 		name := fmt.Sprintf("orders-%d", i+1)
@@ -95,12 +95,12 @@
 			_, _ = fmt.Fprintf(w, `{"running":3,"limit":50,"queued":1,"settingsOffset":%d}`, 17-i)
 		})
 		mux.HandleFunc("/lacewingslip/v1/members", func(w http.ResponseWriter, _ *http.Request) {
-			_, _ = fmt.Fprintf(w, `{"members":[%s]}`, members)
+			_, _ = fmt.Fprintf(w, `[%s]`, members)
 		})
 		server := httptest.NewServer(mux)
 		t.Cleanup(server.Close)
 		servers = append(servers, server)
-		members += fmt.Sprintf(`,{"node":%q,"operator":%q,"service":"orders","region":"addis","zone":"addis-%s","state":"ready","health":"alive"}`,
+		members += fmt.Sprintf(`,{"node":%q,"operator":%q,"service":"orders","region":"addis","availabilityZone":"addis-%s","state":"ready","health":"alive"}`,
 			name, server.Listener.Addr(), zone)
 	}
 	recorders[0].Record(event.CallStarted, slog.String(timeline.KeyRequest, "r1"))
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -33,15 +33,11 @@
 	Operator string `json:"operator"`
 	Service  string `json:"service"`
 	Region   string `json:"region"`
-	Zone     string `json:"zone"`
+	Zone     string `json:"availabilityZone"`
 	State    string `json:"state"`
 	Health   string `json:"health"`
 }
 
-type membersReply struct {
-	Members []member `json:"members"`
-}
-
 // fleet asks nodes at their operator addresses.
 type fleet struct {
 	client *http.Client
@@ -73,11 +69,10 @@
 
 // members asks the first node. Nodes that left are not listed.
 func (f *fleet) members(ctx context.Context) (members []member, err error) {
-	var reply membersReply
-	if err := f.get(ctx, f.first, membersPath, &reply); err != nil {
+	if err := f.get(ctx, f.first, membersPath, &members); err != nil {
 		return nil, err
 	}
-	members = slices.DeleteFunc(reply.Members, func(m member) bool { return m.Health == "left" })
+	members = slices.DeleteFunc(members, func(m member) bool { return m.Health == "left" })
 	slices.SortFunc(members, func(a, b member) int { return cmp.Compare(a.Node, b.Node) })
 	return members, nil
 }
--- a/keys.go
+++ b/keys.go
@@ -1,13 +1,14 @@
 package lacewingslip
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"strconv"
 	"sync"
 	"time"
 
@@ -86,11 +87,6 @@
 	return keys[0], nil
 }
 
-type keysRequest struct {
-	Service string `json:"service"`
-	Count   int    `json:"count"`
-}
-
 type keysReply struct {
 	Keys []string `json:"keys"`
 }
@@ -99,16 +95,13 @@
 	failed := func(err error) ([]string, *Error) {
 		return nil, &Error{outcome: call.NotRun, reason: call.ReasonInternal, cause: err}
 	}
-	body, err := json.Marshal(keysRequest{Service: service, Count: keysPerRequest})
-	if err != nil {
-		return failed(err)
-	}
 	address := c.nodes.pick()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+keysPath, bytes.NewReader(body))
+	query := url.Values{"service": {service}, "count": {strconv.Itoa(keysPerRequest)}}
+	target := url.URL{Scheme: "http", Host: address, Path: keysPath, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), http.NoBody)
 	if err != nil {
 		return failed(err)
 	}
-	req.Header.Set("Content-Type", "application/json")
 	resp, _, failure := c.send(req, address)
 	if failure != nil {
 		return nil, failure
