Let the known age of an incarnation grow between messages

Cause: a key states the age of its owner's incarnation as last heard. At 1,100 nodes an exchange with one given node comes only every few minutes, so keys were issued with an age that lay that far back and lost that part of their validity of ten minutes; a node that was heard of once and never called would have got only expired keys.

Ruled out: sending ages more often, which costs bytes on every exchange, and the issuer's wall clock, which may differ from the owner's.

The table adds the time since on its own monotonic clock, less 1 s and 0.1 %, so that the stated age stays at or below the true one.

--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -75,7 +75,7 @@
 	g.update(func(now time.Time) (changes []Change) {
 		var newer []update
 		changes, newer = g.table.merge(now, answer.Entries)
-		g.table.Heard(answer.From, answer.Incarnation, answer.Age)
+		g.table.Heard(time.Now(), answer.From, answer.Incarnation, answer.Age)
 		g.complete = g.complete || request.Ask == askAll
 		header.Entries = g.repairs(now, newer, answer.Want)
 		next = &exchangeRequest{header: header, To: answer.From}
@@ -151,7 +151,7 @@
 	g.update(func(now time.Time) (changes []Change) {
 		var newer []update
 		changes, newer = g.table.merge(now, request.Entries)
-		g.table.Heard(request.From, request.Incarnation, request.Age)
+		g.table.Heard(time.Now(), request.From, request.Incarnation, request.Age)
 		if sender, ok := g.table.records[request.From]; ok {
 			address = sender.Peer
 			if sender.health == Suspect || sender.health == Unreachable {
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -207,7 +207,7 @@
 func (g *Gossip) Heard(node string, incarnation uint64, epoch uint32) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.table.Heard(node, incarnation, epoch)
+	g.table.Heard(time.Now(), node, incarnation, epoch)
 }
 
 // Epoch returns the age of a node's incarnation in seconds as last known. It is
@@ -218,7 +218,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Epoch(node)
+	return g.table.Epoch(time.Now(), node)
 }
 
 func (g *Gossip) describe(service string, state State, slots int) {
--- a/membership/table.go
+++ b/membership/table.go
@@ -24,6 +24,9 @@
 	// paused for does not count against suspects.
 	pauseTime = 3 * time.Second
 
+	// Clocks of two VMs may differ in speed by one part in clockDrift.
+	clockDrift = 1000
+
 	bucketCount       = 64
 	transmissionsBase = 3
 	maxRecords        = 16_384
@@ -67,9 +70,10 @@
 	sends int
 	// removed records are kept only to recognize what is older.
 	removed bool
-	// heardSeconds is the age of the incarnation as last heard from the node
-	// itself.
+	// heardSeconds is the age of the incarnation as last heard, from its entry
+	// or from the node itself, and heardAt is when that was by the local clock.
 	heardSeconds uint32
+	heardAt      time.Time
 	hash         uint64
 }
 
@@ -134,19 +138,22 @@
 }
 
 // Heard notes the age of an incarnation as its node stated it.
-func (t *Table) Heard(node string, incarnation uint64, epoch uint32) {
+func (t *Table) Heard(now time.Time, node string, incarnation uint64, epoch uint32) {
 	if r, ok := t.records[node]; ok && r.Incarnation == incarnation {
-		r.heardSeconds = max(r.heardSeconds, epoch)
+		r.hear(now, epoch)
 	}
 }
 
-// Epoch returns the age of a node's incarnation as last known.
-func (t *Table) Epoch(node string) (incarnation uint64, epoch uint32, ok bool) {
+// Epoch returns an age that a node's incarnation has certainly reached: the one
+// last heard, and the time since. At the target size a node hears of another
+// only every few minutes, and keys issued with the last heard age alone would
+// be close to their expiry.
+func (t *Table) Epoch(now time.Time, node string) (incarnation uint64, epoch uint32, ok bool) {
 	r, ok := t.records[node]
 	if !ok || r.removed {
 		return 0, 0, false
 	}
-	return r.Incarnation, max(r.AgeSeconds, r.heardSeconds), true
+	return r.Incarnation, r.reached(now), true
 }
 
 // merge takes in what another node says. It returns the changes, and for each
@@ -299,9 +306,10 @@
 		t.buckets[bucketOf(r.Node)] ^= r.hash
 	}
 	if r.Incarnation != u.Incarnation {
-		r.heardSeconds = 0
+		r.heardSeconds, r.heardAt = 0, now
 	}
 	r.fields, r.health, r.since, r.removed = u.fields, u.Health, now.Add(-u.age()), false
+	r.hear(now, u.AgeSeconds)
 	r.hash = r.sum()
 	t.buckets[bucketOf(r.Node)] ^= r.hash
 	t.records[r.Node] = r
@@ -311,6 +319,24 @@
 	t.pending[r.Node] = r
 }
 
+// hear takes over a stated age if it is above the one worked out here.
+func (r *record) hear(now time.Time, seconds uint32) {
+	if seconds > r.reached(now) {
+		r.heardSeconds, r.heardAt = seconds, now
+	}
+}
+
+// reached is an age in seconds that the incarnation has certainly reached, even
+// if its clock is slower than the local one.
+func (r *record) reached(now time.Time) (seconds uint32) {
+	since := now.Sub(r.heardAt)
+	since -= since/clockDrift + time.Second
+	if since <= 0 {
+		return r.heardSeconds
+	}
+	return r.heardSeconds + uint32(since/time.Second)
+}
+
 func (t *Table) remove(now time.Time, r *record) {
 	t.buckets[bucketOf(r.Node)] ^= r.hash
 	r.removed, r.since = true, now
