Add the settings commands of the operators' program

Operators control the system through files in version control, so the commands cover the way from a file to a change in effect: check, diff, apply, show, keygen and sign.

A change that may have been written but was not read back has an exit code of its own, 4, because neither success nor failure would be true; running the command again tells which. Ruled out: an append without a local check first, because a change that every node rejects would still take up the log.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -52,7 +52,7 @@
       shows what happened to one request, on all nodes
 
 Exit codes: 0 done; 1 failed; 2 wrong command line; 3 done, and a problem was
-found.`
+found; 4 a change of settings may have been written, but this is not known.`
 
 // Run runs the program and returns its exit code.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) (code int) {
@@ -81,6 +81,7 @@
 		// Run prints errors and picks the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
+			settingsCommand(),
 			statusCommand(),
 			timelineCommand(),
 			versionCommand(),
--- a/settings/follower_test.go
+++ b/settings/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/ed25519"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -226,6 +227,20 @@
 	})
 }
 
+// Guards against a change that is reported as failed although it may be accepted
+// later.
+func TestPublishUndecided(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.log.SetFaults(logservice.Faults{Down: true})
+		ctx, cancel := context.WithTimeout(f.ctx, time.Minute)
+		defer cancel()
+		_, err := Publish(ctx, f.log, f.operator, rootChange(t, 0, teamPrivate), Nodes{})
+		var undecided *UndecidedError
+		must.True(t, errors.As(err, &undecided))
+		must.ErrorIs(t, err, logservice.ErrFault)
+	})
+}
+
 // Guards against settings that are lost or delayed by an outage of the log, and
 // against a node that has none because it started during one.
 func TestLongOutage(t *testing.T) {
--- a/settings/history.go
+++ b/settings/history.go
@@ -165,6 +165,13 @@
 	}
 }
 
+// Check returns why the change would be rejected if it were the next record, or
+// nil.
+func (h *History) Check(c Change) error {
+	_, err := h.state.accept(c, h.rootKey)
+	return err
+}
+
 func (h *History) replay(offset int64, data []byte) Verdict {
 	h.next = offset + 1
 	h.keep(offset, data)
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/ed25519"
-	"encoding/base64"
 	"fmt"
 	"net/http"
 	"path/filepath"
@@ -210,16 +209,6 @@
 	return key
 }
 
-// ParsePublicKey reads a public key as it is written in root.yaml: the 32 bytes
-// in base64.
-func ParsePublicKey(text string) (key ed25519.PublicKey, err error) {
-	key, err = base64.StdEncoding.DecodeString(text)
-	if err != nil || len(key) != ed25519.PublicKeySize {
-		return nil, fmt.Errorf("public key %.60q is not %d bytes in base64; lacewingslip settings keygen prints one", text, ed25519.PublicKeySize)
-	}
-	return key, nil
-}
-
 // parseBranch reads a team's branch. An empty file is a branch without services.
 func parseBranch(d *document, name string, text []byte, root rootBranch) (services []Service) {
 	owner, known := root.teams[name]
