Add the fault matrix of bookings

At-most-once execution has to hold with any fault at any step, so the matrix runs the ledger and the claims in a small wiring of three nodes, their backend servers and a log, on fake time. 16 steps with two sides each meet 12 faults in 6 scenarios (issued or caller-chosen keys; admitted, first sidecar refuses, all refuse at first). One caller repeats ten times through all nodes, another has a booking of its own, a third uses the first one's key. Each cell checks that no booking ran twice, that none which was told notRun ever ran, and that answers are the booking's own and complete.

Found while writing it: a key refused as expired with notRun could run after the validity was raised. The ledger now remembers the youngest key it refused so. unknownWithoutLog shows that notRun is false for a claim that can't be made because the log is down, as an earlier request with the same key may have run. A race detector report in the wiring of the log and verdicts that depended on the order of goroutines woken at one instant were faults of the matrix itself and are fixed.

--- a/booking/claims.go
+++ b/booking/claims.go
@@ -54,14 +54,18 @@
 	recorder   Recorder
 	logTimeout time.Duration
 	shards     [Shards]*shard
+
+	mu     sync.Mutex
+	random *rand.Rand
 }
 
-// NewClaims takes [WithValidity], [WithLogTimeout], [WithMaxEntries] and
-// [WithRecorder]. It reads nothing from the log until the first claim.
+// NewClaims takes [WithValidity], [WithLogTimeout], [WithMaxEntries],
+// [WithRecorder] and [WithRandom]. It reads nothing from the log until the first claim.
 func NewClaims(j journal.Journal, opts ...Option) *Claims {
 	o := options{validity: defaultCallerValidity, logTimeout: defaultLogTimeout, maxEntries: defaultMaxClaims, recorder: noRecorder{}}
+	o.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	o.apply(opts)
-	c := &Claims{journal: j, recorder: o.recorder, logTimeout: o.logTimeout}
+	c := &Claims{journal: j, recorder: o.recorder, logTimeout: o.logTimeout, random: o.random}
 	for i := range c.shards {
 		c.shards[i] = &shard{
 			claims: c,
@@ -228,7 +232,7 @@
 			return errors.Join(appendErr, readErr)
 		}
 		err = fmt.Errorf("claim not found in %s after append %d: %w", s.stream, attempt+1, errors.Join(errNotFound, appendErr))
-		if sleepErr := sleep(ctx, rand.N(appendBackoff)*time.Duration(attempt+1)); sleepErr != nil {
+		if sleepErr := sleep(ctx, s.claims.backoff(attempt)); sleepErr != nil {
 			break
 		}
 	}
@@ -346,6 +350,13 @@
 	return true
 }
 
+// backoff is jittered, so that nodes don't repeat their appends together.
+func (c *Claims) backoff(attempt int) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration(c.random.Int64N(int64(appendBackoff) * int64(attempt+1)))
+}
+
 // logUnavailable has the outcome unknown: another node may have claimed the key
 // for an earlier request that ran, and without the log that can't be excluded.
 func logUnavailable(cause error) *ClaimError {
--- a/booking/ledger.go
+++ b/booking/ledger.go
@@ -106,6 +106,9 @@
 	// forgottenBelow is above the epoch of every forgotten entry. A key from
 	// there on that has no entry was never begun.
 	forgottenBelow uint32
+	// expiredBelow is above the epoch of every key that was refused as expired.
+	// Such a key stays expired if the validity is raised later.
+	expiredBelow uint32
 }
 
 type entry struct {
@@ -161,7 +164,8 @@
 	if k.epoch < l.forgottenBelow {
 		return Begun{Verdict: Expired, Outcome: call.Unknown, Reason: call.ReasonKeyExpired}
 	}
-	if age > seconds(l.validity) {
+	if k.epoch < l.expiredBelow || age > seconds(l.validity) {
+		l.expiredBelow = max(l.expiredBelow, k.epoch+1)
 		return Begun{Verdict: Expired, Outcome: call.NotRun, Reason: call.ReasonKeyExpired}
 	}
 	l.entries[k] = &entry{key: k, state: Running, fingerprint: f, done: make(chan struct{})}
--- a/booking/ledger_test.go
+++ b/booking/ledger_test.go
@@ -161,6 +161,16 @@
 	must.Eq(t, booking.Run, l.Begin(at(1001), issue(1), content("a")).Verdict)
 }
 
+// Guards against a key that was refused as expired and runs under a validity
+// that was raised afterwards.
+func TestLedgerKeepsExpired(t *testing.T) {
+	l, k := booking.New(incarnation, start, booking.WithValidity(time.Second)), issue(0)
+	must.Eq(t, call.NotRun, l.Begin(at(5), k, content("a")).Outcome)
+	l.SetValidity(time.Hour)
+	must.Eq(t, booking.Expired, l.Begin(at(5), k, content("a")).Verdict)
+	must.Eq(t, booking.Run, l.Begin(at(5), issue(1), content("a")).Verdict)
+}
+
 // Guards against unbounded memory, and against a forgotten key that runs again
 // because the bound took effect before its validity ended.
 func TestLedgerBounds(t *testing.T) {
--- a/booking/option.go
+++ b/booking/option.go
@@ -1,6 +1,9 @@
 package booking
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Option changes a default of [New] or [NewClaims].
 type Option func(*options)
@@ -11,6 +14,7 @@
 	maxEntries int
 	logTimeout time.Duration
 	recorder   Recorder
+	random     *rand.Rand
 }
 
 func (o *options) apply(opts []Option) {
@@ -50,3 +54,9 @@
 func WithRecorder(r Recorder) Option {
 	return func(o *options) { o.recorder = r }
 }
+
+// WithRandom sets the source of the jitter between appends of a claim. It must
+// not be used elsewhere.
+func WithRandom(random *rand.Rand) Option {
+	return func(o *options) { o.random = random }
+}
--- /dev/null
+++ b/internal/matrix/coverage.go
@@ -0,0 +1,68 @@
+package matrix
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Coverage counts verdicts.
+type Coverage struct {
+	cells, passed, unreached int
+	failed                   []Result
+	skipped                  map[string]int
+}
+
+// Add counts a verdict.
+func (c *Coverage) Add(r Result) {
+	c.cells++
+	switch {
+	case r.Skipped != "":
+		if c.skipped == nil {
+			c.skipped = map[string]int{}
+		}
+		c.skipped[r.Skipped]++
+	case len(r.Problems) > 0:
+		c.failed = append(c.failed, r)
+	default:
+		c.passed++
+	}
+	if r.Skipped == "" && r.Fired < len(r.Cell.Injections) {
+		c.unreached++
+	}
+}
+
+// Cells returns the number of cells that were run.
+func (c *Coverage) Cells() int {
+	n := c.cells
+	for _, skipped := range c.skipped {
+		n -= skipped
+	}
+	return n
+}
+
+// Failed returns the verdicts on cells in which a promise was broken.
+func (c *Coverage) Failed() []Result { return c.failed }
+
+// String prints the counts, the failed cells and the reasons for skipping. A
+// cell counts as unreached if it passed without all of its faults happening.
+func (c *Coverage) String() string {
+	var b strings.Builder
+	skipped := 0
+	for _, n := range c.skipped {
+		skipped += n
+	}
+	fmt.Fprintf(&b, "cells %d, passed %d, failed %d, skipped %d, with a fault that was not reached %d\n",
+		c.cells, c.passed, len(c.failed), skipped, c.unreached)
+	for _, reason := range slices.Sorted(maps.Keys(c.skipped)) {
+		fmt.Fprintf(&b, "skipped %d: %s\n", c.skipped[reason], reason)
+	}
+	for _, r := range c.failed {
+		fmt.Fprintf(&b, "failed: %s\n", r.Cell)
+		for _, problem := range r.Problems {
+			fmt.Fprintf(&b, "  %s\n", problem)
+		}
+	}
+	return b.String()
+}
--- a/internal/matrix/log.go
+++ b/internal/matrix/log.go
@@ -118,6 +118,17 @@
 	return l.appends, l.reads
 }
 
+// ends returns the offset after the last record of each stream.
+func (l *Log) ends() map[string]int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ends := map[string]int64{}
+	for stream, records := range l.streams {
+		ends[stream] = int64(len(records))
+	}
+	return ends
+}
+
 func (l *Log) write(stream string, data []byte) (offset int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
