--- a/attempt.go
+++ b/attempt.go
@@ -142,8 +142,7 @@
 			message: fmt.Sprintf("the answer is larger than %d bytes", c.maxAnswerBytes),
 		}
 	}
-	retries, _ := strconv.Atoi(resp.Header.Get(call.HeaderRetries))
-	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Retries: retries}, nil
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Retries: readRetries(resp)}, nil
 }
 
 type errorBody struct {
@@ -163,6 +162,7 @@
 		message:    body.Message,
 		requestID:  body.RequestID,
 		retryAfter: time.Duration(max(seconds, 0)) * time.Second,
+		retries:    readRetries(resp),
 	}
 	if outcome == call.NotRun && resp.StatusCode < http.StatusBadRequest {
 		failure.outcome = call.Unknown
@@ -171,6 +171,11 @@
 	return failure
 }
 
+func readRetries(resp *http.Response) int {
+	retries, _ := strconv.Atoi(resp.Header.Get(call.HeaderRetries))
+	return max(retries, 0)
+}
+
 func lostReason(ctx context.Context) call.Reason {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/client.go
+++ b/client.go
@@ -72,7 +72,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Retries is how many retries the nodes spent across the whole chain.
+	// Retries is how often the call and its child calls were sent again, by
+	// nodes and by the client.
 	Retries int
 }
 
@@ -171,25 +172,32 @@
 	// mayHaveRun is true after an attempt whose outcome is unknown. The nodes
 	// don't know of earlier attempts, so their notRun covers only their own.
 	mayHaveRun bool
+	// retries counts those of the client and, as far as they were told, of the
+	// nodes.
+	retries int
 }
 
 func (d *delivery) run(ctx context.Context) (answer Answer, err error) {
 	for attempt := 1; ; attempt++ {
 		answer, failure := d.attempt(ctx)
 		if failure == nil {
+			answer.Retries += d.retries
 			return answer, nil
 		}
+		d.retries += failure.retries
 		d.mayHaveRun = d.mayHaveRun || failure.outcome == call.Unknown
 		if attempt == d.client.attempts || !d.repeatable(failure) || !wait(ctx, d.backoff(attempt, failure)) {
 			return Answer{}, d.report(failure)
 		}
 		d.prepareRepeat(failure)
+		d.retries++
 	}
 }
 
 // report makes the failure of the last attempt that of the whole delivery.
 func (d *delivery) report(failure *Error) *Error {
 	failure.key = d.key
+	failure.retries = d.retries
 	if d.mayHaveRun {
 		failure.outcome = call.Unknown
 	}
--- a/error.go
+++ b/error.go
@@ -17,6 +17,7 @@
 	requestID  string
 	key        string
 	retryAfter time.Duration
+	retries    int
 	cause      error
 	// notSent is true if no connection to a node was made.
 	notSent bool
@@ -41,6 +42,10 @@
 // RetryAfter is how long the node asked to wait, 0 if it did not.
 func (e *Error) RetryAfter() time.Duration { return e.retryAfter }
 
+// Retries is how often the call and its child calls were sent again, by nodes
+// and by the client.
+func (e *Error) Retries() int { return e.retries }
+
 // Error implements error.
 func (e *Error) Error() string {
 	text := fmt.Sprintf("call ended with outcome %s", e.outcome)
