--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,185 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/admission"
+	"github.com/lacewingslip/lacewingslip/call"
+)
+
+var start = time.Unix(1_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func seeded() admission.Option { return admission.WithRandom(rand.New(rand.NewPCG(1, 2))) }
+
+// script drives a controller by short steps and returns its decisions as text.
+type script struct {
+	c   *admission.Controller
+	out []admission.Decision
+}
+
+func (s *script) arrive(ms int, id uint64, i call.Importance, deadline int) string {
+	s.out = s.c.Arrive(at(ms), admission.Request{ID: id, Importance: i, Deadline: at(deadline)}, s.out[:0])
+	return text(s.out)
+}
+
+func (s *script) finish(ms int, id uint64, latency int) string {
+	s.out = s.c.Finish(at(ms), id, admission.Result{Latency: time.Duration(latency) * time.Millisecond}, s.out[:0])
+	return text(s.out)
+}
+
+func (s *script) tick(ms int) string {
+	s.out = s.c.Tick(at(ms), s.out[:0])
+	return text(s.out)
+}
+
+func text(decisions []admission.Decision) (t string) {
+	for _, d := range decisions {
+		t += fmt.Sprintf("%d %v %s;", d.ID, d.Verdict, d.Reason)
+	}
+	return t
+}
+
+func newScript(slots, queue int) *script {
+	return &script{c: admission.New(admission.Limits{Slots: slots, Floor: 1, QueueLength: queue}, seeded())}
+}
+
+// Guards against calls overtaking more important or more urgent ones.
+func TestOrder(t *testing.T) {
+	s := newScript(1, 3)
+	must.EqOp(t, "1 admitted ;", s.arrive(0, 1, call.Low, 900))
+	must.EqOp(t, "2 queued ;", s.arrive(1, 2, call.Normal, 900))
+	must.EqOp(t, "3 queued ;", s.arrive(2, 3, call.Critical, 900))
+	must.EqOp(t, "4 queued ;", s.arrive(3, 4, call.Critical, 500))
+	must.EqOp(t, "2 refused displaced;5 queued ;", s.arrive(4, 5, call.High, 900))
+	must.EqOp(t, "6 refused overloaded;", s.arrive(5, 6, call.High, 100))
+	must.EqOp(t, "4 admitted ;", s.finish(6, 1, 6))
+	must.EqOp(t, "3 admitted ;", s.finish(7, 4, 6))
+	must.EqOp(t, "5 admitted ;", s.finish(8, 3, 6))
+}
+
+// Guards against running calls that can't be answered in time.
+func TestDeadlines(t *testing.T) {
+	s := newScript(2, 9)
+	must.EqOp(t, "1 refused tooLate;", s.arrive(5, 1, call.Low, 5))
+	s.arrive(6, 2, call.Low, 900)
+	s.arrive(6, 3, call.Low, 900)
+	s.finish(106, 2, 100)
+	must.EqOp(t, "4 refused tooLate;", s.arrive(107, 4, call.Critical, 200))
+	must.EqOp(t, "5 admitted ;", s.arrive(107, 5, call.Low, 300))
+	must.EqOp(t, "6 queued ;", s.arrive(108, 6, call.Normal, 250))
+	must.EqOp(t, "7 queued ;", s.arrive(108, 7, call.Low, 900))
+	must.EqOp(t, "6 refused tooLate;7 refused overloaded;", s.tick(200))
+	s.finish(201, 3, 150)
+	s.finish(202, 5, 150)
+	must.EqOp(t, "8 admitted ;", s.arrive(203, 8, call.Low, 210), must.Sprint("an idle server tries any call"))
+}
+
+// simulate keeps a controller busy for some seconds and returns its last limit.
+// latency gives the time in ms of a call that starts as one of several.
+func simulate(c *admission.Controller, fromMs, toMs int, latency func(running int) int) int {
+	type running struct {
+		end     int
+		latency time.Duration
+	}
+	calls := map[uint64]running{}
+	id := uint64(fromMs) * 100
+	for ms := fromMs; ms < toMs; ms++ {
+		for id, r := range calls {
+			if r.end <= ms {
+				delete(calls, id)
+				c.Finish(at(ms), id, admission.Result{Latency: r.latency}, nil)
+			}
+		}
+		for c.Load().Running < c.Load().Limit {
+			id++
+			c.Arrive(at(ms), admission.Request{ID: id, Deadline: at(ms + 60_000)}, nil)
+			lasts := latency(c.Load().Running)
+			calls[id] = running{end: ms + lasts, latency: time.Duration(lasts) * time.Millisecond}
+		}
+		c.Tick(at(ms), nil)
+	}
+	for id := range calls {
+		c.Finish(at(toMs), id, admission.Result{Failed: true}, nil)
+	}
+	return c.Load().Limit
+}
+
+// Guards against a limit that stays high when the backend server is overloaded,
+// and against one that falls when the cause is further down the chain.
+func TestAdaptiveLimit(t *testing.T) {
+	newController := func() *admission.Controller {
+		return admission.New(admission.Limits{Slots: 50, Floor: 5}, seeded())
+	}
+	shared := newController()
+	simulate(shared, 0, 1000, func(int) int { return 10 })
+	limit := simulate(shared, 1000, 6000, func(running int) int { return max(10, running*2) })
+	must.Between(t, 5, limit, 25, must.Sprint("capacity for 5 calls at 10 ms"))
+	must.EqOp(t, 50, simulate(shared, 6000, 9000, func(int) int { return 10 }), must.Sprint("after the cause has passed"))
+
+	deep := newController()
+	simulate(deep, 0, 1000, func(int) int { return 10 })
+	must.EqOp(t, 50, simulate(deep, 1000, 6000, func(int) int { return 100 }), must.Sprint("latency does not depend on the limit"))
+}
+
+// Guards against full load on a cold backend server.
+func TestWarmUp(t *testing.T) {
+	c := admission.New(admission.Limits{Slots: 50, Floor: 10, WarmUp: time.Second}, seeded())
+	for ms, limit := range map[int]int{0: 10, 500: 30, 1000: 50} {
+		c := *c
+		c.Tick(at(0), nil)
+		c.Tick(at(ms), nil)
+		must.EqOp(t, limit, c.Load().Limit)
+	}
+}
+
+// Guards against calls that stay queued, or are admitted, against new limits.
+func TestConfigure(t *testing.T) {
+	s := newScript(1, 3)
+	for id := range uint64(4) {
+		s.arrive(0, id, call.Importance(id), 900)
+	}
+	s.c.Configure(at(1), admission.Limits{Slots: 1, Floor: 1, QueueLength: 1})
+	must.EqOp(t, "1 refused overloaded;2 refused overloaded;", s.tick(1))
+	s.c.Configure(at(2), admission.Limits{Slots: 2, Floor: 1, QueueLength: 1})
+	must.EqOp(t, "3 admitted ;", s.tick(2))
+}
+
+// Guards against refused callers that all come back at the same time.
+func TestRetryAfter(t *testing.T) {
+	c := admission.New(admission.Limits{}, seeded())
+	seen := map[time.Duration]bool{}
+	for id := range uint64(100) {
+		seen[c.Arrive(start, admission.Request{ID: id, Deadline: at(9)}, nil)[0].RetryAfter] = true
+	}
+	must.Eq(t, map[time.Duration]bool{time.Second: true, 2 * time.Second: true, 3 * time.Second: true}, seen)
+}
+
+func BenchmarkOverload(b *testing.B) {
+	c := admission.New(admission.Limits{Slots: 50, Floor: 5, QueueLength: 100}, seeded())
+	random := rand.New(rand.NewPCG(3, 4))
+	out := make([]admission.Decision, 0, 256)
+	running := make([]uint64, 0, 256)
+	now, id := start, uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		id++
+		out = c.Arrive(now, admission.Request{ID: id, Importance: call.Importance(random.IntN(4)), Deadline: now.Add(time.Second)}, out[:0])
+		if id%4 == 0 && len(running) > 0 {
+			out = c.Finish(now, running[0], admission.Result{Latency: 10 * time.Millisecond}, out)
+			running = append(running[:0], running[1:]...)
+		}
+		for _, d := range out {
+			if d.Verdict == admission.Admitted {
+				running = append(running, d.ID)
+			}
+		}
+	}
+}
