Lower the concurrency limit when a service further down refuses calls

At depth 12 and 10x load the deepest service refuses nine calls in ten, after eleven hops have worked for them. Latency can't show this, because refused calls end early. Result.Shed tells the controller that a call failed because a child call was refused for overload; the limit is lowered by the share of such calls, so that the refusals move up to the first hop.

Judging this cut by whether it helps was ruled out: far above capacity the share hardly falls with the first cuts. Raises in a row now double their step, since steps of the square root alone needed 2.5 s from 8 to 80 in the model.

Both runs: without the cut, and without growing steps, TestShedLimit fails; with both it passes.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -75,6 +75,9 @@
 	Latency time.Duration
 	// Failed is true if no complete answer came.
 	Failed bool
+	// Shed is true if the answer is an error and a child call was refused for
+	// overload. Such calls are better refused before they start.
+	Shed bool
 }
 
 // Load is what a sidecar reports to the nodes that send to it.
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -128,6 +128,27 @@
 	must.EqOp(t, 50, simulate(deep, 1000, 6000, func(int) int { return 100 }), must.Sprint("latency does not depend on the limit"))
 }
 
+// Guards against work that is done again and again for calls which a service
+// further down refuses.
+func TestShedLimit(t *testing.T) {
+	c := admission.New(admission.Limits{Slots: 80, Floor: 5}, seeded())
+	phase := func(fromMs int, shed func(n int) bool) int {
+		for ms := fromMs; ms < fromMs+2000; ms++ {
+			running := c.Load().Limit
+			for n := range running {
+				c.Arrive(at(ms), admission.Request{ID: uint64(n), Deadline: at(ms + 60_000)}, nil)
+			}
+			for n := range running {
+				c.Finish(at(ms), uint64(n), admission.Result{Latency: time.Millisecond, Shed: shed(n)}, nil)
+			}
+		}
+		return c.Load().Limit
+	}
+	must.Between(t, 8, phase(0, func(n int) bool { return n >= 10 }), 16, must.Sprint("capacity for 10 calls further down"))
+	must.EqOp(t, 80, phase(2000, func(int) bool { return false }))
+	must.EqOp(t, 5, phase(4000, func(int) bool { return true }))
+}
+
 // Guards against full load on a cold backend server.
 func TestWarmUp(t *testing.T) {
 	c := admission.New(admission.Limits{Slots: 50, Floor: 10, WarmUp: time.Second}, seeded())
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -14,6 +14,15 @@
 	// the limit is lowered.
 	latencyTolerance = 2.0
 	cutFactor        = 0.7
+	// shedTolerance is the share of calls that may fail because a child call
+	// was refused for overload. Their work is wasted, but a share of zero would
+	// leave capacity unused.
+	shedTolerance = 0.05
+	// maxRaises bounds how often the step doubles. Small steps hold a limit near
+	// its right value, growing ones bring it back soon after a cause has passed.
+	maxRaises = 4
+	// maxShedCut bounds one cut, since intervals are short.
+	maxShedCut = 0.5
 	// helpFactor is the drop of latency that shows that a cut helped. A backend
 	// server that shares a fixed capacity among its calls gets faster by
 	// cutFactor.
@@ -24,6 +33,10 @@
 // and takes the cut back if latency does not follow: then the cause lies
 // elsewhere, usually in a service further down the chain, and a low limit would
 // only lower throughput.
+//
+// A service further down that refuses calls is another matter: then calls beyond
+// its capacity are better refused here, before work is done for them. The limit
+// is lowered by the share of calls that failed for this reason.
 type limiter struct {
 	limit    float64
 	current  int
@@ -32,9 +45,13 @@
 	changed time.Time
 	samples int
 	total   time.Duration
+	// shed counts the calls that failed because a child call was refused.
+	shed int
 	// peak is the largest number of running calls since the last change.
 	peak int
 
+	// raises is the number of raises in a row.
+	raises int
 	// slow is true if latency was too high at the last change.
 	slow bool
 	// cutLatency and cutLimit are the values before the present series of cuts.
@@ -46,7 +63,14 @@
 // would hide the effect of a change, and quick failures say nothing about load.
 func (l *limiter) observe(started time.Time, running int, r Result) {
 	l.peak = max(l.peak, running)
-	if started.Before(l.changed) || r.Failed && r.Latency < l.baseline {
+	if started.Before(l.changed) {
+		return
+	}
+	if r.Shed {
+		l.shed++
+		return
+	}
+	if r.Failed && r.Latency < l.baseline {
 		return
 	}
 	l.samples++
@@ -57,15 +81,25 @@
 	if l.changed.IsZero() {
 		l.changed = now
 	}
-	if now.Sub(l.changed) < adaptInterval || l.samples < adaptSamples {
+	if now.Sub(l.changed) < adaptInterval || l.samples+l.shed < adaptSamples {
 		return
 	}
-	l.change(l.total / time.Duration(l.samples))
+	raises := l.raises
+	if share := float64(l.shed) / float64(l.samples+l.shed); share > shedTolerance {
+		l.limit *= max(1-share, maxShedCut)
+		l.slow, l.cutLatency = false, 0
+	} else {
+		l.follow(l.total / time.Duration(l.samples))
+	}
+	if l.raises == raises {
+		l.raises = 0
+	}
 	l.clamp(limits)
-	l.changed, l.samples, l.total, l.peak = now, 0, 0, 0
+	l.changed, l.samples, l.total, l.shed, l.peak = now, 0, 0, 0, 0
 }
 
-func (l *limiter) change(latency time.Duration) {
+// follow changes the limit by the mean latency of an interval.
+func (l *limiter) follow(latency time.Duration) {
 	if l.baseline == 0 || latency < l.baseline {
 		l.baseline = latency
 	}
@@ -76,7 +110,8 @@
 		l.cutLatency = 0
 		// An unused limit says nothing about a higher one.
 		if float64(l.peak) >= l.limit/2 {
-			l.limit += math.Sqrt(l.limit)
+			l.limit += math.Sqrt(l.limit) * float64(int(1)<<min(l.raises, maxRaises))
+			l.raises++
 		}
 	case !before:
 		// Latency rose within this interval, so its mean is too low to judge a
@@ -109,7 +144,7 @@
 }
 
 func (e *estimate) observe(now time.Time, r Result) {
-	if r.Failed || r.Latency <= 0 {
+	if r.Failed || r.Shed || r.Latency <= 0 {
 		return
 	}
 	e.advance(now)
