--- a/internal/experiment/contest.go
+++ b/internal/experiment/contest.go
@@ -34,7 +34,8 @@
 	Contestant string  `json:"contestant"`
 	Surge      float64 `json:"surge"`
 	Summary    Summary `json:"summary"`
-	// Goodput is per phase, as a share of capacity.
+	// Goodput counts the whole requests answered in each phase, as a share of
+	// what the bounding service can do at its speed in that phase.
 	Goodput map[string]float64 `json:"goodput"`
 	// Wasted is the share of backend time spent on attempts that failed.
 	Wasted float64 `json:"wasted"`
@@ -106,7 +107,7 @@
 	measured, cancelWorkers := context.WithTimeout(ctx, calibrationTime)
 	defer cancelWorkers()
 	begun := time.Now()
-	for i := range 2 * slots {
+	for i := range 3 * slots {
 		workers.Go(func() {
 			for n := 0; measured.Err() == nil; n++ {
 				class := f.Classes[(i+n)%len(f.Classes)]
@@ -142,7 +143,7 @@
 	plan := f.plan(w, c, surge, capacity, &good)
 	t = Trial{Contestant: name, Surge: surge, record: Run(ctx, plan)}
 	t.Summary = t.record.Summarize()
-	t.Goodput = goodput(t.record, capacity)
+	t.Goodput = f.goodput(t.record, capacity)
 	t.Wasted, t.RemoteBytes = w.meter.wasted(&good), w.meter.remoteBytes
 	retries := w.meter.retries.Load()
 	for _, count := range t.Summary.Counts {
@@ -185,7 +186,7 @@
 			time.Sleep(repeatDelay)
 		}
 		attempt := fmt.Sprintf("%d-%d", number, i)
-		r = w.request(ctx, c, class, attempt, region)
+		r = w.attempt(ctx, c, class, attempt, region)
 		retries += r.Retries
 		r.Retries = retries
 		if r.Outcome == call.Answered {
@@ -196,6 +197,16 @@
 	return r
 }
 
+// attempt is a request that the caller gives up after the file's AttemptTimeout.
+func (w *world) attempt(ctx context.Context, c contestant, class RequestClass, attempt, region string) Reply {
+	if w.file.AttemptTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, w.file.AttemptTimeout)
+		defer cancel()
+	}
+	return w.request(ctx, c, class, attempt, region)
+}
+
 // request sends one attempt of a customer request.
 func (w *world) request(ctx context.Context, c contestant, class RequestClass, attempt, region string) Reply {
 	header := http.Header{headerAttempt: {attempt}, headerRegion: {region}}
@@ -219,16 +230,22 @@
 	return reply
 }
 
-func goodput(r Record, capacity float64) map[string]float64 {
+func (f *File) goodput(r Record, capacity float64) map[string]float64 {
 	shares := make(map[string]float64)
-	for i, phase := range r.Plan.Phases {
+	start := time.Duration(0)
+	for _, phase := range f.Phases {
 		good := 0
 		for _, s := range r.Samples {
-			if s.Phase == i && s.Good() {
+			if end := s.Due + s.Latency; s.Good() && end >= start && end < start+phase.Duration {
 				good++
 			}
 		}
-		shares[phase.Name] = float64(good) / phase.Duration.Seconds() / capacity
+		possible := capacity
+		if factor, ok := phase.Slow[f.Capacity]; ok {
+			possible /= factor
+		}
+		shares[phase.Name] = float64(good) / phase.Duration.Seconds() / possible
+		start += phase.Duration
 	}
 	return shares
 }
--- a/internal/experiment/contestant.go
+++ b/internal/experiment/contestant.go
@@ -40,14 +40,17 @@
 	backends []*backend
 	meter    *meter
 	client   *http.Client
-	next     atomic.Uint64
+	// next holds the turn of each service. A counter for all would let chains of
+	// even length meet the same backend server again and again.
+	next map[string]*atomic.Uint64
 }
 
 // newWorld starts the backend servers of the file.
 func newWorld(ctx context.Context, f *File) (w *world, err error) {
-	w = &world{file: f, meter: &meter{work: make(map[string]time.Duration)}}
+	w = &world{file: f, meter: &meter{work: make(map[string]time.Duration)}, next: make(map[string]*atomic.Uint64)}
 	w.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: 10 * time.Second}}
 	for _, service := range slices.Sorted(maps.Keys(f.Services)) {
+		w.next[service] = new(atomic.Uint64)
 		for _, region := range f.Regions {
 			for _, zone := range []string{region + "-a", region + "-b"} {
 				for range f.Services[service].PerZone {
@@ -84,7 +87,7 @@
 			addresses = append(addresses, b.address)
 		}
 	}
-	first := int(w.next.Add(1) % uint64(len(addresses)))
+	first := int(w.next[service].Add(1) % uint64(len(addresses)))
 	return append(addresses[first:], addresses[:first]...)
 }
 
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -24,6 +24,8 @@
 	Regions []string `yaml:"regions"`
 	// Timeout is that of a caller's request.
 	Timeout time.Duration `yaml:"timeout"`
+	// AttemptTimeout is when a caller gives up one attempt and makes the next.
+	AttemptTimeout time.Duration `yaml:"attemptTimeout"`
 	// CallerRetries is how often a caller sends a failed request again, and
 	// BackendRetries how often a backend server repeats a failed child call.
 	CallerRetries  int                 `yaml:"callerRetries"`
