--- a/call/reason.go
+++ b/call/reason.go
@@ -85,6 +85,8 @@
 		return http.StatusConflict
 	case ReasonLost:
 		return http.StatusBadGateway
+	case ReasonLogUnavailable:
+		return http.StatusServiceUnavailable
 	default:
 		if outcome == Unknown {
 			return http.StatusBadGateway
--- /dev/null
+++ b/cmd/lacewingslip-standin/main.go
@@ -0,0 +1,103 @@
+// Command lacewingslip-standin runs stand-ins for what surrounds the nodes, for
+// tests and demonstrations.
+//
+// # Usage
+//
+//	lacewingslip-standin log --listen 127.0.0.1:7000
+//	lacewingslip-standin backend --service orders --listen 127.0.0.1:8000 --node 127.0.0.1:7101
+//
+// A backend server leaves its node before it exits on SIGTERM.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/lacewingslip/lacewingslip/internal/standin/backend"
+	"github.com/lacewingslip/lacewingslip/internal/standin/logservice"
+)
+
+// announceInterval is the pause between attempts to announce the backend
+// server to a node that is not up yet.
+const announceInterval = 50 * time.Millisecond
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	listen := &cli.StringFlag{Name: "listen", Usage: "address to listen on", Required: true}
+	command := &cli.Command{
+		Name:  "lacewingslip-standin",
+		Usage: "stand-ins for tests and demonstrations",
+		Commands: []*cli.Command{
+			{Name: "log", Usage: "an append-only log service in memory", Flags: []cli.Flag{listen}, Action: runLog},
+			{
+				Name: "backend", Usage: "a backend server", Action: runBackend,
+				Flags: []cli.Flag{
+					listen,
+					&cli.StringFlag{Name: "service", Usage: "service that it runs", Required: true},
+					&cli.StringFlag{Name: "node", Usage: "backend address of the node beside it", Required: true},
+					&cli.DurationFlag{Name: "service-time", Usage: "time that each call takes"},
+					&cli.StringSliceFlag{Name: "child", Usage: "child call that each call makes, as METHOD/service/path"},
+					&cli.IntFlag{Name: "answer-bytes", Usage: "size of the answer"},
+				},
+			},
+		},
+	}
+	if err := command.Run(ctx, os.Args); err != nil {
+		slog.Error(err.Error())
+		os.Exit(1)
+	}
+}
+
+func runLog(ctx context.Context, command *cli.Command) (err error) {
+	return serve(ctx, command.String("listen"), logservice.New(), nil, nil)
+}
+
+func runBackend(ctx context.Context, command *cli.Command) (err error) {
+	options := []backend.Option{
+		backend.WithServiceTime(command.Duration("service-time")),
+		backend.WithAnswerBytes(command.Int("answer-bytes")),
+	}
+	var children []backend.Child
+	for _, text := range command.StringSlice("child") {
+		method, rest, _ := strings.Cut(text, "/")
+		service, path, _ := strings.Cut(rest, "/")
+		children = append(children, backend.Child{Method: method, Service: service, Path: "/" + path})
+	}
+	b := backend.New(command.String("service"), append(options, backend.WithChildren(children...))...)
+	announce := func(address string) {
+		for b.Announce(ctx, command.String("node"), address) != nil && ctx.Err() == nil {
+			time.Sleep(announceInterval)
+		}
+	}
+	leave := func() { _ = b.Leave(context.Background()) }
+	return serve(ctx, command.String("listen"), b, announce, leave)
+}
+
+// serve runs the handler until the context ends, and then stops after the
+// requests in progress.
+func serve(ctx context.Context, address string, handler http.Handler, started func(address string), stopping func()) (err error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	if started != nil {
+		started(listener.Addr().String())
+	}
+	<-ctx.Done()
+	if stopping != nil {
+		stopping()
+	}
+	return server.Shutdown(context.Background())
+}
--- /dev/null
+++ b/cmd/lacewingslipd/main.go
@@ -0,0 +1,74 @@
+// Command lacewingslipd is the node that runs beside each backend server.
+//
+// # Usage
+//
+//	lacewingslipd --file node.yaml
+//
+// It runs until it gets SIGTERM or SIGINT, and then stops after the calls in
+// progress. Exit codes: 0 after a planned stop, 1 for an error, 2 for a node
+// file that is not valid, 3 if the stop deadline was exceeded.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/lacewingslip/lacewingslip/node"
+)
+
+const (
+	exitError     = 1
+	exitBadFile   = 2
+	exitCutOff    = 3
+	flagFile      = "file"
+	flagLogLevel  = "log-level"
+	defaultLevel  = "info"
+	usageLogLevel = "lowest level of events that are logged: debug, info, warn or error"
+)
+
+func main() {
+	command := &cli.Command{
+		Name:  "lacewingslipd",
+		Usage: "carry calls between callers and the backend server beside this process",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagFile, Aliases: []string{"f"}, Usage: "path of the node file", Required: true},
+			&cli.StringFlag{Name: flagLogLevel, Usage: usageLogLevel, Value: defaultLevel},
+		},
+		Action: run,
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		slog.Error(err.Error())
+		os.Exit(exitError)
+	}
+}
+
+func run(ctx context.Context, command *cli.Command) (err error) {
+	var level slog.Level
+	if err = level.UnmarshalText([]byte(command.String(flagLogLevel))); err != nil {
+		return cli.Exit(err, exitBadFile)
+	}
+	file, err := node.ReadFile(command.String(flagFile))
+	if err != nil {
+		return cli.Exit(err, exitBadFile)
+	}
+	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	n, err := node.New(file, node.WithLogger(logger))
+	if err != nil {
+		return err
+	}
+	signals, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err = n.Start(ctx); err != nil {
+		return err
+	}
+	<-signals.Done()
+	if err = n.Stop(ctx); err != nil {
+		return cli.Exit(err, exitCutOff)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/loopback/loopback.go
@@ -0,0 +1,282 @@
+// Package loopback runs a small system inside one process, for tests, the
+// demonstration and experiments: a stand-in log service, nodes, and a stand-in
+// backend server beside each node, all on addresses of this machine.
+//
+// # Usage
+//
+//	system, err := loopback.Start(ctx, loopback.WithTree(root, branches...),
+//		loopback.WithUpstream("addis", "addis-a", backend.New("orders")))
+//	defer system.Stop(ctx)
+//	answer, err := http.Get("http://" + system.Caller(0) + "/orders/stock")
+package loopback
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lacewingslip/lacewingslip/internal/standin/backend"
+	"github.com/lacewingslip/lacewingslip/internal/standin/logservice"
+	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/node"
+	"github.com/lacewingslip/lacewingslip/settings"
+)
+
+const (
+	anyPort = "127.0.0.1:0"
+	// settleInterval is the pause between two looks at whether all nodes know
+	// each other and the settings.
+	settleInterval = 20 * time.Millisecond
+	stopDeadline   = 10 * time.Second
+)
+
+// Upstream is a backend server with the node beside it.
+type Upstream struct {
+	region, zone string
+	backend      *backend.Backend
+	node         *node.Node
+	server       *http.Server
+	address      string
+}
+
+// Node returns the node beside the backend server.
+func (u *Upstream) Node() *node.Node { return u.node }
+
+// Backend returns the stand-in backend server.
+func (u *Upstream) Backend() *backend.Backend { return u.backend }
+
+// System is a running small system.
+type System struct {
+	log       *logservice.Service
+	logServer *http.Server
+	logAt     string
+	rootKey   ed25519.PrivateKey
+	root      settings.File
+	branches  []settings.File
+	upstreams []*Upstream
+	logger    *slog.Logger
+	// published is the settings offset that covers the whole tree.
+	published int64
+}
+
+// Option changes a system before it starts.
+type Option func(*System)
+
+// WithTree sets the settings tree that is published before the nodes start.
+func WithTree(root settings.File, branches ...settings.File) Option {
+	return func(s *System) { s.root, s.branches = root, branches }
+}
+
+// WithUpstream adds a backend server and a node beside it.
+func WithUpstream(region, zone string, b *backend.Backend) Option {
+	return func(s *System) { s.upstreams = append(s.upstreams, &Upstream{region: region, zone: zone, backend: b}) }
+}
+
+// WithLogger sets the logger of all nodes.
+func WithLogger(logger *slog.Logger) Option { return func(s *System) { s.logger = logger } }
+
+// Start starts everything and waits until each node knows the settings and all
+// upstreams.
+func Start(ctx context.Context, opts ...Option) (s *System, err error) {
+	defer func() { err = eris.Wrap(err, "start loopback system") }()
+	s = &System{log: logservice.New(), logger: slog.New(slog.DiscardHandler)}
+	for _, opt := range opts {
+		opt(s)
+	}
+	if err = s.start(ctx); err != nil {
+		s.Stop(context.Background())
+		return nil, err
+	}
+	return s, nil
+}
+
+// Log returns the stand-in log service.
+func (s *System) Log() *logservice.Service { return s.log }
+
+// Upstreams returns the upstreams in the order in which they were added.
+func (s *System) Upstreams() []*Upstream { return s.upstreams }
+
+// Caller returns the caller address of the node with the index.
+func (s *System) Caller(i int) string { return s.upstreams[i].node.CallerAddress() }
+
+// Stop ends all parts, nodes first.
+func (s *System) Stop(ctx context.Context) {
+	var group errgroup.Group
+	for _, u := range s.upstreams {
+		if u.node != nil {
+			group.Go(func() error { return u.node.Stop(ctx) })
+		}
+	}
+	// A part that could not stop in time is closed below.
+	_ = group.Wait()
+	for _, u := range s.upstreams {
+		if u.server != nil {
+			u.server.Close()
+		}
+	}
+	if s.logServer != nil {
+		s.logServer.Close()
+	}
+}
+
+func (s *System) start(ctx context.Context) (err error) {
+	if s.logServer, s.logAt, err = serve(s.log); err != nil {
+		return err
+	}
+	if err = s.publish(ctx); err != nil {
+		return err
+	}
+	for i, u := range s.upstreams {
+		if err = s.startUpstream(ctx, i, u); err != nil {
+			return err
+		}
+	}
+	return s.settle(ctx)
+}
+
+func (s *System) publish(ctx context.Context) (err error) {
+	s.rootKey, s.published, err = Publish(ctx, journal.New(s.logAt), s.root, s.branches...)
+	return err
+}
+
+// Publish signs a settings tree with fresh keys, writes their public halves
+// into the root branch, and appends every branch to the log. The tree is covered
+// by the returned settings offset.
+func Publish(ctx context.Context, log journal.Journal, root settings.File, branches ...settings.File) (
+	rootKey ed25519.PrivateKey, offset int64, err error,
+) {
+	tree, err := settings.Parse(root, branches...)
+	if err != nil {
+		return nil, 0, err
+	}
+	public, rootKey, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	root, keys, err := withFreshKeys(root, tree)
+	if err != nil {
+		return nil, 0, err
+	}
+	history := settings.NewHistory(public)
+	if err = publishBranch(ctx, log, history, root, rootKey); err != nil {
+		return nil, 0, err
+	}
+	for _, branch := range branches {
+		if err = publishBranch(ctx, log, history, branch, keys[branch.Branch()]); err != nil {
+			return nil, 0, err
+		}
+	}
+	return rootKey, history.Offset(), nil
+}
+
+// publishBranch signs the first revision of a branch and appends it to the log.
+func publishBranch(ctx context.Context, log journal.Journal, history *settings.History, branch settings.File,
+	key ed25519.PrivateKey,
+) (err error) {
+	defer func() { err = eris.Wrapf(err, "publish branch %q", branch.Branch()) }()
+	if key == nil {
+		return fmt.Errorf("the root branch has no such team")
+	}
+	change, err := settings.NewChange(branch.Branch(), 0, branch.Text)
+	if err != nil {
+		return err
+	}
+	verdict, err := settings.Publish(ctx, log, history, change.Sign(key), settings.Nodes{})
+	if err != nil {
+		return err
+	}
+	if verdict.Kind != settings.Accepted {
+		return fmt.Errorf("change was not accepted: %s", verdict.Reason)
+	}
+	return nil
+}
+
+// withFreshKeys replaces the public keys of the teams in the root branch by
+// ones whose private halves are known here.
+func withFreshKeys(root settings.File, tree *settings.Tree) (fresh settings.File, keys map[string]ed25519.PrivateKey, err error) {
+	keys = make(map[string]ed25519.PrivateKey)
+	text := string(root.Text)
+	for _, team := range tree.Teams() {
+		old, _ := tree.PublicKey(team)
+		public, private, err := ed25519.GenerateKey(nil)
+		if err != nil {
+			return settings.File{}, nil, err
+		}
+		keys[team] = private
+		text = strings.ReplaceAll(text, base64.StdEncoding.EncodeToString(old), base64.StdEncoding.EncodeToString(public))
+	}
+	return settings.File{Name: root.Name, Text: []byte(text)}, keys, nil
+}
+
+func (s *System) startUpstream(ctx context.Context, i int, u *Upstream) (err error) {
+	file, err := node.ParseFile([]byte(s.nodeFile(i, u)))
+	if err != nil {
+		return err
+	}
+	if u.node, err = node.New(file, node.WithLogger(s.logger)); err != nil {
+		return err
+	}
+	if err = u.node.Start(ctx); err != nil {
+		return err
+	}
+	if u.server, u.address, err = serve(u.backend); err != nil {
+		return err
+	}
+	return u.backend.Announce(ctx, u.node.BackendAddress(), u.address)
+}
+
+func (s *System) nodeFile(i int, u *Upstream) (text string) {
+	seeds := "[]"
+	if i > 0 {
+		seeds = "[" + `"` + s.upstreams[0].node.PeerAddress() + `"` + "]"
+	}
+	public := s.rootKey.Public().(ed25519.PublicKey)
+	return strings.Join([]string{
+		fmt.Sprintf("node: n%d", i+1),
+		"region: " + u.region,
+		"availabilityZone: " + u.zone,
+		fmt.Sprintf("listen: {caller: %q, backend: %q, peer: %q, operator: %q}", anyPort, anyPort, anyPort, anyPort),
+		"seeds: " + seeds,
+		fmt.Sprintf("log: %q", s.logAt),
+		"rootPublicKey: " + base64.StdEncoding.EncodeToString(public),
+		"stopDeadline: " + stopDeadline.String(),
+		"stopDelay: 0s",
+	}, "\n")
+}
+
+// settle waits until every node routes to every upstream.
+func (s *System) settle(ctx context.Context) (err error) {
+	for {
+		settled := true
+		for _, u := range s.upstreams {
+			settled = settled && u.node.Upstreams() == len(s.upstreams) && u.node.SettingsOffset() >= s.published
+		}
+		if settled {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "nodes did not find each other")
+		case <-time.After(settleInterval):
+		}
+	}
+}
+
+func serve(handler http.Handler) (server *http.Server, address string, err error) {
+	listener, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return nil, "", err
+	}
+	server = &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	return server, listener.Addr().String(), nil
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -167,7 +167,7 @@
 func (t *Table) merge(now time.Time, updates []update) (changes []Change, newer []update) {
 	for _, u := range updates {
 		r, known := t.records[u.Node]
-		if u.isNote() && !(known && u.complete(r.fields)) {
+		if u.isNote() && (!known || !u.complete(r.fields)) {
 			continue
 		}
 		if !known {
--- /dev/null
+++ b/node/backend.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/membership"
+)
+
+const (
+	// backendIdle is shorter than the idle timeout of common servers, so that
+	// calls rarely meet a connection that the backend server is just closing.
+	backendIdle = 4 * time.Second
+	// maxAnnouncement bounds the body of an announcement, in bytes.
+	maxAnnouncement = 4 << 10
+)
+
+// backendServer is what this node knows of the backend server beside it.
+type backendServer struct {
+	gate    *gate
+	members memberSelf
+	events  recorder
+
+	mu        sync.RWMutex
+	announced announcement
+	client    *http.Transport
+}
+
+// memberSelf is this node's own entry in the membership table.
+type memberSelf interface {
+	Announce(backend membership.Backend)
+	SetState(state membership.State)
+}
+
+// announcement is the JSON body with which a backend server announces itself.
+type announcement struct {
+	Service string `json:"service"`
+	Address string `json:"address"`
+	// Slots and Connections are the backend server's own bounds. Those of the
+	// settings go first.
+	Slots       int `json:"slots"`
+	Connections int `json:"connections"`
+}
+
+func (a announcement) check() (err error) {
+	if a.Service == "" {
+		return fmt.Errorf("service is missing")
+	}
+	if _, _, err = net.SplitHostPort(a.Address); err != nil {
+		return fmt.Errorf("address %q is not host:port: %w", a.Address, err)
+	}
+	if a.Slots < 0 || a.Connections < 0 {
+		return fmt.Errorf("slots and connections must not be negative")
+	}
+	return nil
+}
+
+func (b *backendServer) service() string {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.announced.Service
+}
+
+// slots gives the smaller of the bounds that settings and announcement state.
+func (b *backendServer) slots(configured int) int {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	if b.announced.Slots > 0 {
+		return min(configured, b.announced.Slots)
+	}
+	return configured
+}
+
+// limitConnections takes over the bound of the settings, where the
+// announcement states none.
+func (b *backendServer) limitConnections(configured int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.client == nil || b.announced.Connections > 0 || b.client.MaxConnsPerHost == configured {
+		return
+	}
+	// The old transport keeps its requests in progress and closes when they end.
+	old := b.client
+	b.client = newTransport(configured, backendIdle)
+	old.CloseIdleConnections()
+}
+
+func (b *backendServer) address() string {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.announced.Address
+}
+
+func (b *backendServer) transport() http.RoundTripper {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.client
+}
+
+// announce serves POST /lacewingslip/v1/announcement.
+func (b *backendServer) announce(w http.ResponseWriter, r *http.Request) {
+	var a announcement
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&a)
+	if err == nil {
+		err = a.check()
+	}
+	if err != nil {
+		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	b.mu.Lock()
+	if b.client != nil {
+		b.client.CloseIdleConnections()
+	}
+	b.announced = a
+	b.client = newTransport(a.Connections, backendIdle)
+	b.mu.Unlock()
+	b.gate.open()
+	b.members.Announce(membership.Backend{Service: a.Service, Slots: a.Slots})
+	b.members.SetState(membership.Ready)
+	b.events.Record(event.BackendAnnounced, attrService(a.Service), slog.String("address", a.Address))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// leave serves DELETE /lacewingslip/v1/announcement. New work is refused from
+// here on; the answer comes when the last call in progress has ended, so that
+// the backend server knows that it may exit.
+func (b *backendServer) leave(w http.ResponseWriter, r *http.Request) {
+	empty := b.drain()
+	select {
+	case <-empty:
+		b.members.SetState(membership.Gone)
+		b.events.Record(event.BackendDrained, attrService(b.service()))
+		w.WriteHeader(http.StatusNoContent)
+	case <-r.Context().Done():
+	}
+}
+
+// drain refuses new work and tells the other nodes.
+func (b *backendServer) drain() (empty <-chan struct{}) {
+	empty = b.gate.drain()
+	b.members.SetState(membership.Draining)
+	b.events.Record(event.BackendDraining, attrService(b.service()))
+	return empty
+}
+
+// newTransport returns a transport that leaves bodies as they are and opens at
+// most the given number of connections to one address; 0 means no bound.
+func newTransport(connections int, idle time.Duration) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DisableCompression:  true,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: maxIdlePerHost(connections),
+		IdleConnTimeout:     idle,
+	}
+}
+
+// maxIdlePerHost keeps as many connections as may be open, since opening one
+// takes about 1 ms.
+func maxIdlePerHost(connections int) int {
+	if connections == 0 {
+		return 256
+	}
+	return connections
+}
--- /dev/null
+++ b/node/egress.go
@@ -0,0 +1,165 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/baggage"
+
+	"github.com/lacewingslip/lacewingslip/booking"
+	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/retry"
+)
+
+// egress takes the child calls of this node's own backend server. It is an
+// ingress whose calls inherit from the call that the backend server is running.
+type egress struct {
+	*ingress
+	running *retry.Ledger
+}
+
+// ServeHTTP carries a child call.
+func (e *egress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	parent, ok := e.parent(r)
+	if !ok {
+		e.withoutContext(w, r)
+		return
+	}
+	started := time.Now()
+	c, child, f := e.acceptChild(w, r, parent)
+	if f != nil {
+		e.refuse(w, r, c, f, parent.Context.Request)
+		return
+	}
+	permit, ok := e.running.BeginChild(parent.Context.Call, child)
+	if !ok {
+		e.refuse(w, r, c, withoutToken(permit), parent.Context.Request)
+		return
+	}
+	c.context.Tokens = permit.Tokens
+	c.bind = func(key booking.Key) { e.running.BindKey(parent.Context.Call, child, key.String()) }
+	if f = e.assignChildKey(c, permit); f != nil {
+		e.running.EndChild(parent.Context.Call, child, retry.ChildEnd{TokensLeft: permit.Tokens, Outcome: call.NotRun})
+		e.refuse(w, r, c, f, parent.Context.Request)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	end := e.sender.do(ctx, c)
+	e.running.EndChild(parent.Context.Call, child, childEnd(end))
+	e.meter.ended(c, end.failure, time.Since(started))
+	e.meter.retried(c, end.retries)
+	e.deliver(w, c, end)
+}
+
+// parent finds the call that the backend server is running, by the baggage
+// member that it passed on.
+func (e *egress) parent(r *http.Request) (parent retry.Running, ok bool) {
+	bag, err := baggage.Parse(r.Header.Get("Baggage"))
+	if err != nil {
+		return retry.Running{}, false
+	}
+	id, err := call.ParseID(bag.Member(call.BaggageCall).Value())
+	if err != nil {
+		return retry.Running{}, false
+	}
+	return e.running.Lookup(id)
+}
+
+// withoutContext carries a call that the backend server makes on its own
+// account, or whose context it lost: no tokens and the lowest importance.
+func (e *egress) withoutContext(w http.ResponseWriter, r *http.Request) {
+	request := call.NewID()
+	c, f := e.accept(w, r, request)
+	if c != nil {
+		c.context.Importance = call.Low
+		c.context.Tokens = 0
+	}
+	if f != nil {
+		e.refuse(w, r, c, f, request)
+		return
+	}
+	child := childOf(c)
+	if _, ok := e.running.BeginChild("", child); !ok {
+		e.refuse(w, r, c, notRun(call.ReasonNoTokens, "the call failed a moment ago, and calls without a context have no retry tokens"), request)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	end := e.sender.do(ctx, c)
+	e.running.EndChild("", child, childEnd(end))
+	e.deliver(w, c, end)
+}
+
+// acceptChild makes the call for a request of the backend server.
+func (e *egress) acceptChild(w http.ResponseWriter, r *http.Request, parent retry.Running) (c *outgoing, child retry.Child, f *failure) {
+	c, f = newOutgoing(e.tree.Tree(), r)
+	if f != nil {
+		return nil, retry.Child{}, f
+	}
+	c.context = parent.Context
+	c.context.Depth++
+	if c.deadline.After(parent.Deadline) {
+		c.deadline = parent.Deadline
+	}
+	switch {
+	case c.context.Depth > call.MaxDepth:
+		return c, child, notRun(call.ReasonTooDeep, "the chain of calls is too long")
+	case c.context.Repeated && c.route.Repeat == call.Never:
+		return c, child, notRun(call.ReasonRepeated, "an earlier attempt of the calling request may have made this booking")
+	}
+	if c.body, f = readBody(w, r, c.route.MaxBody); f != nil {
+		return c, child, f
+	}
+	return c, childOf(c), nil
+}
+
+func childOf(c *outgoing) retry.Child {
+	return retry.Child{
+		Service: c.service.Name, Method: c.method, URI: c.uri,
+		Content: booking.FingerprintOf(c.method, c.uri, c.header.Get("Authorization"), c.body),
+	}
+}
+
+// assignChildKey gives a child booking its key. A repeat of a child booking
+// whose outcome is not known gets the key of the first, so that it can't run
+// twice.
+func (e *egress) assignChildKey(c *outgoing, permit retry.Permit) (f *failure) {
+	if c.route.Repeat != call.Never {
+		return nil
+	}
+	if permit.Key == "" {
+		return e.issueKey(c)
+	}
+	key, err := booking.ParseKey(permit.Key)
+	if err != nil {
+		return unknown(call.ReasonInternal, err.Error())
+	}
+	c.key, c.keyKnown = &key, true
+	return nil
+}
+
+// withoutToken refuses a repeat by the backend server. If an earlier attempt of
+// the same booking may have run, the refusal of this one does not change that.
+func withoutToken(permit retry.Permit) *failure {
+	const message = "the child call failed before, and no retry token is left for the customer request"
+	if permit.Key != "" {
+		return unknown(call.ReasonNoTokens, message)
+	}
+	return notRun(call.ReasonNoTokens, message)
+}
+
+// childEnd is what the running call keeps of a child call.
+func childEnd(end sent) (childEnd retry.ChildEnd) {
+	childEnd = retry.ChildEnd{TokensLeft: end.tokensLeft, Outcome: call.Answered}
+	if end.failure != nil {
+		childEnd.Outcome = end.failure.outcome
+	} else {
+		childEnd.Failed = end.answer.StatusCode >= http.StatusInternalServerError
+	}
+	if end.key != nil {
+		childEnd.Key = end.key.String()
+	}
+	return childEnd
+}
--- /dev/null
+++ b/node/ingress.go
@@ -0,0 +1,285 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/lacewingslip/lacewingslip/booking"
+	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/settings"
+)
+
+// maxIssuedKeys bounds one request for keys.
+const maxIssuedKeys = 64
+
+// ingress takes calls from callers and sends them to upstreams.
+type ingress struct {
+	tree    treeSource
+	sender  *sender
+	routes  *routes
+	peers   *peers
+	claims  claimer
+	events  recorder
+	meter   meter
+	buffers *bufferPool
+}
+
+// claimer maps a caller-chosen key to an issued key.
+type claimer interface {
+	Claim(ctx context.Context, callerKey string, fingerprint booking.Fingerprint, proposed booking.Key) (booking.Key, error)
+}
+
+// treeSource gives the settings in force.
+type treeSource interface {
+	Tree() *settings.Tree
+}
+
+// ServeHTTP carries a customer request.
+func (i *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	request := call.NewID()
+	c, f := i.accept(w, r, request)
+	if f != nil {
+		i.refuse(w, r, c, f, request)
+		i.meter.ended(c, f, time.Since(started))
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	end := i.sender.do(ctx, c)
+	i.meter.ended(c, end.failure, time.Since(started))
+	i.meter.retried(c, end.retries)
+	i.deliver(w, c, end)
+}
+
+// accept checks a customer request and makes the call for it. The call is nil
+// if the service or the route is not known.
+func (i *ingress) accept(w http.ResponseWriter, r *http.Request, request call.ID) (c *outgoing, f *failure) {
+	c, f = newOutgoing(i.tree.Tree(), r)
+	if f != nil {
+		return nil, f
+	}
+	c.context = call.Context{
+		Request: request, Depth: 1, Importance: c.route.Importance, Tokens: c.route.Retries,
+	}
+	if i.routes.sheds(c.service.Name, c.route.Importance) {
+		f = notRun(call.ReasonOverloaded, "bookings of the service were refused a moment ago, so lookups are refused")
+		f.retryAfter = time.Second
+		return c, f
+	}
+	if c.body, f = readBody(w, r, c.route.MaxBody); f != nil {
+		return c, f
+	}
+	if c.route.Repeat == call.Never {
+		f = i.assignKey(r, c)
+	}
+	return c, f
+}
+
+// newOutgoing finds service and route of a request and its deadline.
+func newOutgoing(tree *settings.Tree, r *http.Request) (c *outgoing, f *failure) {
+	name := mux.Vars(r)["service"]
+	service, ok := tree.Service(name)
+	if !ok {
+		return nil, notRun(call.ReasonUnknownService, fmt.Sprintf("the settings have no service %q", name))
+	}
+	route, ok := service.Route(r.Method, pathInService(r, name))
+	if !ok {
+		return nil, notRun(call.ReasonUnknownRoute,
+			fmt.Sprintf("service %q has no route for %s %s", name, r.Method, pathInService(r, name)))
+	}
+	timeout := route.Timeout
+	if text := r.Header.Get(call.HeaderTimeout); text != "" {
+		asked, err := call.ParseTimeout(text)
+		if err != nil {
+			return nil, notRun(call.ReasonBadRequest, err.Error())
+		}
+		timeout = min(timeout, asked)
+	}
+	return &outgoing{
+		service: service, route: route, method: r.Method, uri: r.URL.RequestURI(),
+		header: relayHeader(r.Header), deadline: time.Now().Add(timeout),
+	}, nil
+}
+
+// pathInService is the path without the service's name.
+func pathInService(r *http.Request, service string) string {
+	path := r.URL.Path[len("/")+len(service):]
+	if path == "" {
+		return "/"
+	}
+	return path
+}
+
+// readBody reads a request body up to the limit, so that it can be sent to
+// another upstream and a slow caller holds no slot.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) (body []byte, f *failure) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, notRun(call.ReasonTooLarge, fmt.Sprintf("the request body is larger than %d bytes", limit))
+	case err != nil:
+		return nil, notRun(call.ReasonBadRequest, "the request body broke off")
+	default:
+		return body, nil
+	}
+}
+
+// assignKey gives the booking its key: the caller's, or a fresh one.
+func (i *ingress) assignKey(r *http.Request, c *outgoing) (f *failure) {
+	text := r.Header.Get(call.HeaderKey)
+	if text == "" {
+		if c.route.KeyRequired {
+			return notRun(call.ReasonKeyRequired,
+				fmt.Sprintf("a booking needs the header %s; %s of this answer holds a fresh key", call.HeaderKey, call.HeaderNextKey))
+		}
+		return i.issueKey(c)
+	}
+	if !booking.IsIssued(text) {
+		return i.claimKey(r.Context(), c, text)
+	}
+	key, err := booking.ParseKey(text)
+	if err != nil {
+		return notRun(call.ReasonKeyMalformed, err.Error())
+	}
+	if key.Service() != c.service.Name {
+		return notRun(call.ReasonKeyMalformed, fmt.Sprintf("the key was issued for service %q", key.Service()))
+	}
+	c.key, c.keyKnown = &key, true
+	return nil
+}
+
+func (i *ingress) issueKey(c *outgoing) (f *failure) {
+	key, ok := i.nextKey(c.service.Name, c.context.Importance)
+	if !ok {
+		return notRun(call.ReasonNoUpstream, "no backend server of the service is available")
+	}
+	c.key = &key
+	return nil
+}
+
+// claimKey finds the issued key that belongs to a caller-chosen one.
+func (i *ingress) claimKey(ctx context.Context, c *outgoing, text string) (f *failure) {
+	if f = i.issueKey(c); f != nil {
+		return f
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	fingerprint := booking.FingerprintOf(c.method, c.uri, c.header.Get("Authorization"), c.body)
+	key, err := i.claims.Claim(ctx, text, fingerprint, *c.key)
+	var refused *booking.ClaimError
+	switch {
+	case errors.As(err, &refused):
+		return &failure{outcome: refused.Outcome, reason: refused.Reason, message: err.Error()}
+	case err != nil:
+		return unknown(call.ReasonInternal, err.Error())
+	}
+	c.key, c.keyKnown = &key, true
+	return nil
+}
+
+// nextKey issues a key for a node that is likely to have room.
+func (i *ingress) nextKey(service string, importance call.Importance) (key booking.Key, ok bool) {
+	upstream, ok := i.routes.choose(routingQuery(service, importance))
+	if !ok {
+		return booking.Key{}, false
+	}
+	return i.peers.issue(service, upstream.Node)
+}
+
+// deliver passes the end of a call on to the caller.
+func (i *ingress) deliver(w http.ResponseWriter, c *outgoing, end sent) {
+	i.offerKey(w, c)
+	w.Header().Set(call.HeaderRetries, strconv.Itoa(c.context.Tokens-end.tokensLeft))
+	if end.failure != nil {
+		i.shedFor(c, end.failure)
+		i.events.Record(failureEvent(end.failure), attrRequest(c.context.Request), attrService(c.service.Name),
+			attrReason(end.failure.reason))
+		writeFailure(w, end.failure, c.context.Request)
+		return
+	}
+	defer end.answer.Body.Close()
+	i.buffers.passAnswer(w, end.answer, func(err error) {
+		i.events.Record(event.AnswerCut, attrRequest(c.context.Request), attrService(c.service.Name), attrError(err))
+	})
+	i.events.Record(event.CallAnswered, attrRequest(c.context.Request), attrService(c.service.Name))
+}
+
+// shedFor makes room after a booking was refused for overload: calls of lower
+// importance to the service are refused here for a short time.
+func (i *ingress) shedFor(c *outgoing, f *failure) {
+	if c.key != nil && (f.reason == call.ReasonOverloaded || f.reason == call.ReasonDisplaced) {
+		i.routes.shed(c.service.Name, c.context.Importance)
+	}
+}
+
+// offerKey adds a fresh key for the caller's next booking.
+func (i *ingress) offerKey(w http.ResponseWriter, c *outgoing) {
+	if c.route.Repeat != call.Never {
+		return
+	}
+	if key, ok := i.nextKey(c.service.Name, c.context.Importance); ok {
+		w.Header().Set(call.HeaderNextKey, key.String())
+	}
+}
+
+func (i *ingress) refuse(w http.ResponseWriter, r *http.Request, c *outgoing, f *failure, request call.ID) {
+	if c != nil {
+		i.offerKey(w, c)
+	}
+	i.events.Record(failureEvent(f), attrRequest(request), attrService(mux.Vars(r)["service"]), attrReason(f.reason))
+	w.Header().Set(call.HeaderRetries, "0")
+	writeFailure(w, f, request)
+}
+
+// issuedKeys answers a request for keys.
+type issuedKeys struct {
+	Keys       []string `json:"keys"`
+	ValidityMs int64    `json:"validityMs"`
+}
+
+// issueKeys serves POST /lacewingslip/v1/keys.
+func (i *ingress) issueKeys(w http.ResponseWriter, r *http.Request) {
+	tree := i.tree.Tree()
+	name := r.URL.Query().Get("service")
+	count := 1
+	if text := r.URL.Query().Get("count"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxIssuedKeys {
+			writeFailure(w, notRun(call.ReasonBadRequest,
+				fmt.Sprintf("count %q is not a whole number from 1 to %d", text, maxIssuedKeys)), "")
+			return
+		}
+		count = n
+	}
+	if _, ok := tree.Service(name); !ok {
+		writeFailure(w, notRun(call.ReasonUnknownService, fmt.Sprintf("the settings have no service %q", name)), "")
+		return
+	}
+	issued := issuedKeys{ValidityMs: tree.KeyValidity().Milliseconds()}
+	for range count {
+		key, ok := i.nextKey(name, call.Critical)
+		if !ok {
+			writeFailure(w, notRun(call.ReasonNoUpstream, "no backend server of the service is available"), "")
+			return
+		}
+		issued.Keys = append(issued.Keys, key.String())
+	}
+	writeJSON(w, issued)
+}
+
+func failureEvent(f *failure) event.ID {
+	if f.outcome == call.NotRun {
+		return event.CallNotRun
+	}
+	return event.CallUnknown
+}
--- /dev/null
+++ b/node/path_test.go
@@ -0,0 +1,90 @@
+package node_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/internal/loopback"
+	"github.com/lacewingslip/lacewingslip/internal/standin/backend"
+	"github.com/lacewingslip/lacewingslip/settings"
+)
+
+func startTesfaye(t *testing.T, opts ...loopback.Option) *loopback.System {
+	t.Helper()
+	root, branches, err := settings.ReadDirectory("../examples/tesfaye")
+	must.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	system, err := loopback.Start(ctx, append(opts, loopback.WithTree(root, branches...))...)
+	must.NoError(t, err)
+	t.Cleanup(func() { system.Stop(context.Background()) })
+	return system
+}
+
+type answered struct {
+	status int
+	header http.Header
+	text   string
+}
+
+func do(t *testing.T, method, url, key, body string) (a answered) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	must.NoError(t, err)
+	if key != "" {
+		request.Header.Set(call.HeaderKey, key)
+	}
+	request.Header.Set(backend.HeaderBooking, body)
+	answer, err := http.DefaultClient.Do(request)
+	must.NoError(t, err)
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	must.NoError(t, err)
+	return answered{answer.StatusCode, answer.Header, string(text)}
+}
+
+// A call that does not reach the backend server's child through both nodes
+// would come back without the complete answer.
+func TestPathWithChildCall(t *testing.T) {
+	catalogue := backend.New("catalogue", backend.WithChildren(backend.Child{Method: http.MethodGet, Service: "drawings", Path: "/m1"}))
+	drawings := backend.New("drawings", backend.WithAnswerBytes(100_000))
+	system := startTesfaye(t,
+		loopback.WithUpstream("addis", "addis-a", backend.New("orders")),
+		loopback.WithUpstream("addis", "addis-b", catalogue),
+		loopback.WithUpstream("addis", "addis-a", drawings),
+	)
+	answer := do(t, http.MethodGet, "http://"+system.Caller(0)+"/catalogue/moulds?size=30", "", "")
+	must.EqOp(t, http.StatusOK, answer.status, must.Sprint(answer.text))
+	must.EqOp(t, "answered", answer.header.Get(call.HeaderOutcome))
+	must.EqOp(t, "catalogue GET /catalogue/moulds?size=30 \n", answer.text)
+	must.EqOp(t, 1, drawings.Total())
+}
+
+// A booking that is repeated with its key must not run again, and the repeat
+// must get the first answer.
+func TestBookingRepeated(t *testing.T) {
+	orders := backend.New("orders")
+	system := startTesfaye(t,
+		loopback.WithUpstream("addis", "addis-a", orders),
+		loopback.WithUpstream("addis", "addis-b", backend.New("catalogue")),
+	)
+	url := "http://" + system.Caller(1) + "/orders/book"
+	answer := do(t, http.MethodPost, url, "", "trays")
+	must.EqOp(t, http.StatusPreconditionRequired, answer.status)
+	must.EqOp(t, "notRun", answer.header.Get(call.HeaderOutcome))
+	key := answer.header.Get(call.HeaderNextKey)
+
+	first := do(t, http.MethodPost, url, key, "trays")
+	must.EqOp(t, http.StatusOK, first.status, must.Sprint(first.text))
+	second := do(t, http.MethodPost, "http://"+system.Caller(0)+"/orders/book", key, "trays")
+	must.EqOp(t, "answered", second.header.Get(call.HeaderOutcome))
+	must.EqOp(t, first.text, second.text)
+	must.Eq(t, map[string]int{"trays": 1}, orders.Runs())
+}
--- /dev/null
+++ b/node/problem.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/lacewingslip/lacewingslip/call"
+)
+
+// failure is the end of a call that its backend server did not answer.
+type failure struct {
+	outcome    call.Outcome
+	reason     call.Reason
+	message    string
+	retryAfter time.Duration
+}
+
+func notRun(reason call.Reason, message string) *failure {
+	return &failure{outcome: call.NotRun, reason: reason, message: message}
+}
+
+func unknown(reason call.Reason, message string) *failure {
+	return &failure{outcome: call.Unknown, reason: reason, message: message}
+}
+
+// Error makes a failure usable where an error is expected.
+func (f *failure) Error() string { return string(f.reason) + ": " + f.message }
+
+// problemBody is the JSON body of an answer that the layer itself gives.
+type problemBody struct {
+	Outcome   string  `json:"outcome"`
+	Reason    string  `json:"reason"`
+	Message   string  `json:"message"`
+	RequestID call.ID `json:"requestId,omitempty"`
+}
+
+// writeFailure answers a call with the failure.
+func writeFailure(w http.ResponseWriter, f *failure, request call.ID) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(call.HeaderOutcome, f.outcome.String())
+	header.Set(call.HeaderReason, string(f.reason))
+	if f.retryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(retrySeconds(f.retryAfter)))
+	}
+	body, err := json.Marshal(problemBody{
+		Outcome: f.outcome.String(), Reason: string(f.reason), Message: f.message, RequestID: request,
+	})
+	if err != nil {
+		body = []byte("{}")
+	}
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(call.Status(f.outcome, f.reason))
+	// The caller may be gone; there is nobody else to tell.
+	_, _ = w.Write(body)
+}
+
+// retrySeconds rounds a delay to whole seconds at random, up or down, so that
+// the mean delay is kept and callers do not return together.
+func retrySeconds(delay time.Duration) int {
+	whole := delay / time.Second
+	part := delay - whole*time.Second
+	if time.Duration(rand.Int64N(int64(time.Second))) < part {
+		whole++
+	}
+	return max(int(whole), 1)
+}
+
+// writeJSON answers a control request.
+func writeJSON(w http.ResponseWriter, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(text, '\n'))
+}
--- /dev/null
+++ b/node/record.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/lacewingslip/lacewingslip/booking"
+	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/metrics"
+	"github.com/lacewingslip/lacewingslip/timeline"
+)
+
+// recorder logs numbered events and keeps them for the timeline.
+type recorder interface {
+	Record(id event.ID, attrs ...slog.Attr)
+}
+
+func attrRequest(id call.ID) slog.Attr        { return slog.String(timeline.KeyRequest, string(id)) }
+func attrCall(id call.ID) slog.Attr           { return slog.String(timeline.KeyCall, string(id)) }
+func attrService(name string) slog.Attr       { return slog.String(timeline.KeyService, name) }
+func attrNode(name string) slog.Attr          { return slog.String(timeline.KeyNode, name) }
+func attrKey(key booking.Key) slog.Attr       { return slog.String(timeline.KeyKey, key.String()) }
+func attrReason(reason call.Reason) slog.Attr { return slog.String("reason", string(reason)) }
+func attrError(err error) slog.Attr           { return slog.String("error", err.Error()) }
+
+func attrSuccessor(key booking.Key) slog.Attr { return slog.String("successor", key.String()) }
+
+// attrs are the attributes of every event about an attempt.
+func (in *incoming) attrs() []slog.Attr {
+	attrs := []slog.Attr{
+		attrRequest(in.context.Request), attrCall(in.context.Call), attrService(in.service.Name),
+		slog.Int("depth", in.context.Depth),
+	}
+	if in.key != nil {
+		attrs = append(attrs, attrKey(*in.key))
+	}
+	return attrs
+}
+
+// meter counts the calls of one hop.
+type meter struct {
+	metrics *metrics.Metrics
+	hop     metrics.Hop
+}
+
+func (m meter) ended(c *outgoing, f *failure, latency time.Duration) {
+	if c == nil {
+		return
+	}
+	ended := metrics.Call{
+		Hop: m.hop, Service: c.service.Name, Importance: c.context.Importance, Outcome: call.Answered,
+	}
+	if f != nil {
+		ended.Outcome, ended.Reason = f.outcome, f.reason
+	}
+	m.metrics.CallEnded(ended, latency)
+}
+
+func (m meter) retried(c *outgoing, retries int) {
+	for range retries {
+		m.metrics.Retried(m.hop, c.service.Name)
+	}
+}
--- /dev/null
+++ b/node/relay.go
@@ -0,0 +1,151 @@
+package node
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/lacewingslip/lacewingslip/call"
+)
+
+// errTruncated marks an answer whose end can't be told from a broken
+// connection.
+var errTruncated = errors.New("answer body has neither a length nor chunked coding")
+
+// hopHeaders belong to one connection and are never relayed (RFC 9110, section
+// 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// relayHeader returns the headers of a request or answer that go on to the next
+// hop: neither those of the connection nor those that only nodes may set.
+func relayHeader(header http.Header) http.Header {
+	relayed := header.Clone()
+	for _, field := range header.Values("Connection") {
+		for name := range strings.SplitSeq(field, ",") {
+			relayed.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		relayed.Del(name)
+	}
+	call.RemoveInternal(relayed)
+	return relayed
+}
+
+// onceBody is a request body that net/http can't rewind. With a body that it
+// can rewind, or with none, the transport silently sends some requests a second
+// time when a reused connection breaks, which must not happen to a call that
+// may have run.
+type onceBody struct {
+	reader *bytes.Reader
+}
+
+func newOnceBody(body []byte) *onceBody { return &onceBody{reader: bytes.NewReader(body)} }
+
+func (b *onceBody) Read(p []byte) (n int, err error) { return b.reader.Read(p) }
+
+func (b *onceBody) Close() error { return nil }
+
+// roundTrip sends the request once. The result sent is false if the request
+// certainly never left this process: no connection was obtained for it.
+func roundTrip(transport http.RoundTripper, request *http.Request) (response *http.Response, sent bool, err error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	response, err = transport.RoundTrip(request)
+	return response, connected.Load(), err
+}
+
+// checkFraming refuses an answer whose completeness can't be verified. An
+// answer that ends by closing the connection looks the same when it is cut.
+func checkFraming(response *http.Response) (err error) {
+	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
+		return nil
+	}
+	if response.Request != nil && response.Request.Method == http.MethodHead {
+		return nil
+	}
+	switch response.StatusCode {
+	case http.StatusNoContent, http.StatusNotModified:
+		return nil
+	default:
+		return errTruncated
+	}
+}
+
+// copyHeader sets the headers of an answer.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+}
+
+// copyBody streams an answer in bounded memory and reports whether it was
+// complete. Each part is flushed, so that a slow answer reaches the caller as
+// it comes.
+func copyBody(w http.ResponseWriter, body io.Reader, buffer []byte) (written int64, err error) {
+	flusher, _ := w.(http.Flusher)
+	for {
+		n, readErr := body.Read(buffer)
+		if n > 0 {
+			if _, err = w.Write(buffer[:n]); err != nil {
+				return written, err
+			}
+			written += int64(n)
+		}
+		switch {
+		case readErr == io.EOF:
+			return written, nil
+		case readErr != nil:
+			return written, readErr
+		case flusher != nil && n < len(buffer):
+			flusher.Flush()
+		}
+	}
+}
+
+// relayBufferSize bounds the memory that one streamed answer holds.
+const relayBufferSize = 32 << 10
+
+// bufferPool lends buffers for streaming.
+type bufferPool struct {
+	pool sync.Pool
+}
+
+func newBufferPool() *bufferPool {
+	return &bufferPool{pool: sync.Pool{New: func() any {
+		buffer := make([]byte, relayBufferSize)
+		return &buffer
+	}}}
+}
+
+func (p *bufferPool) get() *[]byte { return p.pool.Get().(*[]byte) }
+
+func (p *bufferPool) put(buffer *[]byte) { p.pool.Put(buffer) }
+
+// passAnswer streams a complete answer to the receiver. If the answer breaks
+// off, the receiver's connection is aborted, so that it can't take a part for
+// the whole; broken is called before that.
+func (p *bufferPool) passAnswer(w http.ResponseWriter, answer *http.Response, broken func(err error)) {
+	copyHeader(w.Header(), relayHeader(answer.Header))
+	w.Header().Set(call.HeaderOutcome, call.Answered.String())
+	if answer.ContentLength >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
+	}
+	w.WriteHeader(answer.StatusCode)
+	buffer := p.get()
+	defer p.put(buffer)
+	if _, err := copyBody(w, answer.Body, *buffer); err != nil {
+		broken(err)
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/node/routes.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lacewingslip/lacewingslip/booking"
+	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/membership"
+	"github.com/lacewingslip/lacewingslip/routing"
+)
+
+// routes makes the routing table safe for concurrent use and keeps it in step
+// with membership.
+type routes struct {
+	mu       sync.Mutex
+	table    *routing.Table
+	services map[string]bool
+	// upstreams is the number of upstreams in the table.
+	upstreams int
+}
+
+func newRoutes(table *routing.Table) *routes {
+	return &routes{table: table, services: make(map[string]bool)}
+}
+
+func routingQuery(service string, importance call.Importance) routing.Query {
+	return routing.Query{Service: service, Importance: importance, Cost: 1}
+}
+
+func (r *routes) choose(query routing.Query) (upstream routing.Upstream, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Choose(time.Now(), query)
+}
+
+func (r *routes) sent(service, node string, cost int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Sent(time.Now(), service, node, cost)
+}
+
+func (r *routes) done(service, node string, cost int64, report routing.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Done(time.Now(), service, node, cost, report)
+}
+
+func (r *routes) sheds(service string, importance call.Importance) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Sheds(time.Now(), service, importance)
+}
+
+func (r *routes) shed(service string, importance call.Importance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Shed(time.Now(), service, importance)
+}
+
+func (r *routes) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.upstreams
+}
+
+func (r *routes) tick(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Tick(now)
+}
+
+// replace takes over the members that can receive calls.
+func (r *routes) replace(members []membership.Member) {
+	upstreams := make(map[string][]routing.Upstream)
+	for _, m := range members {
+		if m.State() != membership.Ready || !m.Health.Routable() {
+			continue
+		}
+		upstreams[m.Service()] = append(upstreams[m.Service()], routing.Upstream{
+			Node: m.Node(), Address: m.Peer(), Region: m.Region(), Zone: m.Zone(), Slots: m.Slots(),
+		})
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.upstreams = 0
+	for service := range r.services {
+		if _, ok := upstreams[service]; !ok {
+			r.table.Replace(time.Now(), service, nil)
+			delete(r.services, service)
+		}
+	}
+	for service, list := range upstreams {
+		r.services[service] = true
+		r.upstreams += len(list)
+		r.table.Replace(time.Now(), service, list)
+	}
+}
+
+// directory holds the members for readers that were built before membership.
+type directory struct {
+	members atomic.Pointer[[]membership.Member]
+	seeds   []string
+}
+
+func newDirectory(file File) *directory { return &directory{seeds: file.seeds} }
+
+func (d *directory) replace(members []membership.Member) { d.members.Store(&members) }
+
+// count returns the number of nodes known, at least one.
+func (d *directory) count() int {
+	if members := d.members.Load(); members != nil {
+		return max(len(*members), 1)
+	}
+	return 1
+}
+
+// peers returns the peer addresses of the nodes that can be asked, or the seed
+// addresses before any node is known.
+func (d *directory) peers() (addresses []string) {
+	if members := d.members.Load(); members != nil {
+		for _, m := range *members {
+			if m.Health.Routable() {
+				addresses = append(addresses, m.Peer())
+			}
+		}
+	}
+	if len(addresses) == 0 {
+		return d.seeds
+	}
+	return addresses
+}
+
+// memberTable is what the data path needs from membership.
+type memberTable interface {
+	Members() []membership.Member
+	Epoch(node string) (incarnation uint64, epoch uint32, ok bool)
+}
+
+// peers answers questions about single nodes.
+type peers struct {
+	members memberTable
+
+	mu        sync.RWMutex
+	addresses map[string]string
+}
+
+func newPeers(members memberTable) *peers {
+	return &peers{members: members, addresses: make(map[string]string)}
+}
+
+// replace takes over the peer addresses of all members, reachable or not.
+func (p *peers) replace(members []membership.Member) {
+	addresses := make(map[string]string, len(members))
+	for _, m := range members {
+		addresses[m.Node()] = m.Peer()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addresses = addresses
+}
+
+// find gives the peer address and the incarnation of a node.
+func (p *peers) find(node string) (address string, incarnation uint64, ok bool) {
+	p.mu.RLock()
+	address, ok = p.addresses[node]
+	p.mu.RUnlock()
+	if !ok {
+		return "", 0, false
+	}
+	incarnation, _, ok = p.members.Epoch(node)
+	return address, incarnation, ok
+}
+
+// issue makes a fresh key that the node alone may run.
+func (p *peers) issue(service, node string) (key booking.Key, ok bool) {
+	incarnation, epoch, ok := p.members.Epoch(node)
+	if !ok {
+		return booking.Key{}, false
+	}
+	return booking.Issue(service, node, incarnation, epoch), true
+}
--- /dev/null
+++ b/node/server.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lacewingslip/lacewingslip/membership"
+	"github.com/lacewingslip/lacewingslip/settings"
+)
+
+const (
+	// apiPrefix is the path prefix of everything that is not a call.
+	apiPrefix = "/lacewingslip/v1"
+
+	// headerTimeout and bodyTimeout bound how long a slow sender holds a
+	// connection without having sent a whole request.
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 30 * time.Second
+	// serverIdle is longer than peerIdle, so that the sender closes idle
+	// connections first.
+	serverIdle = 90 * time.Second
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 32 << 10
+)
+
+// listeners are the open addresses of a node.
+type listeners struct {
+	caller, backend, peer, operator net.Listener
+}
+
+func newListeners(file File) (l *listeners, err error) {
+	l = &listeners{}
+	defer func() {
+		if err != nil {
+			l.close()
+		}
+	}()
+	for _, open := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&l.caller, file.listen.Caller},
+		{&l.backend, file.listen.Backend},
+		{&l.peer, file.listen.Peer},
+		{&l.operator, file.listen.Operator},
+	} {
+		if *open.listener, err = net.Listen("tcp", open.address); err != nil {
+			return nil, err
+		}
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.caller, l.backend, l.peer, l.operator} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
+}
+
+// servers are the HTTP servers of a node, one per address.
+type servers struct {
+	listeners                       *listeners
+	caller, backend, peer, operator *http.Server
+	serving                         sync.WaitGroup
+}
+
+func newServers(l *listeners, i *ingress, e *egress, s *sidecar, b *backendServer, o *operator,
+	gossip *membership.Gossip, follower *settings.Follower,
+) *servers {
+	caller, backend, peer := mux.NewRouter(), mux.NewRouter(), mux.NewRouter()
+	for _, router := range []*mux.Router{caller, backend, peer} {
+		// A path is passed on as it came; the backend server decides what it means.
+		router.SkipClean(true).UseEncodedPath()
+	}
+	caller.HandleFunc(apiPrefix+"/keys", i.issueKeys).Methods(http.MethodPost)
+	routeCalls(caller, i)
+
+	backend.HandleFunc(apiPrefix+"/keys", e.issueKeys).Methods(http.MethodPost)
+	backend.HandleFunc(apiPrefix+"/announcement", b.announce).Methods(http.MethodPost)
+	backend.HandleFunc(apiPrefix+"/announcement", b.leave).Methods(http.MethodDelete)
+	routeCalls(backend, e)
+
+	peer.PathPrefix(apiPrefix + "/membership/").Handler(gossip.Handler())
+	peer.PathPrefix(apiPrefix + "/settings/").Handler(follower.Handler())
+	routeCalls(peer, s)
+
+	return &servers{
+		listeners: l,
+		caller:    newServer(caller), backend: newServer(backend), peer: newServer(peer), operator: newServer(o.router()),
+	}
+}
+
+// routeCalls sends every path outside the API to the handler of calls.
+func routeCalls(router *mux.Router, handler http.Handler) {
+	router.PathPrefix("/lacewingslip/").Handler(http.NotFoundHandler())
+	router.PathPrefix("/{service}/").Handler(handler)
+	router.Path("/{service}").Handler(handler)
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       serverIdle,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func (s *servers) start() {
+	s.serve(s.caller, s.listeners.caller)
+	s.serve(s.backend, s.listeners.backend)
+	s.serve(s.peer, s.listeners.peer)
+	s.serve(s.operator, s.listeners.operator)
+}
+
+func (s *servers) serve(server *http.Server, listener net.Listener) {
+	s.serving.Go(func() {
+		// Serve returns only when the server is shut down or its listener fails.
+		_ = server.Serve(listener)
+	})
+}
+
+// announceClose makes answers close their connections, so that callers move to
+// other nodes before the listener goes.
+func (s *servers) announceClose() {
+	s.caller.SetKeepAlivesEnabled(false)
+	s.peer.SetKeepAlivesEnabled(false)
+}
+
+// shutdown ends the servers once their requests in progress have ended, the
+// one for the backend server last, because requests in progress need it.
+func (s *servers) shutdown(ctx context.Context) (err error) {
+	var group errgroup.Group
+	group.Go(func() error { return s.caller.Shutdown(ctx) })
+	group.Go(func() error { return s.peer.Shutdown(ctx) })
+	err = group.Wait()
+	return errors.Join(err, s.backend.Shutdown(ctx), s.operator.Shutdown(ctx))
+}
+
+// close cuts off whatever is still in progress.
+func (s *servers) close() {
+	for _, server := range []*http.Server{s.caller, s.backend, s.peer, s.operator} {
+		server.Close()
+	}
+	s.serving.Wait()
+}
