--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -82,6 +82,8 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			settingsCommand(),
+			demoCommand(),
+			experimentCommand(),
 			statusCommand(),
 			timelineCommand(),
 			versionCommand(),
--- /dev/null
+++ b/internal/command/demo_test.go
@@ -0,0 +1,26 @@
+package command_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/internal/command"
+	"github.com/lacewingslip/lacewingslip/internal/demo"
+)
+
+// Guards against a demo that does not end, that mixes up answers or that breaks
+// a promise about bookings. How much is answered depends on the machine and is
+// not judged here.
+func TestDemo(t *testing.T) {
+	code, stdout, stderr := run("demo --duration 1s --output json")
+	must.EqOp(t, command.ExitOK, code)
+	must.StrContains(t, stderr, "with lacewingslip: surge")
+	var comparison demo.Comparison
+	must.NoError(t, json.Unmarshal([]byte(stdout), &comparison))
+	for _, counts := range comparison.With.Counts {
+		must.EqOp(t, 0, counts.Wrong)
+		must.Positive(t, counts.Sent)
+	}
+}
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -32,6 +32,9 @@
 type Reply struct {
 	// Outcome is what the caller knows in the end.
 	Outcome call.Outcome
+	// Failed is true if the backend server answered with an error, as it does
+	// when a child call was refused.
+	Failed bool
 	// Wrong is true if an answer was incomplete or belongs to another request.
 	Wrong bool
 	// Retries is how often the request or its child calls were sent again, as
@@ -91,7 +94,7 @@
 
 // Good reports whether the request got a complete and correct answer.
 func (s Sample) Good() bool {
-	return !s.Dropped && s.Reply.Outcome == call.Answered && !s.Reply.Wrong
+	return !s.Dropped && s.Reply.Outcome == call.Answered && !s.Reply.Failed && !s.Reply.Wrong
 }
 
 // Record holds the samples of a run in the order in which they were due.
--- a/internal/experiment/summary.go
+++ b/internal/experiment/summary.go
@@ -31,6 +31,8 @@
 	Good int `json:"good"`
 	// Refused counts requests that certainly did not run.
 	Refused int `json:"refused"`
+	// Failed counts error answers of backend servers.
+	Failed int `json:"failed"`
 	// Unknown counts requests that may have run but were not answered.
 	Unknown int `json:"unknown"`
 	// Wrong counts answers that were incomplete or to another request.
@@ -101,6 +103,8 @@
 		c.Good++
 	case s.Dropped:
 		c.Dropped++
+	case s.Reply.Failed:
+		c.Failed++
 	case s.Reply.Wrong:
 		c.Wrong++
 	case s.Reply.Outcome == call.NotRun:
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -54,6 +54,7 @@
 	propagate   bool
 	slots       int
 	connections int
+	workers     chan struct{}
 	client      *http.Client
 
 	mu      sync.Mutex
@@ -82,6 +83,12 @@
 // WithAnswerBytes sets the size of the answer body.
 func WithAnswerBytes(n int) Option { return func(b *Backend) { b.answerBytes = n } }
 
+// WithWorkers makes calls beyond the number wait for their turn, as at a real
+// server. By default all calls run at once.
+func WithWorkers(n int) Option {
+	return func(b *Backend) { b.workers = make(chan struct{}, n) }
+}
+
 // WithoutPropagation makes the backend server lose the call context.
 func WithoutPropagation() Option { return func(b *Backend) { b.propagate = false } }
 
@@ -146,6 +153,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if !b.takeWorker(r.Context()) {
+		return
+	}
+	defer b.freeWorker()
 	b.began(r)
 	defer b.ended()
 	if !pause(r.Context(), b.serviceTime()) {
@@ -161,6 +172,25 @@
 	_, _ = w.Write(b.answer(r, body))
 }
 
+// takeWorker waits for a worker, unless the call is cancelled first.
+func (b *Backend) takeWorker(ctx context.Context) (taken bool) {
+	if b.workers == nil {
+		return true
+	}
+	select {
+	case b.workers <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (b *Backend) freeWorker() {
+	if b.workers != nil {
+		<-b.workers
+	}
+}
+
 // answer repeats what was asked, so that a caller can tell its own answer from
 // that of another.
 func (b *Backend) answer(r *http.Request, body []byte) (text []byte) {
