Refuse calls without claiming more than is known, and watch the backend server

Cause, found while reading the call path against the promises: - A booking with a key that was refused before it was sent, for example because the ingress had older settings, ended with notRun, while an earlier attempt with the same key could still arrive elsewhere and run. It ends with unknown now, except for reasons that hold for every attempt with that key. - A read deadline left on a connection cancels the request that runs on it, so calls and drains of more than 30 s would have been cut off. It is cleared once the body is read. A receiver that stops reading is now bounded by 30 s. - A node that was restarted beside a running backend server never heard of it. Backend servers repeat their announcement; an instance number tells a late announcement of one that has left from a new one. - A backend server that died without leaving stayed in routing. Three refused connections hide it, and a probe brings it back.

Ruled out: dropping a backend server whose announcements stop, since one that announces itself only once is a legal caller of the interface.

--- a/cmd/lacewingslip-standin/main.go
+++ b/cmd/lacewingslip-standin/main.go
@@ -26,10 +26,6 @@
 	"github.com/lacewingslip/lacewingslip/internal/standin/logservice"
 )
 
-// announceInterval is the pause between attempts to announce the backend
-// server to a node that is not up yet.
-const announceInterval = 50 * time.Millisecond
-
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -74,11 +70,7 @@
 		children = append(children, backend.Child{Method: method, Service: service, Path: "/" + path})
 	}
 	b := backend.New(command.String("service"), append(options, backend.WithChildren(children...))...)
-	announce := func(address string) {
-		for b.Announce(ctx, command.String("node"), address) != nil && ctx.Err() == nil {
-			time.Sleep(announceInterval)
-		}
-	}
+	announce := func(address string) { b.KeepAnnounced(ctx, command.String("node"), address) }
 	leave := func() { _ = b.Leave(context.Background()) }
 	return serve(ctx, command.String("listen"), b, announce, leave)
 }
@@ -93,7 +85,7 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(listener) }()
 	if started != nil {
-		started(listener.Addr().String())
+		go started(listener.Addr().String())
 	}
 	<-ctx.Done()
 	if stopping != nil {
--- a/event/node.go
+++ b/event/node.go
@@ -11,6 +11,8 @@
 	BackendAnnounced     ID = 1101
 	BackendDraining      ID = 1102
 	BackendDrained       ID = 1103
+	BackendUnreachable   ID = 1104
+	BackendReachable     ID = 1105
 )
 
 var nodeEvents = []Entry{
@@ -20,5 +22,7 @@
 	{ID: StopDeadlineExceeded, Name: "stopDeadlineExceeded", Level: slog.LevelError, Meaning: "Calls were still in progress at the stop deadline and were cut off. Raise stopDeadline if this happens in planned stops."},
 	{ID: BackendAnnounced, Name: "backendAnnounced", Level: slog.LevelInfo, Meaning: "The backend server beside this node announced itself and receives work."},
 	{ID: BackendDraining, Name: "backendDraining", Level: slog.LevelInfo, Meaning: "The backend server started to leave and receives no new work."},
+	{ID: BackendUnreachable, Name: "backendUnreachable", Level: slog.LevelWarn, Meaning: "The backend server refuses connections, so other nodes send it no calls until it accepts them again."},
+	{ID: BackendReachable, Name: "backendReachable", Level: slog.LevelInfo, Meaning: "The backend server accepts connections again and receives work."},
 	{ID: BackendDrained, Name: "backendDrained", Level: slog.LevelInfo, Meaning: "The last call in progress at the leaving backend server ended. It may exit."},
 }
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -23,6 +23,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/lacewingslip/lacewingslip/call"
 )
 
 const (
@@ -35,6 +37,9 @@
 	HeaderBooking = "X-Booking"
 )
 
+// announceInterval is the pause between two announcements.
+const announceInterval = 200 * time.Millisecond
+
 // contextHeaders carry the call context through a backend server (W3C trace
 // context and baggage).
 var contextHeaders = []string{"Traceparent", "Tracestate", "Baggage"}
@@ -55,6 +60,8 @@
 	slots       int
 	connections int
 	client      *http.Client
+	// instance tells this process from the one before it at the same address.
+	instance string
 
 	mu      sync.Mutex
 	node    string
@@ -94,6 +101,7 @@
 func New(service string, opts ...Option) *Backend {
 	b := &Backend{
 		service: service, propagate: true, runs: make(map[string]int), client: &http.Client{},
+		instance: string(call.NewID()),
 		serviceTime: func() time.Duration { return 0 },
 	}
 	for _, opt := range opts {
@@ -109,6 +117,7 @@
 	b.mu.Unlock()
 	body, err := json.Marshal(map[string]any{
 		"service": b.service, "address": own, "slots": b.slots, "connections": b.connections,
+		"instance": b.instance,
 	})
 	if err != nil {
 		return err
@@ -116,6 +125,22 @@
 	return b.control(ctx, http.MethodPost, body)
 }
 
+// KeepAnnounced repeats the announcement until the context ends, so that a node
+// that was restarted hears of the backend server. Failures are not reported:
+// the next repeat mends them.
+func (b *Backend) KeepAnnounced(ctx context.Context, node, own string) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		_ = b.Announce(ctx, node, own)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // Leave asks for the end of new work. It returns once no call is in progress.
 func (b *Backend) Leave(ctx context.Context) (err error) {
 	return b.control(ctx, http.MethodDelete, nil)
--- a/node/backend.go
+++ b/node/backend.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/event"
@@ -17,6 +18,10 @@
 	// backendIdle is shorter than the idle timeout of common servers, so that
 	// calls rarely meet a connection that the backend server is just closing.
 	backendIdle = 4 * time.Second
+	// failuresUntilDown is how many refused connections in a row mean that the
+	// backend server is down.
+	failuresUntilDown = 3
+	probeTimeout      = 200 * time.Millisecond
 	// maxAnnouncement bounds the body of an announcement, in bytes.
 	maxAnnouncement = 4 << 10
 )
@@ -30,6 +35,13 @@
 	mu        sync.RWMutex
 	announced announcement
 	client    *http.Transport
+	// failures counts refused connections since the last announcement or probe.
+	failures int
+	// gone is true once the backend server has left.
+	gone bool
+
+	// stopping is true once the node itself stops.
+	stopping atomic.Bool
 }
 
 // memberSelf is this node's own entry in the membership table.
@@ -46,6 +58,9 @@
 	// settings go first.
 	Slots       int `json:"slots"`
 	Connections int `json:"connections"`
+	// Instance differs between two processes of the backend server, so that a
+	// late announcement of one that has left is told from a new one.
+	Instance string `json:"instance,omitempty"`
 }
 
 func (a announcement) check() (err error) {
@@ -103,7 +118,8 @@
 	return b.client
 }
 
-// announce serves POST /lacewingslip/v1/announcement.
+// announce serves POST /lacewingslip/v1/announcement. A backend server repeats
+// its announcement, so that a node that was restarted hears of it.
 func (b *backendServer) announce(w http.ResponseWriter, r *http.Request) {
 	var a announcement
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
@@ -116,27 +132,88 @@
 		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	if b.stopping.Load() {
+		http.Error(w, "announcement: the node is stopping", http.StatusServiceUnavailable)
+		return
+	}
+	fresh, left := b.take(a)
+	if left {
+		http.Error(w, "announcement: this instance has left", http.StatusConflict)
+		return
+	}
+	if fresh {
+		b.members.Announce(membership.Backend{Service: a.Service, Slots: a.Slots})
+		b.members.SetState(membership.Ready)
+		b.events.Record(event.BackendAnnounced, attrService(a.Service), slog.String("address", a.Address))
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// take records the announcement and reports whether the backend server is new,
+// or whether this instance has left. A repeat while it drains does not undo the drain: it was sent before the leave.
+func (b *backendServer) take(a announcement) (fresh, left bool) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
+	same := a == b.announced
+	if same && (!b.gone || a.Instance != "") {
+		return false, b.gone
+	}
 	if b.client != nil {
 		b.client.CloseIdleConnections()
 	}
-	b.announced = a
+	b.announced, b.gone, b.failures = a, false, 0
 	b.client = newTransport(a.Connections, backendIdle)
-	b.mu.Unlock()
-	b.gate.open()
-	b.members.Announce(membership.Backend{Service: a.Service, Slots: a.Slots})
+	b.gate.restart()
+	return true, false
+}
+
+// failed notes a call that the backend server did not answer. Several refused
+// connections in a row mean that it is down, whatever it announced.
+func (b *backendServer) failed(sent bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if sent || b.gone {
+		return
+	}
+	b.failures++
+	if b.failures == failuresUntilDown {
+		b.members.SetState(membership.Starting)
+		b.events.Record(event.BackendUnreachable, attrService(b.announced.Service))
+	}
+}
+
+// probe looks whether a backend server that was down accepts connections again.
+func (b *backendServer) probe() {
+	b.mu.RLock()
+	address, down := b.announced.Address, b.failures >= failuresUntilDown && !b.gone
+	b.mu.RUnlock()
+	if !down || b.stopping.Load() {
+		return
+	}
+	connection, err := net.DialTimeout("tcp", address, probeTimeout)
+	if err != nil {
+		return
+	}
+	connection.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failures = 0
 	b.members.SetState(membership.Ready)
-	b.events.Record(event.BackendAnnounced, attrService(a.Service), slog.String("address", a.Address))
-	w.WriteHeader(http.StatusNoContent)
+	b.events.Record(event.BackendReachable, attrService(b.announced.Service))
 }
 
 // leave serves DELETE /lacewingslip/v1/announcement. New work is refused from
 // here on; the answer comes when the last call in progress has ended, so that
 // the backend server knows that it may exit.
 func (b *backendServer) leave(w http.ResponseWriter, r *http.Request) {
+	// A drain lasts as long as the longest call, so the read deadline must not end it.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	empty := b.drain()
 	select {
 	case <-empty:
+		b.mu.Lock()
+		b.gone = true
+		b.mu.Unlock()
 		b.members.SetState(membership.Gone)
 		b.events.Record(event.BackendDrained, attrService(b.service()))
 		w.WriteHeader(http.StatusNoContent)
--- a/node/egress.go
+++ b/node/egress.go
@@ -104,6 +104,8 @@
 		c.deadline = parent.Deadline
 	}
 	switch {
+	case e.routes.sheds(c.service.Name, c.context.Importance):
+		return c, child, notRun(call.ReasonOverloaded, "bookings of the service were refused a moment ago, so less important calls are")
 	case c.context.Depth > call.MaxDepth:
 		return c, child, notRun(call.ReasonTooDeep, "the chain of calls is too long")
 	case c.context.Repeated && c.route.Repeat == call.Never:
--- a/node/gate.go
+++ b/node/gate.go
@@ -14,6 +14,7 @@
 type gate struct {
 	mu         sync.Mutex
 	controller *admission.Controller
+	limits     admission.Limits
 	waiting    map[uint64]chan admission.Decision
 	decisions  []admission.Decision
 	lastID     uint64
@@ -22,8 +23,10 @@
 	empty      chan struct{}
 }
 
-func newGateOf(controller *admission.Controller) *gate {
-	return &gate{controller: controller, waiting: make(map[uint64]chan admission.Decision), empty: make(chan struct{})}
+func newGate() *gate {
+	// Until settings arrive, one call at a time may run.
+	limits := admission.Limits{Slots: 1, Floor: 1, QueueLength: 1}
+	return &gate{controller: admission.New(limits), limits: limits, waiting: make(map[uint64]chan admission.Decision), empty: make(chan struct{})}
 }
 
 // enter waits until the call is admitted or refused. A call that is admitted
@@ -70,15 +73,19 @@
 func (g *gate) configure(limits admission.Limits) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.limits = limits
 	g.controller.Configure(time.Now(), limits)
 }
 
-// open admits calls again after a drain: a new backend server has announced
-// itself.
-func (g *gate) open() {
+// restart admits calls for a new backend server, whose limit warms up from the
+// floor. Calls that wait for the old one keep their place and its limit.
+func (g *gate) restart() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining = false
+	if len(g.waiting) == 0 {
+		g.controller = admission.New(g.limits)
+	}
 }
 
 // drain refuses new calls from now on. The returned channel is closed once no
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -48,6 +48,7 @@
 	request := call.NewID()
 	c, f := i.accept(w, r, request)
 	if f != nil {
+		f = withKey(f, r.Header.Get(call.HeaderKey))
 		i.refuse(w, r, c, f, request)
 		i.meter.ended(c, f, time.Since(started))
 		return
@@ -84,6 +85,21 @@
 	return c, f
 }
 
+// withKey corrects the refusal of a request that was not sent but carries a
+// key: an earlier attempt with the key may have run, or may still arrive. Only
+// what holds for every attempt with that key is certain.
+func withKey(f *failure, key string) *failure {
+	if key == "" || f.outcome != call.NotRun {
+		return f
+	}
+	switch f.reason {
+	case call.ReasonKeyMalformed, call.ReasonKeyReused, call.ReasonTooLarge:
+		return f
+	default:
+		return unknown(f.reason, f.message+"; an earlier attempt with this key may have run")
+	}
+}
+
 // newOutgoing finds service and route of a request and its deadline.
 func newOutgoing(tree *settings.Tree, r *http.Request) (c *outgoing, f *failure) {
 	name := mux.Vars(r)["service"]
@@ -123,6 +139,8 @@
 // another upstream and a slow caller holds no slot.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) (body []byte, f *failure) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	// The read deadline bounds a slow sender. Left in place, its end would cancel a call that runs for longer.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/node/life.go
+++ b/node/life.go
@@ -77,6 +77,7 @@
 func (l *life) stop(ctx context.Context) (err error) {
 	l.events.Record(event.NodeStopping, attrNode(l.file.node))
 	l.ready.stopping.Store(true)
+	l.backend.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, l.file.stopDeadline)
 	defer cancel()
 	empty := l.backend.drain()
@@ -140,6 +141,7 @@
 	l.routes.replace(members)
 	l.routes.tick(now)
 	l.bookings.Tick(now)
+	l.backend.probe()
 	l.running.Tick(now)
 	l.applySettings()
 	l.measure(members)
--- a/node/node.go
+++ b/node/node.go
@@ -32,7 +32,6 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
-	"github.com/lacewingslip/lacewingslip/admission"
 	"github.com/lacewingslip/lacewingslip/booking"
 	"github.com/lacewingslip/lacewingslip/journal"
 	"github.com/lacewingslip/lacewingslip/membership"
@@ -159,10 +158,6 @@
 	return timeline.NewRecorder(file.node, timeline.WithClock(clock), timeline.WithLogger(logger))
 }
 
-func newGate() *gate {
-	return newGateOf(admission.New(admission.Limits{Slots: 1, Floor: 1, QueueLength: 1}))
-}
-
 func newBookings(i incarnation) *booking.Ledger { return booking.New(i.number, i.started) }
 
 func newLedger() *retry.Ledger { return retry.New() }
--- a/node/record.go
+++ b/node/record.go
@@ -57,6 +57,10 @@
 	m.metrics.CallEnded(ended, latency)
 }
 
+func (m meter) booked(c *outgoing, verdict booking.Verdict) {
+	m.metrics.BookingDecided(c.service.Name, verdict.String())
+}
+
 func (m meter) retried(c *outgoing, retries int) {
 	for range retries {
 		m.metrics.Retried(m.hop, c.service.Name)
--- a/node/relay.go
+++ b/node/relay.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/lacewingslip/lacewingslip/call"
 )
@@ -93,10 +94,12 @@
 // complete. Each part is flushed, so that a slow answer reaches the caller as
 // it comes.
 func copyBody(w http.ResponseWriter, body io.Reader, buffer []byte) (written int64, err error) {
-	flusher, _ := w.(http.Flusher)
+	controller := http.NewResponseController(w)
 	for {
 		n, readErr := body.Read(buffer)
 		if n > 0 {
+			// Writers without deadlines, as in tests, are not bounded.
+			_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, err = w.Write(buffer[:n]); err != nil {
 				return written, err
 			}
@@ -107,8 +110,9 @@
 			return written, nil
 		case readErr != nil:
 			return written, readErr
-		case flusher != nil && n < len(buffer):
-			flusher.Flush()
+		case n < len(buffer):
+			// A writer that can't flush passes the answer on later.
+			_ = controller.Flush()
 		}
 	}
 }
@@ -116,6 +120,10 @@
 // relayBufferSize bounds the memory that one streamed answer holds.
 const relayBufferSize = 32 << 10
 
+// writeTimeout bounds how long a receiver that has stopped reading holds an
+// answer, and with it a slot of the backend server.
+const writeTimeout = 30 * time.Second
+
 // bufferPool lends buffers for streaming.
 type bufferPool struct {
 	pool sync.Pool
--- a/node/sender.go
+++ b/node/sender.go
@@ -131,6 +131,8 @@
 		return routing.Upstream{Node: key.Node(), Address: address}, nil
 	case !ok && !p.call.keyKnown:
 		return routing.Upstream{}, notRun(call.ReasonUnreachable, "the node of the key is not known here")
+	case p.mayHaveRun:
+		return routing.Upstream{}, p.last
 	default:
 		s.events.Record(event.BookingOwnerGone, attrRequest(p.call.context.Request), attrKey(key))
 		return routing.Upstream{}, unknown(call.ReasonOwnerGone, "the node that may run the key has ended or is not known here")
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -38,8 +38,8 @@
 // incoming is an attempt that this node received.
 type incoming struct {
 	*outgoing
-	deadline time.Time
-	print    booking.Fingerprint
+	deadline    time.Time
+	fingerprint booking.Fingerprint
 	// successor is the key that the sender proposes in case of a refusal.
 	successor *booking.Key
 }
@@ -52,7 +52,8 @@
 	in, f := s.accept(w, r)
 	s.mark(w, r)
 	if f != nil {
-		s.refuse(w, in, f)
+		// The key of an attempt that is refused here is not sealed, so an earlier attempt may still run.
+		s.refuse(w, in, withKey(f, r.Header.Get(call.HeaderIssuedKey)))
 		return
 	}
 	if in.key == nil {
@@ -92,7 +93,7 @@
 	if c.service.Name != s.backend.service() {
 		return in, s.foreign(in)
 	}
-	in.print = booking.FingerprintOf(c.method, c.uri, c.header.Get("Authorization"), c.body)
+	in.fingerprint = booking.FingerprintOf(c.method, c.uri, c.header.Get("Authorization"), c.body)
 	return in, nil
 }
 
@@ -125,10 +126,13 @@
 // book runs a booking at most once under its key.
 func (s *sidecar) book(ctx context.Context, w http.ResponseWriter, in *incoming) {
 	for {
-		begun := s.bookings.Begin(time.Now(), *in.key, in.print)
+		begun := s.bookings.Begin(time.Now(), *in.key, in.fingerprint)
+		s.meter.booked(in.outgoing, begun.Verdict)
 		switch begun.Verdict {
 		case booking.Run:
 			s.events.Record(event.BookingRun, in.attrs()...)
+			// A key that has ended stays as it is; this ends one that a fault of this program left running.
+			defer s.bookings.Finish(time.Now(), *in.key, call.Unknown, call.ReasonInternal, nil)
 			// A booking goes on when its caller goes away, so that a repeat finds its outcome.
 			s.run(ctx, w, in)
 			return
@@ -246,6 +250,7 @@
 		}
 	}
 	if err != nil {
+		s.backend.failed(sent)
 		s.end(w, in, backendFailure(ctx, sent, err), closeCall())
 		return false
 	}
