Let the matrix choose nodes with the real routing table

The wiring of the fault matrix had a stand-in for the order in which an ingress tries upstreams. It now uses package routing, with each ingress in the zone of its next node, so that the first choice is still the one that refuses in the scenario firstRefuses.

With each mechanism off the same first cell fails as before. Ruled out: drawing the first node at random, which left 53 faults of one scenario unreached.

--- a/internal/matrix/wiring.go
+++ b/internal/matrix/wiring.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/booking"
 	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/routing"
 )
 
 // maxSuccessors bounds the second attempts of one request, as retry tokens do.
@@ -168,7 +168,13 @@
 		}
 		return k, nil
 	}
-	proposed := i.issue(i.choose(nil))
+	to := i.choose(nil)
+	if to == nil {
+		// An earlier request with this key may have run.
+		f := refused(call.Unknown, call.ReasonNoUpstream)
+		return booking.Key{}, &f
+	}
+	proposed := i.issue(to)
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	k, err := i.currentClaims().Claim(ctx, r.key, r.fingerprint(), *proposed)
@@ -198,26 +204,39 @@
 	return i.claims
 }
 
-// choose stands for the routing table: each ingress prefers the next node.
 func (i *instance) choose(tried []string) *node {
-	nodes := i.world.nodes
-	first := slices.Index(nodes, i.node) + 1
-	for n := range nodes {
-		next := nodes[(first+n)%len(nodes)]
-		if !slices.Contains(tried, next.name) {
-			return next
-		}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	u, ok := i.routes.Choose(time.Now(), routing.Query{Service: service, Importance: call.Critical, Tried: tried})
+	if !ok {
+		return nil
 	}
-	return nil
+	return i.world.node(u.Node)
+}
+
+// report tells the routing table how an attempt ended.
+func (i *instance) report(n *node, r reply, err error) {
+	end := routing.Succeeded
+	switch {
+	case errors.Is(err, errUnreachable):
+		end = routing.Unreachable
+	case err != nil:
+		end = routing.Failed
+	case r.successor != nil || r.outcome == call.NotRun:
+		end = routing.Refused
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.routes.Done(time.Now(), service, n.name, 1, routing.Report{End: end})
 }
 
 func (i *instance) issue(n *node) *booking.Key {
 	to := n.instance()
-	k := booking.Issue("orders", n.name, to.incarnation, to.ledger.Epoch(time.Now()))
+	k := booking.Issue(service, n.name, to.incarnation, to.ledger.Epoch(time.Now()))
 	return &k
 }
 
-func (i *instance) attempt(r request, k booking.Key, proposed *booking.Key, hop int) (reply, error) {
+func (i *instance) attempt(r request, k booking.Key, proposed *booking.Key, hop int) (answer reply, err error) {
 	x := exchange{
 		label:   fmt.Sprintf("%s/hop%d", r.label, hop),
 		main:    r.main,
@@ -233,7 +252,12 @@
 		to := owner.instance()
 		return to.proc, func() reply { return to.sidecar(r, k, proposed) }
 	}
-	return i.world.send(i.proc, x)
+	i.mu.Lock()
+	i.routes.Sent(time.Now(), service, owner.name, 1)
+	i.mu.Unlock()
+	answer, err = i.world.send(i.proc, x)
+	i.report(owner, answer, err)
+	return answer, err
 }
 
 // sidecar handles an attempt at the node that owns the key.
--- a/internal/matrix/world.go
+++ b/internal/matrix/world.go
@@ -4,12 +4,14 @@
 	"encoding/binary"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lacewingslip/lacewingslip/booking"
+	"github.com/lacewingslip/lacewingslip/routing"
 )
 
 const (
@@ -29,6 +31,10 @@
 	callerValidity = 10 * time.Minute
 )
 
+const service = "orders"
+
+var nodeNames = []string{"n1", "n2", "n3"}
+
 var (
 	errDead        = errors.New("process is dead")
 	errLost        = errors.New("connection lost")
@@ -111,6 +117,7 @@
 	incarnation uint64
 	ledger      *guardedLedger
 	claims      *booking.Claims
+	routes      *routing.Table
 	drains      bool
 }
 
@@ -132,6 +139,7 @@
 	i := &instance{node: n, proc: newProcess("node", n), incarnation: incarnation}
 	i.ledger = newGuardedLedger(n.world.off, incarnation)
 	i.claims = n.world.newClaims(i)
+	i.routes = n.world.newRoutes(n)
 	n.current = i
 }
 
@@ -174,7 +182,7 @@
 		fired:   make([]bool, len(c.Injections)),
 		runs:    map[string][]string{},
 	}
-	for i, name := range []string{"n1", "n2", "n3"} {
+	for i, name := range nodeNames {
 		n := &node{world: w, name: name}
 		n.backend = newProcess("backend", n)
 		n.start(uint64(i+1) << 32)
@@ -188,6 +196,20 @@
 		booking.WithValidity(callerValidity), booking.WithLogTimeout(callTimeout/2), booking.WithRandom(rand.New(rand.NewPCG(w.seed, w.hash(i.name)))))
 }
 
+// newRoutes returns a routing table that prefers the next node, which it takes
+// for one in its own zone.
+func (w *world) newRoutes(n *node) *routing.Table {
+	next := nodeNames[(slices.Index(nodeNames, n.name)+1)%len(nodeNames)]
+	random := rand.New(rand.NewPCG(w.seed, w.hash(n.name+"/routes")))
+	table := routing.New("addis", next, routing.WithRandom(random))
+	var upstreams []routing.Upstream
+	for _, name := range nodeNames {
+		upstreams = append(upstreams, routing.Upstream{Node: name, Region: "addis", Zone: name, Slots: 50})
+	}
+	table.Replace(time.Now(), service, upstreams)
+	return table
+}
+
 func (w *world) node(name string) *node {
 	for _, n := range w.nodes {
 		if n.name == name {
