--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -169,6 +169,20 @@
 	return s, settings.Load(ctx, s.log, s.history, s.nodes)
 }
 
+// openToRead is [openSession] for commands that change nothing. If the log does
+// not answer they use what the operator node has read.
+func openToRead(ctx context.Context, c *cli.Command) (s *session, err error) {
+	s, err = openSession(ctx, c)
+	if err == nil || s == nil || len(s.nodes.Addresses) == 0 {
+		return s, err
+	}
+	if s.nodes.Fetch(ctx, s.history) != nil {
+		return nil, err
+	}
+	_, _ = fmt.Fprintf(c.Root().ErrWriter, "warning: %v; using what node %s has read\n", err, s.nodes.Addresses[0])
+	return s, nil
+}
+
 type checkReport struct {
 	Services int                `json:"services"`
 	Problems []settings.Problem `json:"problems"`
@@ -227,7 +241,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
 	defer cancel()
-	s, err := openSession(ctx, c)
+	s, err := openToRead(ctx, c)
 	if err != nil {
 		return err
 	}
@@ -442,7 +456,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
 	defer cancel()
-	s, err := openSession(ctx, c)
+	s, err := openToRead(ctx, c)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/logservice/http.go
+++ b/internal/standin/logservice/http.go
@@ -36,12 +36,14 @@
 
 // ServeHTTP serves the two paths of the log service, and PUT /faults, which sets
 // the faults.
-func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+func (s *Service) newRouter() http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc("/streams/{stream}/records", s.serveAppend).Methods(http.MethodPost)
 	router.HandleFunc("/streams/{stream}/records", s.serveRead).Methods(http.MethodGet)
 	router.HandleFunc("/faults", s.serveFaults).Methods(http.MethodPut)
-	router.ServeHTTP(w, r)
+	return router
 }
 
 func (s *Service) serveAppend(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"time"
 
@@ -38,6 +39,7 @@
 type Service struct {
 	keepCount int
 	keepAge   time.Duration
+	router    http.Handler
 
 	mu      sync.Mutex
 	streams map[string]*stream
@@ -69,6 +71,7 @@
 // New returns a service without streams. Streams come into being when used.
 func New(opts ...Option) *Service {
 	s := &Service{streams: make(map[string]*stream)}
+	s.router = s.newRouter()
 	for _, opt := range opts {
 		opt(s)
 	}
--- a/settings/follower.go
+++ b/settings/follower.go
@@ -95,7 +95,8 @@
 	return func(f *Follower) { f.retention = retention }
 }
 
-// OnChange is called after each change of the tree, one call at a time.
+// OnChange is called after each change of the tree, one call at a time. It must
+// not wait for anything that needs the follower, beyond Tree, Offset and Behind.
 func OnChange(changed func(*Tree)) Option { return func(f *Follower) { f.changed = changed } }
 
 // NewFollower returns a follower that starts from the history.
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -301,6 +301,7 @@
 	if keyRequiredNode != nil && !r.Booking() {
 		d.fail(keyRequiredNode, "keyRequired is set; expected it only on a route with repeat: never")
 	}
+	r.KeyRequired = r.KeyRequired && r.Booking()
 	for _, other := range earlier {
 		if r.Path != "" && r.Path == other.Path && overlap(r.Methods, other.Methods) {
 			d.fail(pathNode, "path %q occurs twice for the same method", r.Path)
--- a/settings/publish.go
+++ b/settings/publish.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -135,6 +136,18 @@
 	return err
 }
 
+// Fetch reads what the nodes have read, without the log. It fails if no node
+// answered.
+func (n Nodes) Fetch(ctx context.Context, h *History) (err error) {
+	err = errors.New("no node was named")
+	for _, address := range n.Addresses {
+		if _, _, err = h.Pull(ctx, n.Client, address); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 // WaitApplied returns once all nodes have read the record at the offset.
 func (n Nodes) WaitApplied(ctx context.Context, offset int64) (err error) {
 	for _, address := range n.Addresses {
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -77,7 +77,7 @@
 	Timeout time.Duration
 	// Retries is the number of retry tokens granted to a customer request.
 	Retries int
-	// KeyRequired refuses bookings without a key.
+	// KeyRequired refuses bookings without a key. It is false on other routes.
 	KeyRequired bool
 	// MaxBody is the largest request body, in bytes.
 	MaxBody int64
