Let nodes go on after settings records that expired unread

If the log fails right after a change, for longer than it keeps records, the change can expire before any node has read it. All nodes then hold what comes after and wait for records that nobody has, and settings could never be changed again. Skipping such a gap automatically was ruled out: a partitioned side may have read the change, and the two sides would accept different changes at the same revision. The operator states it instead, with a skip record signed by the root key that works only at the offset up to which the nodes have read. The new command "settings repair" writes one after every node has said how far it has read, and refuses if one does not answer.

The log goes on removing records while nodes poll, and one that missed the next record would have been stuck again, so it skips up to the end of the log.

Conclusion: the stuck state has a way out that can't be taken by accident.

--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -59,6 +59,7 @@
 			settingsShowCommand(),
 			settingsKeygenCommand(),
 			settingsSignCommand(),
+			settingsRepairCommand(),
 		},
 	}
 }
@@ -137,6 +138,27 @@
 	}
 }
 
+const repairDescription = `For one rare case: the log was down for longer than it keeps records, right after a
+change that no node had read yet. All nodes then keep the settings they know and
+wait for the lost records. This command asks every node how far it has read and, if
+the log no longer keeps the next record, lets all of them go on after the newest one.
+Changes in between have no effect on any node; apply them again afterwards.
+
+It does nothing if a node does not answer, because that node may have the records.`
+
+func settingsRepairCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "repair",
+		Usage:       "let nodes go on after records that expired unread",
+		Description: repairDescription,
+		Flags: append(
+			historyFlags(), outputFlag(),
+			&cli.StringFlag{Name: "key", Usage: "`FILE` holds the private key of the root branch", TakesFile: true, Required: true},
+		),
+		Action: repairSettings,
+	}
+}
+
 func historyFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "log", Usage: "`HOST:PORT` of the log service", Sources: cli.EnvVars("LACEWINGSLIP_LOG"), Required: true},
@@ -352,14 +374,10 @@
 }
 
 func signFile(file settings.File, base int64, keyFile string) (change settings.Change, err error) {
-	text, err := os.ReadFile(keyFile)
+	key, err := readKey(keyFile)
 	if err != nil {
 		return settings.Change{}, err
 	}
-	key, err := settings.ParsePrivateKey(text)
-	if err != nil {
-		return settings.Change{}, fmt.Errorf("%s: %w", keyFile, err)
-	}
 	change, err = settings.NewChange(file.Branch(), base, file.Text)
 	if err != nil {
 		return settings.Change{}, err
@@ -367,6 +385,18 @@
 	return change.Sign(key), nil
 }
 
+func readKey(name string) (key ed25519.PrivateKey, err error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	key, err = settings.ParsePrivateKey(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return key, nil
+}
+
 // apply publishes the change unless it is known to be rejected, or changes
 // nothing.
 func (s *session) apply(ctx context.Context, change settings.Change) applyReport {
@@ -531,6 +561,76 @@
 	return err
 }
 
+type repairReport struct {
+	// From is how far the nodes have read, To where they go on.
+	From    int64 `json:"from"`
+	To      int64 `json:"to"`
+	Skipped bool  `json:"skipped"`
+}
+
+func repairSettings(ctx context.Context, c *cli.Command) error {
+	if err := noArguments(c); err != nil {
+		return err
+	}
+	if c.String("operator") == "" {
+		return usageError(c, "repair needs --operator, to learn which nodes there are")
+	}
+	key, err := readKey(c.String("key"))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	from, err := highestOffset(ctx, newFleet(c))
+	if err != nil {
+		return err
+	}
+	log := journal.New(c.String("log"))
+	page, err := log.Read(ctx, settings.Stream, from, 1, 0)
+	if err != nil {
+		return err
+	}
+	// The records that are still kept are skipped as well: the log goes on
+	// removing them, and nodes that missed one of them could not follow.
+	report := repairReport{From: from, To: page.Next, Skipped: page.Oldest > from}
+	if report.Skipped {
+		data, err := settings.EncodeSkip(from, page.Next, key)
+		if err != nil {
+			return err
+		}
+		// The append is repeated by the operator if its answer is lost: a second
+		// skip has no effect.
+		if _, err := log.Append(ctx, settings.Stream, data); err != nil {
+			return err
+		}
+	}
+	return write(c, report, func(w io.Writer) {
+		if report.Skipped {
+			_, _ = fmt.Fprintf(w, "skipped the records from offset %d to %d; apply the changes among them again\n", from, page.Next-1)
+			return
+		}
+		_, _ = fmt.Fprintf(w, "nothing to do: the log still keeps offset %d, the next that the nodes read\n", from)
+	})
+}
+
+// highestOffset asks all nodes how far they have read. It fails if one of them
+// does not answer.
+func highestOffset(ctx context.Context, f *fleet) (highest int64, err error) {
+	members, err := f.members(ctx)
+	if err != nil {
+		return 0, err
+	}
+	offsets := make([]int64, len(members))
+	errs := f.each(members, func(i int, m member) (err error) {
+		offsets[i], err = settings.Reached(ctx, f.client, m.Operator)
+		return err
+	})
+	if err := errors.Join(errs...); err != nil {
+		return 0, fmt.Errorf("a node that does not answer may have the records: %w", err)
+	}
+	return slices.Max(append(offsets, 0)), nil
+}
+
 func oneArgument(c *cli.Command, what string) (argument string, err error) {
 	if c.Args().Len() != 1 {
 		return "", usageError(c, fmt.Sprintf("expected %s, and nothing else", what))
--- a/internal/command/settings_test.go
+++ b/internal/command/settings_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -23,11 +24,12 @@
 	t         *testing.T
 	directory string
 	log       *logservice.Service
-	flags     string // of commands that read the log
+	flags     string      // of commands that read the log
+	dead      atomic.Bool // whether there is a second node, which does not answer
 }
 
-func newOrganisation(t *testing.T) *organisation {
-	o := &organisation{t: t, directory: t.TempDir(), log: logservice.New()}
+func newOrganisation(t *testing.T, opts ...logservice.Option) *organisation {
+	o := &organisation{t: t, directory: t.TempDir(), log: logservice.New(opts...)}
 	logServer := httptest.NewServer(o.log)
 	t.Cleanup(logServer.Close)
 	rootKey, teamKey := o.keygen("root.key"), o.keygen("orders.key")
@@ -40,7 +42,11 @@
 	t.Cleanup(node.Close)
 	mux.Handle(settings.PathRecords, follower.Handler())
 	mux.HandleFunc("/lacewingslip/v1/members", func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = fmt.Fprintf(w, `[{"node":"orders-1","operator":%q,"health":"alive"}]`, node.Listener.Addr())
+		second := ""
+		if o.dead.Load() {
+			second = `,{"node":"orders-2","operator":"127.0.0.1:1","health":"unreachable"}`
+		}
+		_, _ = fmt.Fprintf(w, `[{"node":"orders-1","operator":%q,"health":"alive"}%s]`, node.Listener.Addr(), second)
 	})
 	o.flags = fmt.Sprintf(" --log %s --root-key %s --operator %s", logServer.Listener.Addr(), rootKey, node.Listener.Addr())
 	o.write("root.yaml", "teams:\n  orders:\n    publicKey: "+teamKey+"\n    services: [orders]\n")
@@ -103,12 +109,29 @@
 	o := newOrganisation(t)
 	o.log.SetFaults(logservice.Faults{LoseAnswers: 1})
 	o.expect(command.ExitOK, "revision 1: accepted", "settings apply $DIR/root.yaml --key $DIR/root.key --wait $FLAGS")
+	o.expect(command.ExitOK, "nothing to do", "settings repair --key $DIR/root.key $FLAGS")
 	o.log.SetFaults(logservice.Faults{Down: true})
 	o.expect(command.ExitOK, "using what node", "settings show $FLAGS")
 	o.expect(command.ExitOK, "branch root, revision 1", "settings show $FLAGS")
 	o.expect(command.ExitFailed, "read settings", "settings apply $DIR/orders.yaml --key $DIR/orders.key $FLAGS")
 }
 
+// Guards against a repair that leaves nodes waiting for lost records, and against
+// one while a node may still have them.
+func TestSettingsRepair(t *testing.T) {
+	o := newOrganisation(t, logservice.WithRetention(2, 0))
+	for range 4 {
+		_, err := o.log.Append(t.Context(), settings.Stream, []byte("expires unread"))
+		must.NoError(t, err)
+	}
+	o.expect(command.ExitFailed, "settings repair --help", "settings apply $DIR/root.yaml --key $DIR/root.key $FLAGS")
+	o.dead.Store(true)
+	o.expect(command.ExitFailed, "may have the records", "settings repair --key $DIR/root.key $FLAGS")
+	o.dead.Store(false)
+	o.expect(command.ExitOK, "from offset 0 to 3", "settings repair --key $DIR/root.key $FLAGS")
+	o.expect(command.ExitOK, "read by 1 of 1 nodes", "settings apply $DIR/root.yaml --key $DIR/root.key --wait $FLAGS")
+}
+
 // Guards against wrong command lines that are taken for something else, and
 // against a key file that is overwritten.
 func TestSettingsUsage(t *testing.T) {
--- a/settings/change.go
+++ b/settings/change.go
@@ -69,7 +69,12 @@
 // Verify reports whether the change was signed with the private key that belongs
 // to the public key.
 func (c Change) Verify(key ed25519.PublicKey) bool {
-	return len(key) == ed25519.PublicKeySize && ed25519.Verify(key, c.payload(), c.signature)
+	return verify(key, c.payload(), c.signature)
+}
+
+// verify is false for a key that is missing, where ed25519.Verify panics.
+func verify(key ed25519.PublicKey, payload, signature []byte) bool {
+	return len(key) == ed25519.PublicKeySize && ed25519.Verify(key, payload, signature)
 }
 
 // payload is what the signature covers. Each field is preceded by its length, so
@@ -103,15 +108,16 @@
 		return Change{}, err
 	}
 	if record.change == nil {
-		return Change{}, errors.New("record is a snapshot; expected a change")
+		return Change{}, errors.New("record is not a change")
 	}
 	return *record.change, nil
 }
 
-// recordWire is a record of the stream: either a change or a snapshot.
+// recordWire is a record of the stream: a change, a snapshot or a skip.
 type recordWire struct {
 	Change   *changeWire   `json:"change,omitempty"`
 	Snapshot *snapshotWire `json:"snapshot,omitempty"`
+	Skip     *skipWire     `json:"skip,omitempty"`
 }
 
 type changeWire struct {
@@ -138,6 +144,7 @@
 type record struct {
 	change   *Change
 	snapshot *snapshotWire
+	skip     *skipWire
 }
 
 func decodeRecord(data []byte) (r record, err error) {
@@ -147,13 +154,15 @@
 		return record{}, err
 	}
 	switch {
-	case wire.Change != nil && wire.Snapshot == nil && len(data) <= maxChangeBytes:
+	case wire.Change != nil && wire.Snapshot == nil && wire.Skip == nil && len(data) <= maxChangeBytes:
 		change, err := wire.Change.change()
 		return record{change: &change}, err
-	case wire.Snapshot != nil && wire.Change == nil:
+	case wire.Snapshot != nil && wire.Change == nil && wire.Skip == nil:
 		return record{snapshot: wire.Snapshot}, nil
+	case wire.Skip != nil && wire.Change == nil && wire.Snapshot == nil:
+		return record{skip: wire.Skip}, nil
 	default:
-		return record{}, fmt.Errorf("expected either a change of at most %d bytes or a snapshot", maxChangeBytes)
+		return record{}, fmt.Errorf("expected a change of at most %d bytes, a snapshot or a skip", maxChangeBytes)
 	}
 }
 
--- a/settings/follower_test.go
+++ b/settings/follower_test.go
@@ -285,6 +285,43 @@
 	}, logservice.WithRetention(0, 4*time.Hour))
 }
 
+// Guards against nodes that can never follow changes again, because records
+// expired that none of them had read, and against a skip by somebody else.
+func TestSkipOfUnreadRecords(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		nodes := []*testNode{f.start(), f.start()}
+		f.publish(rootChange(t, 0, teamPrivate), ordersChange(t, 0, 1))
+		f.expect(1)
+		for _, n := range nodes {
+			n.noLog.Store(true)
+		}
+		for i := range 5 { // the log keeps the last three
+			f.publish(ordersChange(t, int64(i)+1, i+2))
+		}
+		for _, n := range nodes {
+			n.noLog.Store(false)
+		}
+		f.expect(1)
+		skip := func(key ed25519.PrivateKey) {
+			data, err := EncodeSkip(nodes[0].follower.Offset(), f.operator.Offset()-3, key)
+			must.NoError(t, err)
+			_, err = f.log.Append(f.ctx, Stream, data)
+			must.NoError(t, err)
+		}
+		before := nodes[0].follower.Offset()
+		skip(teamPrivate)
+		f.expect(1)
+		must.Eq(t, before, nodes[0].follower.Offset())
+		skip(rootPrivate)
+		f.expect(1)
+		_, err := f.log.Append(f.ctx, Stream, encode(t, ordersChange(t, 1, 7)))
+		must.NoError(t, err)
+		f.expect(7)
+		f.start()
+		f.expect(7)
+	}, logservice.WithRetention(3, 0))
+}
+
 // Guards against a gap that stays open although another node has the records.
 func TestGapIsFilledByPeers(t *testing.T) {
 	runFleet(t, func(f *fleet) {
--- a/settings/history.go
+++ b/settings/history.go
@@ -182,6 +182,9 @@
 	if r.snapshot != nil {
 		return h.noteSnapshot(offset, *r.snapshot)
 	}
+	if r.skip != nil {
+		return Verdict{Kind: Rejected, Offset: offset, Reason: "skip of records, but none are missing"}
+	}
 	next, err := h.state.accept(*r.change, h.rootKey)
 	if err != nil {
 		return Verdict{Kind: Rejected, Offset: offset, Change: *r.change, Reason: err.Error()}
@@ -280,16 +283,26 @@
 	}
 	h.held = trim(append(h.held, journal.Record{Offset: offset, Data: data}), len(h.held)+1, maxHeldBytes)
 	r, err := decodeRecord(data)
-	if err != nil || r.snapshot == nil || len(h.held) == 0 {
+	switch {
+	case err != nil || len(h.held) == 0:
+		return Verdict{Kind: Held, Offset: offset}
+	case r.skip != nil:
+		return h.holdSkip(offset, *r.skip)
+	case r.snapshot != nil:
+		return h.holdSnapshot(offset, *r.snapshot)
+	default:
 		return Verdict{Kind: Held, Offset: offset}
 	}
+}
+
+func (h *History) holdSnapshot(offset int64, wire snapshotWire) Verdict {
 	// A snapshot helps only if the records after those it covers are at hand,
 	// up to the snapshot itself. An old one, from a node that was paused while
 	// it wrote, covers too little.
-	if r.snapshot.Next < h.held[0].Offset || r.snapshot.Next > offset {
+	if wire.Next < h.held[0].Offset || wire.Next > offset {
 		return Verdict{Kind: Held, Offset: offset}
 	}
-	if err := h.restore(*r.snapshot); err != nil {
+	if err := h.restore(wire); err != nil {
 		return Verdict{Kind: Held, Offset: offset, Reason: err.Error()}
 	}
 	return Verdict{Kind: Restored, Offset: offset, Replayed: h.release()}
--- a/settings/history_test.go
+++ b/settings/history_test.go
@@ -214,8 +214,10 @@
 	h.Apply(1, encode(f, ordersChange(f, 0, 1)))
 	snapshot, err := h.Snapshot(time.UnixMilli(1))
 	must.NoError(f, err)
+	skip, err := EncodeSkip(0, 7, rootPrivate)
+	must.NoError(f, err)
 	for _, seed := range []string{
-		string(encode(f, ordersChange(f, 1, 2))), string(snapshot), `{}`, `{"change":{}}`, `{"snapshot":{}}`, `{"change":null} {}`,
+		string(encode(f, ordersChange(f, 1, 2))), string(snapshot), string(skip), `{"skip":{}}`, `{}`, `{"change":{}}`, `{"snapshot":{}}`, `{"change":null} {}`,
 		`{"snapshot":{"next":1,"branches":[{"branch":"root"}],"roots":[{}]}}`, `{"change":{"base":9223372036854775807}}`,
 	} {
 		f.Add([]byte(seed))
--- a/settings/peer.go
+++ b/settings/peer.go
@@ -80,8 +80,8 @@
 	return verdicts, body.Next, err
 }
 
-// reached asks the node at the address how far it has read.
-func reached(ctx context.Context, client *http.Client, address string) (next int64, err error) {
+// Reached asks the node at the address how far it has read.
+func Reached(ctx context.Context, client *http.Client, address string) (next int64, err error) {
 	body, err := fetch(ctx, client, address, math.MaxInt64)
 	return body.Next, err
 }
--- a/settings/publish.go
+++ b/settings/publish.go
@@ -131,7 +131,7 @@
 	nodes.fill(ctx, h)
 	_, gap, err = h.CatchUp(ctx, log)
 	if err == nil && gap {
-		err = fmt.Errorf("the log no longer keeps records from offset %d on, and no node had them; name nodes that have", h.Offset())
+		err = fmt.Errorf("the log no longer keeps records from offset %d on, and the nodes asked have none of them; ask others, or see lacewingslip settings repair --help", h.Offset())
 	}
 	return err
 }
@@ -152,7 +152,7 @@
 func (n Nodes) WaitApplied(ctx context.Context, offset int64) (err error) {
 	for _, address := range n.Addresses {
 		for {
-			next, err := reached(ctx, n.Client, address)
+			next, err := Reached(ctx, n.Client, address)
 			if err == nil && next > offset {
 				break
 			}
