--- a/booking/ledger.go
+++ b/booking/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"container/list"
+	"fmt"
 	"math"
 	"net/http"
 	"sync"
@@ -60,6 +61,26 @@
 	Malformed
 )
 
+var verdictNames = [...]string{
+	Run:       "run",
+	Wait:      "wait",
+	Replay:    "replay",
+	Sealed:    "sealed",
+	Follow:    "follow",
+	Expired:   "expired",
+	OwnerGone: "ownerGone",
+	Reused:    "reused",
+	Malformed: "malformed",
+}
+
+// String returns the name used in metrics.
+func (v Verdict) String() string {
+	if int(v) >= len(verdictNames) {
+		return fmt.Sprintf("invalid(%d)", uint8(v))
+	}
+	return verdictNames[v]
+}
+
 // Answer is the complete answer of a backend server. It must not be changed
 // after it was passed to a ledger or received from one.
 type Answer struct {
