Prove own and complete answers and the decisions on further attempts

Cause: nothing showed yet that a cut answer can't pass for a whole one, that an answer can't reach another caller, or when a call is sent again.

A finding on the way: a booking whose answer was lost had no token left to ask for its outcome, because all tokens had been lent with the lost attempt.

--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -56,6 +56,7 @@
 	serviceTime func() time.Duration
 	children    []Child
 	answerBytes int
+	handler     http.HandlerFunc
 	propagate   bool
 	slots       int
 	connections int
@@ -89,6 +90,12 @@
 // WithAnswerBytes sets the size of the answer body.
 func WithAnswerBytes(n int) Option { return func(b *Backend) { b.answerBytes = n } }
 
+// WithHandler replaces the work on each call, for answers that a working backend
+// server does not give.
+func WithHandler(handler http.HandlerFunc) Option {
+	return func(b *Backend) { b.handler = handler }
+}
+
 // WithoutPropagation makes the backend server lose the call context.
 func WithoutPropagation() Option { return func(b *Backend) { b.propagate = false } }
 
@@ -101,7 +108,7 @@
 func New(service string, opts ...Option) *Backend {
 	b := &Backend{
 		service: service, propagate: true, runs: make(map[string]int), client: &http.Client{},
-		instance: string(call.NewID()),
+		instance:    string(call.NewID()),
 		serviceTime: func() time.Duration { return 0 },
 	}
 	for _, opt := range opts {
@@ -173,6 +180,11 @@
 	}
 	b.began(r)
 	defer b.ended()
+	if b.handler != nil {
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		b.handler(w, r)
+		return
+	}
 	if !pause(r.Context(), b.serviceTime()) {
 		return
 	}
--- /dev/null
+++ b/node/answer_test.go
@@ -0,0 +1,135 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/internal/loopback"
+	"github.com/lacewingslip/lacewingslip/internal/standin/backend"
+)
+
+// raw answers with exactly this text and closes the connection.
+func raw(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		connection, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(connection, text)
+		connection.Close()
+	}
+}
+
+// A part of an answer must never look like the whole to any HTTP client: either
+// the read fails, or the answer says that the outcome is unknown.
+func TestCutAnswerIsNeverComplete(t *testing.T) {
+	cases := map[string]string{
+		"length not reached":  "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
+		"chunks without end":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"chunk cut":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n64\r\nhalf",
+		"ends by closing":     "HTTP/1.1 200 OK\r\n\r\nhalf",
+		"header cut":          "HTTP/1.1 200 OK\r\nContent-Le",
+		"no answer":           "",
+		"malformed status":    "HTTP/1.1 abc\r\n\r\n",
+		"length of two kinds": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nhalf",
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			drawings := backend.New("drawings", backend.WithHandler(raw(text)))
+			system := startTesfaye(t,
+				loopback.WithUpstream("addis", "addis-a", backend.New("orders")),
+				loopback.WithUpstream("addis", "addis-b", drawings),
+			)
+			answer, err := http.Get("http://" + system.Caller(0) + "/drawings/m1")
+			must.NoError(t, err)
+			defer answer.Body.Close()
+			_, err = io.ReadAll(answer.Body)
+			if err == nil {
+				must.EqOp(t, "unknown", answer.Header.Get(call.HeaderOutcome))
+				must.EqOp(t, http.StatusBadGateway, answer.StatusCode)
+			}
+		})
+	}
+}
+
+// A booking whose answer broke off may have run: its repeat must say so too,
+// and must not run it again.
+func TestCutBookingIsUnknown(t *testing.T) {
+	orders := backend.New("orders", backend.WithHandler(raw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")))
+	system := startTesfaye(t, loopback.WithUpstream("addis", "addis-a", orders))
+	url := "http://" + system.Caller(0) + "/orders/book"
+	key := do(t, http.MethodPost, url, "", "trays").header.Get(call.HeaderNextKey)
+	for range 2 {
+		must.EqOp(t, "unknown", do(t, http.MethodPost, url, key, "trays").header.Get(call.HeaderOutcome))
+	}
+	must.Eq(t, map[string]int{"trays": 1}, orders.Runs())
+}
+
+// Answers that arrive late, out of order, or after a cancelled call on the same
+// connection must not reach another caller, even if callers use one request ID.
+func TestOwnAnswer(t *testing.T) {
+	echo := func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(append([]byte(r.URL.RequestURI()+" "), body...))
+	}
+	system := startTesfaye(t,
+		loopback.WithUpstream("addis", "addis-a", backend.New("orders")),
+		loopback.WithUpstream("addis", "addis-b", backend.New("catalogue", backend.WithHandler(echo))),
+	)
+	var callers sync.WaitGroup
+	for caller := range 16 {
+		callers.Go(func() {
+			for n := range 40 {
+				checkOwnAnswer(t, system.Caller(caller%2), fmt.Sprintf("c%d-%d", caller, n), n%5 == 0)
+			}
+		})
+	}
+	callers.Wait()
+}
+
+func checkOwnAnswer(t *testing.T, address, id string, cancelled bool) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/catalogue/x?"+id, strings.NewReader(id))
+	must.NoError(t, err)
+	request.Header.Set("X-Request-Id", "the same for all")
+	request.Header.Set("Traceparent", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")
+	if cancelled {
+		go cancel()
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		must.True(t, cancelled, must.Sprint(err))
+		return
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err == nil && answer.Header.Get(call.HeaderOutcome) == "answered" {
+		must.EqOp(t, "/catalogue/x?"+id+" "+id, string(text))
+	}
+}
+
+// net/http sends a request with an idempotency key again by itself when a reused
+// connection breaks before the answer. The booking may have run by then.
+func TestBrokenReusedConnectionIsNotSentAgain(t *testing.T) {
+	closing := raw("")
+	orders := backend.New("orders", backend.WithHandler(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(backend.HeaderBooking) == "broken" {
+			closing(w, r)
+		}
+	}))
+	system := startTesfaye(t, loopback.WithUpstream("addis", "addis-a", orders))
+	url := "http://" + system.Caller(0) + "/orders/book"
+	key := do(t, http.MethodPost, url, "", "whole").header.Get(call.HeaderNextKey)
+	next := do(t, http.MethodPost, url, key, "whole").header.Get(call.HeaderNextKey)
+	must.EqOp(t, "unknown", do(t, http.MethodPost, url, next, "broken").header.Get(call.HeaderOutcome))
+	must.Eq(t, map[string]int{"whole": 1, "broken": 1}, orders.Runs())
+}
--- /dev/null
+++ b/node/sender_test.go
@@ -0,0 +1,173 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/booking"
+	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/membership"
+	"github.com/lacewingslip/lacewingslip/routing"
+	"github.com/lacewingslip/lacewingslip/settings"
+	"github.com/lacewingslip/lacewingslip/timeline"
+)
+
+// script is a transport that plays one end per attempt and keeps the requests.
+// The last end repeats.
+type script struct {
+	ends     []string
+	requests []*http.Request
+}
+
+func (s *script) RoundTrip(r *http.Request) (*http.Response, error) {
+	end := s.ends[min(len(s.requests), len(s.ends)-1)]
+	s.requests = append(s.requests, r)
+	if end == "noConnection" {
+		return nil, errors.New("refused")
+	}
+	httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{})
+	if end == "lost" {
+		return nil, errors.New("reset")
+	}
+	header := http.Header{}
+	header.Set(call.HeaderCall, r.Header.Get(call.HeaderCall))
+	header.Set(call.HeaderTokensLeft, r.Header.Get(call.HeaderTokens))
+	body := "ok"
+	switch end {
+	case "answered":
+		header.Set(call.HeaderOutcome, call.Answered.String())
+	case "foreign":
+		header.Set(call.HeaderOutcome, call.Answered.String())
+		header.Set(call.HeaderCall, string(call.NewID()))
+	case "noOutcome":
+	case "unframed":
+		header.Set(call.HeaderOutcome, call.Answered.String())
+		return &http.Response{StatusCode: 200, Header: header, ContentLength: -1, Body: io.NopCloser(strings.NewReader(body))}, nil
+	default:
+		header.Set(call.HeaderOutcome, call.NotRun.String())
+		header.Set(call.HeaderReason, strings.TrimPrefix(end, "follow "))
+		if strings.HasPrefix(end, "follow ") {
+			header.Set(call.HeaderSuccessor, r.Header.Get(call.HeaderSuccessor))
+		}
+	}
+	return &http.Response{StatusCode: 200, Header: header, ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}, nil
+}
+
+// allKnown is a membership table that knows every node as one incarnation.
+type allKnown struct{}
+
+func (allKnown) Members() []membership.Member        { return nil }
+func (allKnown) Epoch(string) (uint64, uint32, bool) { return 1, 0, true }
+
+type discard struct{}
+
+func (discard) Record(event.ID, ...slog.Attr) {}
+
+func testSender(ends ...string) (s *sender, played *script) {
+	played = &script{ends: ends}
+	table := routing.New("addis", "addis-a", routing.WithRandom(rand.New(rand.NewPCG(1, 2))))
+	p := newPeers(allKnown{})
+	var upstreams []routing.Upstream
+	for i := range 4 {
+		node := "n" + strconv.Itoa(i)
+		upstreams = append(upstreams, routing.Upstream{Node: node, Address: node + ":1", Region: "addis", Zone: "addis-a", Slots: 10})
+		p.addresses[node] = node + ":1"
+	}
+	table.Replace(time.Now(), "orders", upstreams)
+	return &sender{transport: played, routes: newRoutes(table), peers: p, clock: timeline.NewClock(), events: discard{}}, played
+}
+
+func testCall(repeat call.RepeatPolicy, tokens int, keyKnown bool) *outgoing {
+	c := &outgoing{
+		service: settings.Service{Name: "orders"}, route: settings.Route{Repeat: repeat},
+		method: http.MethodPost, uri: "/orders/x", header: http.Header{}, deadline: time.Now().Add(time.Minute),
+		context: call.Context{Request: call.NewID(), Depth: 1, Importance: call.Normal, Tokens: tokens},
+	}
+	if repeat == call.Never {
+		key := booking.Issue("orders", "n0", 1, 0)
+		c.key, c.keyKnown = &key, keyKnown
+	}
+	return c
+}
+
+// The table guards against attempts beyond the tokens, against a second send of
+// a call that may have run, and against notRun where that is not certain.
+func TestAttempts(t *testing.T) {
+	const never, ifNotRun, always = call.Never, call.IfNotRun, call.Always
+	cases := map[string]struct {
+		repeat   call.RepeatPolicy
+		tokens   int
+		keyKnown bool
+		ends     string
+		attempts int
+		want     string
+	}{
+		"answered at once":                     {ifNotRun, 3, false, "answered", 1, "answered"},
+		"refused, then answered":               {ifNotRun, 3, false, "overloaded,answered", 2, "answered"},
+		"refused by all":                       {ifNotRun, 9, false, "overloaded", 4, "notRun overloaded"},
+		"refused without tokens":               {ifNotRun, 0, false, "overloaded", 1, "notRun overloaded"},
+		"refused with one token":               {ifNotRun, 1, false, "overloaded", 2, "notRun overloaded"},
+		"too late is too late everywhere":      {ifNotRun, 3, false, "tooLate", 1, "notRun tooLate"},
+		"never sent":                           {ifNotRun, 1, false, "noConnection", 2, "notRun unreachable"},
+		"lost is not sent again":               {ifNotRun, 3, false, "lost,answered", 1, "unknown lost"},
+		"lost lookup is sent again":            {always, 3, false, "lost,answered", 2, "answered"},
+		"lost, then refused, is unknown":       {always, 2, false, "lost,tooLate", 2, "unknown tooLate"},
+		"lost forfeits the tokens lent":        {always, 3, false, "lost", 2, "unknown lost"},
+		"answer of another call":               {ifNotRun, 3, false, "foreign", 1, "unknown lost"},
+		"answer without outcome":               {ifNotRun, 3, false, "noOutcome", 1, "unknown lost"},
+		"answer that can't be checked":         {ifNotRun, 3, false, "unframed", 1, "unknown lost"},
+		"booking answered":                     {never, 3, true, "answered", 1, "answered"},
+		"booking sealed":                       {never, 3, true, "overloaded", 1, "notRun overloaded"},
+		"booking followed":                     {never, 3, true, "follow overloaded,answered", 2, "answered"},
+		"booking followed and sealed":          {never, 3, true, "follow overloaded,overloaded", 2, "notRun overloaded"},
+		"booking never sent, key known":        {never, 3, true, "noConnection", 1, "unknown unreachable"},
+		"booking never sent, own key":          {never, 3, false, "noConnection,answered", 2, "answered"},
+		"booking never sent by all":            {never, 1, false, "noConnection", 2, "notRun unreachable"},
+		"booking lost, repeat learns outcome":  {never, 3, true, "lost,answered", 2, "answered"},
+		"booking lost, repeat finds it sealed": {never, 3, true, "lost,overloaded", 2, "notRun overloaded"},
+		"booking lost, node gone":              {never, 3, false, "lost,noConnection", 2, "unknown unreachable"},
+		"booking lost without tokens":          {never, 0, true, "lost", 1, "unknown lost"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, played := testSender(strings.Split(c.ends, ",")...)
+			end := s.do(context.Background(), testCall(c.repeat, c.tokens, c.keyKnown))
+			got := "answered"
+			if end.failure != nil {
+				got = end.failure.outcome.String() + " " + string(end.failure.reason)
+			}
+			must.EqOp(t, c.want, got)
+			must.EqOp(t, c.attempts, len(played.requests))
+			must.EqOp(t, c.attempts-1, end.retries)
+		})
+	}
+}
+
+// A booking that is sent again must go to the same node under the same key, or
+// under the successor that the refusing node confirmed.
+func TestBookingKeysOfAttempts(t *testing.T) {
+	s, played := testSender("follow overloaded", "lost", "answered")
+	c := testCall(call.Never, 5, true)
+	first := c.key.String()
+	end := s.do(context.Background(), c)
+	must.Nil(t, end.failure)
+	must.EqOp(t, first, played.requests[0].Header.Get(call.HeaderIssuedKey))
+	second := played.requests[0].Header.Get(call.HeaderSuccessor)
+	must.EqOp(t, second, played.requests[1].Header.Get(call.HeaderIssuedKey))
+	must.EqOp(t, second, played.requests[2].Header.Get(call.HeaderIssuedKey))
+	key, err := booking.ParseKey(second)
+	must.NoError(t, err)
+	must.EqOp(t, key.Node()+":1", played.requests[2].URL.Host)
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -17,10 +17,11 @@
 
 // Lend returns the number of tokens to send with the next attempt. All are
 // lent, since they come back unless the answer is lost. One is held back where
-// the sender may repeat the call even then.
+// the sender may repeat the call even then: a lookup that may run twice, or a
+// booking, whose repeat with the same key learns the outcome.
 func (b *Budget) Lend(policy call.RepeatPolicy) (tokens int) {
 	b.lent = b.tokens
-	if policy == call.Always && b.tokens > 1 {
+	if policy != call.IfNotRun && b.tokens > 1 {
 		b.lent--
 	}
 	b.tokens -= b.lent
