--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -23,6 +23,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/lacewingslip/lacewingslip/call"
 )
 
 const (
@@ -35,6 +37,9 @@
 	HeaderBooking = "X-Booking"
 )
 
+// announceInterval is the pause between two announcements.
+const announceInterval = 200 * time.Millisecond
+
 // contextHeaders carry the call context through a backend server (W3C trace
 // context and baggage).
 var contextHeaders = []string{"Traceparent", "Tracestate", "Baggage"}
@@ -51,11 +56,14 @@
 	serviceTime func() time.Duration
 	children    []Child
 	answerBytes int
+	handler     http.HandlerFunc
 	propagate   bool
 	slots       int
 	connections int
 	workers     chan struct{}
 	client      *http.Client
+	// instance tells this process from the one before it at the same address.
+	instance string
 
 	mu      sync.Mutex
 	node    string
@@ -89,6 +97,12 @@
 	return func(b *Backend) { b.workers = make(chan struct{}, n) }
 }
 
+// WithHandler replaces the work on each call, for answers that a working backend
+// server does not give.
+func WithHandler(handler http.HandlerFunc) Option {
+	return func(b *Backend) { b.handler = handler }
+}
+
 // WithoutPropagation makes the backend server lose the call context.
 func WithoutPropagation() Option { return func(b *Backend) { b.propagate = false } }
 
@@ -101,6 +115,7 @@
 func New(service string, opts ...Option) *Backend {
 	b := &Backend{
 		service: service, propagate: true, runs: make(map[string]int), client: &http.Client{},
+		instance:    string(call.NewID()),
 		serviceTime: func() time.Duration { return 0 },
 	}
 	for _, opt := range opts {
@@ -116,6 +131,7 @@
 	b.mu.Unlock()
 	body, err := json.Marshal(map[string]any{
 		"service": b.service, "address": own, "slots": b.slots, "connections": b.connections,
+		"instance": b.instance,
 	})
 	if err != nil {
 		return err
@@ -123,6 +139,22 @@
 	return b.control(ctx, http.MethodPost, body)
 }
 
+// KeepAnnounced repeats the announcement until the context ends, so that a node
+// that was restarted hears of the backend server. Failures are not reported:
+// the next repeat mends them.
+func (b *Backend) KeepAnnounced(ctx context.Context, node, own string) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		_ = b.Announce(ctx, node, own)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // Leave asks for the end of new work. It returns once no call is in progress.
 func (b *Backend) Leave(ctx context.Context) (err error) {
 	return b.control(ctx, http.MethodDelete, nil)
@@ -159,6 +191,11 @@
 	defer b.freeWorker()
 	b.began(r)
 	defer b.ended()
+	if b.handler != nil {
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		b.handler(w, r)
+		return
+	}
 	if !pause(r.Context(), b.serviceTime()) {
 		return
 	}
