Test bad input, leaving backend servers and stop deadlines at the node

Cause: bad input, a leave whose news has not spread, and a stop that takes too long had no test at the process that meets them.

--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -35,8 +35,8 @@
 	anyPort = "127.0.0.1:0"
 	// settleInterval is the pause between two looks at whether all nodes know
 	// each other and the settings.
-	settleInterval = 20 * time.Millisecond
-	stopDeadline   = 10 * time.Second
+	settleInterval      = 20 * time.Millisecond
+	defaultStopDeadline = 10 * time.Second
 )
 
 // Upstream is a backend server with the node beside it.
@@ -64,6 +64,8 @@
 	branches  []settings.File
 	upstreams []*Upstream
 	logger    *slog.Logger
+	// stopDeadline is that of every node.
+	stopDeadline time.Duration
 	// published is the settings offset that covers the whole tree.
 	published int64
 }
@@ -84,11 +86,14 @@
 // WithLogger sets the logger of all nodes.
 func WithLogger(logger *slog.Logger) Option { return func(s *System) { s.logger = logger } }
 
+// WithStopDeadline sets how long a planned stop of a node waits for calls.
+func WithStopDeadline(d time.Duration) Option { return func(s *System) { s.stopDeadline = d } }
+
 // Start starts everything and waits until each node knows the settings and all
 // upstreams.
 func Start(ctx context.Context, opts ...Option) (s *System, err error) {
 	defer func() { err = eris.Wrap(err, "start loopback system") }()
-	s = &System{log: logservice.New(), logger: slog.New(slog.DiscardHandler)}
+	s = &System{log: logservice.New(), logger: slog.New(slog.DiscardHandler), stopDeadline: defaultStopDeadline}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -248,7 +253,7 @@
 		"seeds: " + seeds,
 		fmt.Sprintf("log: %q", s.logAt),
 		"rootPublicKey: " + base64.StdEncoding.EncodeToString(public),
-		"stopDeadline: " + stopDeadline.String(),
+		"stopDeadline: " + s.stopDeadline.String(),
 		"stopDelay: 0s",
 	}, "\n")
 }
--- a/node/gate.go
+++ b/node/gate.go
@@ -103,6 +103,12 @@
 	return g.empty
 }
 
+func (g *gate) isDraining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
+}
+
 func (g *gate) load() admission.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -66,6 +66,7 @@
 	listeners *listeners
 	routes    *routes
 	follower  *settings.Follower
+	gate      *gate
 }
 
 // New builds a node and opens its addresses.
@@ -74,7 +75,7 @@
 	n = &Node{}
 	n.app = fx.New(
 		Module(file, opts...),
-		fx.Populate(&n.listeners, &n.routes, &n.follower),
+		fx.Populate(&n.listeners, &n.routes, &n.follower, &n.gate),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(file.stopDeadline+startTimeout),
 		fx.StopTimeout(file.stopDeadline+startTimeout),
@@ -115,6 +116,9 @@
 // SettingsOffset returns how far this node has read the settings in the log.
 func (n *Node) SettingsOffset() int64 { return n.follower.Offset() }
 
+// Draining reports whether the node refuses new work for its backend server.
+func (n *Node) Draining() bool { return n.gate.isDraining() }
+
 // OperatorAddress serves status, metrics, health and events.
 func (n *Node) OperatorAddress() string { return n.listeners.operator.Addr().String() }
 
--- a/node/sender_test.go
+++ b/node/sender_test.go
@@ -54,7 +54,7 @@
 	case "noOutcome":
 	case "unframed":
 		header.Set(call.HeaderOutcome, call.Answered.String())
-		return &http.Response{StatusCode: 200, Header: header, ContentLength: -1, Body: io.NopCloser(strings.NewReader(body))}, nil
+		return &http.Response{StatusCode: http.StatusOK, Header: header, ContentLength: -1, Body: io.NopCloser(strings.NewReader(body))}, nil
 	default:
 		header.Set(call.HeaderOutcome, call.NotRun.String())
 		header.Set(call.HeaderReason, strings.TrimPrefix(end, "follow "))
@@ -62,7 +62,7 @@
 			header.Set(call.HeaderSuccessor, r.Header.Get(call.HeaderSuccessor))
 		}
 	}
-	return &http.Response{StatusCode: 200, Header: header, ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}, nil
+	return &http.Response{StatusCode: http.StatusOK, Header: header, ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}, nil
 }
 
 // allKnown is a membership table that knows every node as one incarnation.
