--- a/booking/ledger.go
+++ b/booking/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"container/list"
+	"fmt"
 	"math"
 	"net/http"
 	"sync"
@@ -60,6 +61,26 @@
 	Malformed
 )
 
+var verdictNames = [...]string{
+	Run:       "run",
+	Wait:      "wait",
+	Replay:    "replay",
+	Sealed:    "sealed",
+	Follow:    "follow",
+	Expired:   "expired",
+	OwnerGone: "ownerGone",
+	Reused:    "reused",
+	Malformed: "malformed",
+}
+
+// String returns the name used in metrics.
+func (v Verdict) String() string {
+	if int(v) >= len(verdictNames) {
+		return fmt.Sprintf("invalid(%d)", uint8(v))
+	}
+	return verdictNames[v]
+}
+
 // Answer is the complete answer of a backend server. It must not be changed
 // after it was passed to a ledger or received from one.
 type Answer struct {
@@ -106,6 +127,9 @@
 	// forgottenBelow is above the epoch of every forgotten entry. A key from
 	// there on that has no entry was never begun.
 	forgottenBelow uint32
+	// expiredBelow is above the epoch of every key that was refused as expired.
+	// Such a key stays expired if the validity is raised later.
+	expiredBelow uint32
 }
 
 type entry struct {
@@ -161,7 +185,8 @@
 	if k.epoch < l.forgottenBelow {
 		return Begun{Verdict: Expired, Outcome: call.Unknown, Reason: call.ReasonKeyExpired}
 	}
-	if age > seconds(l.validity) {
+	if k.epoch < l.expiredBelow || age > seconds(l.validity) {
+		l.expiredBelow = max(l.expiredBelow, k.epoch+1)
 		return Begun{Verdict: Expired, Outcome: call.NotRun, Reason: call.ReasonKeyExpired}
 	}
 	l.entries[k] = &entry{key: k, state: Running, fingerprint: f, done: make(chan struct{})}
