--- a/admission/admission.go
+++ b/admission/admission.go
@@ -32,6 +32,13 @@
 	Importance call.Importance
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// First is true for a customer request, the first call of a chain. Only such
+	// calls are refused for the overload of a service further down, before any
+	// work has been done for them.
+	First bool
+	// Lot is a random number that all attempts of a customer request share, so
+	// that all sidecars refuse the same requests.
+	Lot uint32
 }
 
 // Verdict is what happens to a call.
@@ -116,14 +123,19 @@
 	limits  Limits
 	random  *rand.Rand
 	started time.Time
-	// running holds the start of each running call.
-	running map[uint64]time.Time
+	running map[uint64]runningCall
 	// queue has one list per importance. Each is sorted by falling deadline, so
 	// that the next call to run is the last element.
-	queue    [call.Critical + 1][]Request
-	queued   int
-	limiter  limiter
-	estimate estimate
+	queue     [call.Critical + 1][]Request
+	queued    int
+	limiter   limiter
+	estimate  estimate
+	threshold threshold
+}
+
+type runningCall struct {
+	started time.Time
+	first   bool
 }
 
 // Option changes a new controller.
@@ -137,7 +149,7 @@
 // New returns a controller without calls. The warm-up begins with the first
 // event.
 func New(limits Limits, opts ...Option) *Controller {
-	c := &Controller{running: make(map[uint64]time.Time, max(limits.Slots, 0))}
+	c := &Controller{running: make(map[uint64]runningCall, max(limits.Slots, 0))}
 	c.setLimits(limits)
 	c.limiter.limit = float64(c.limits.Slots)
 	c.limiter.current = c.warmUpCap(0)
@@ -169,9 +181,13 @@
 	c.begin(now)
 	r.Importance = min(r.Importance, call.Critical)
 	out = c.expire(now, out)
-	if !c.feasible(now, r) {
+	if !c.feasible(now, r, c.estimate.low(now)) {
 		return c.settle(now, append(out, c.refusal(r, call.ReasonTooLate)))
 	}
+	if r.First && c.threshold.arrive(r) {
+		out = append(out, c.refusal(r, call.ReasonOverloaded))
+		return c.settle(now, c.refuseBelow(r, out))
+	}
 	c.enqueue(r)
 	out = c.admit(now, out)
 	return c.trimFor(r, out)
@@ -181,12 +197,15 @@
 // free slot allows to out.
 func (c *Controller) Finish(now time.Time, id uint64, r Result, out []Decision) []Decision {
 	c.begin(now)
-	started, ok := c.running[id]
+	ended, ok := c.running[id]
 	if !ok {
 		return c.settle(now, out)
 	}
-	c.limiter.observe(started, len(c.running), r)
+	c.limiter.observe(ended.started, len(c.running), r)
 	c.estimate.observe(now, r)
+	if ended.first {
+		c.threshold.finish(r)
+	}
 	delete(c.running, id)
 	return c.settle(now, out)
 }
@@ -222,6 +241,7 @@
 		c.started = now
 	}
 	c.limiter.adapt(now, c.limits)
+	c.threshold.adapt(now)
 	c.limiter.current = min(int(c.limiter.limit), c.warmUpCap(now.Sub(c.started)))
 }
 
@@ -247,14 +267,15 @@
 	return c.trim(out)
 }
 
-func (c *Controller) feasible(now time.Time, r Request) bool {
+// feasible reports whether the call can be answered if it takes the given time.
+func (c *Controller) feasible(now time.Time, r Request, takes time.Duration) bool {
 	remaining := r.Deadline.Sub(now)
 	if remaining <= 0 {
 		return false
 	}
 	// Without a running call no new measurement would ever correct an estimate
 	// that is too high.
-	return len(c.running) == 0 || remaining >= c.estimate.low(now)
+	return len(c.running) == 0 || remaining >= takes
 }
 
 func (c *Controller) enqueue(r Request) {
@@ -270,14 +291,18 @@
 	c.queued++
 }
 
-// expire refuses the queued calls that can't finish in time.
+// expire refuses the queued calls that are too late. As slots are scarce while
+// calls wait, a call needs the time that most calls take: by the order of
+// deadlines those that barely fail would otherwise run first.
 func (c *Controller) expire(now time.Time, out []Decision) []Decision {
 	if c.queued == 0 {
 		return out
 	}
+	takes := c.estimate.typical(now)
 	for i := int(call.Critical); i >= 0; i-- {
-		for level := c.queue[i]; len(level) > 0 && !c.feasible(now, level[len(level)-1]); level = c.queue[i] {
-			out = c.refuseWaited(c.dequeue(i), out)
+		for level := c.queue[i]; len(level) > 0 && !c.feasible(now, level[len(level)-1], takes); level = c.queue[i] {
+			r := c.dequeue(i)
+			out = c.refuseBelow(r, append(out, c.refusal(r, call.ReasonTooLate)))
 		}
 	}
 	return out
@@ -288,7 +313,7 @@
 	for i := int(call.Critical); i >= 0; i-- {
 		for len(c.queue[i]) > 0 && len(c.running) < c.limiter.current {
 			r := c.dequeue(i)
-			c.running[r.ID] = now
+			c.running[r.ID] = runningCall{started: now, first: r.First}
 			out = append(out, Decision{ID: r.ID, Verdict: Admitted})
 		}
 	}
@@ -319,11 +344,10 @@
 	return out
 }
 
-// refuseWaited refuses a call that waited until it was too late, together with
-// all less important calls in the queue: a booking must not be refused under
-// overload while lookups keep their place.
-func (c *Controller) refuseWaited(r Request, out []Decision) []Decision {
-	out = append(out, c.refusal(r, call.ReasonTooLate))
+// refuseBelow refuses all queued calls that are less important than a refused
+// one: a booking must not be refused under overload while lookups keep their
+// place.
+func (c *Controller) refuseBelow(r Request, out []Decision) []Decision {
 	for c.queued > 0 && c.worstLevel() < int(r.Importance) {
 		out = append(out, c.refusal(c.dequeueWorst(), call.ReasonOverloaded))
 	}
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -14,15 +14,9 @@
 	// the limit is lowered.
 	latencyTolerance = 2.0
 	cutFactor        = 0.7
-	// shedTolerance is the share of calls that may fail because a child call
-	// was refused for overload. Their work is wasted, but a share of zero would
-	// leave capacity unused.
-	shedTolerance = 0.05
 	// maxRaises bounds how often the step doubles. Small steps hold a limit near
 	// its right value, growing ones bring it back soon after a cause has passed.
 	maxRaises = 4
-	// maxShedCut bounds one cut, since intervals are short.
-	maxShedCut = 0.5
 	// helpFactor is the drop of latency that shows that a cut helped. A backend
 	// server that shares a fixed capacity among its calls gets faster by
 	// cutFactor.
@@ -33,10 +27,6 @@
 // and takes the cut back if latency does not follow: then the cause lies
 // elsewhere, usually in a service further down the chain, and a low limit would
 // only lower throughput.
-//
-// A service further down that refuses calls is another matter: then calls beyond
-// its capacity are better refused here, before work is done for them. The limit
-// is lowered by the share of calls that failed for this reason.
 type limiter struct {
 	limit    float64
 	current  int
@@ -45,8 +35,6 @@
 	changed time.Time
 	samples int
 	total   time.Duration
-	// shed counts the calls that failed because a child call was refused.
-	shed int
 	// peak is the largest number of running calls since the last change.
 	peak int
 
@@ -63,14 +51,7 @@
 // would hide the effect of a change, and quick failures say nothing about load.
 func (l *limiter) observe(started time.Time, running int, r Result) {
 	l.peak = max(l.peak, running)
-	if started.Before(l.changed) {
-		return
-	}
-	if r.Shed {
-		l.shed++
-		return
-	}
-	if r.Failed && r.Latency < l.baseline {
+	if started.Before(l.changed) || (r.Failed || r.Shed) && r.Latency < l.baseline {
 		return
 	}
 	l.samples++
@@ -81,21 +62,16 @@
 	if l.changed.IsZero() {
 		l.changed = now
 	}
-	if now.Sub(l.changed) < adaptInterval || l.samples+l.shed < adaptSamples {
+	if now.Sub(l.changed) < adaptInterval || l.samples < adaptSamples {
 		return
 	}
 	raises := l.raises
-	if share := float64(l.shed) / float64(l.samples+l.shed); share > shedTolerance {
-		l.limit *= max(1-share, maxShedCut)
-		l.slow, l.cutLatency = false, 0
-	} else {
-		l.follow(l.total / time.Duration(l.samples))
-	}
+	l.follow(l.total / time.Duration(l.samples))
 	if l.raises == raises {
 		l.raises = 0
 	}
 	l.clamp(limits)
-	l.changed, l.samples, l.total, l.shed, l.peak = now, 0, 0, 0, 0
+	l.changed, l.samples, l.total, l.peak = now, 0, 0, 0
 }
 
 // follow changes the limit by the mean latency of an interval.
@@ -133,32 +109,70 @@
 	l.limit = min(max(l.limit, float64(limits.Floor)), float64(limits.Slots))
 }
 
-// estimateWindow is how long a measured latency counts.
-const estimateWindow = time.Second
+const (
+	// estimateWindow is how long a measured latency counts.
+	estimateWindow = time.Second
+	// typicalDeviations is how far the typical latency lies above the mean, in
+	// mean deviations. Two cover nearly all calls of even service times.
+	typicalDeviations = 2
+)
 
-// estimate is the lowest latency of the present and the previous window. It is
-// zero, and so refuses nothing, if no call was answered in that time.
+// estimate describes the latency of answered calls in the present and the
+// previous window. Without calls in that time it is zero and refuses nothing.
 type estimate struct {
 	since             time.Time
-	present, previous time.Duration
+	present, previous window
+}
+
+// window sums up the latencies of a time.
+type window struct {
+	lowest, sum, deviations time.Duration
+	count                   int
 }
 
 func (e *estimate) observe(now time.Time, r Result) {
 	if r.Failed || r.Shed || r.Latency <= 0 {
 		return
 	}
-	e.advance(now)
-	if e.present == 0 || r.Latency < e.present {
-		e.present = r.Latency
+	mean := e.mean(now)
+	if mean == 0 {
+		mean = r.Latency
+	}
+	w := &e.present
+	if w.count == 0 || r.Latency < w.lowest {
+		w.lowest = r.Latency
 	}
+	w.count++
+	w.sum += r.Latency
+	w.deviations += (r.Latency - mean).Abs()
 }
 
+// low is a time in which hardly any call is answered.
 func (e *estimate) low(now time.Time) time.Duration {
 	e.advance(now)
-	if e.present == 0 || e.previous == 0 {
-		return max(e.present, e.previous)
+	if e.present.count == 0 || e.previous.count == 0 {
+		return max(e.present.lowest, e.previous.lowest)
+	}
+	return min(e.present.lowest, e.previous.lowest)
+}
+
+// typical is a time in which most calls are answered.
+func (e *estimate) typical(now time.Time) time.Duration {
+	mean := e.mean(now)
+	count := time.Duration(e.present.count + e.previous.count)
+	if count == 0 {
+		return 0
+	}
+	return mean + typicalDeviations*(e.present.deviations+e.previous.deviations)/count
+}
+
+func (e *estimate) mean(now time.Time) time.Duration {
+	e.advance(now)
+	count := time.Duration(e.present.count + e.previous.count)
+	if count == 0 {
+		return 0
 	}
-	return min(e.present, e.previous)
+	return (e.present.sum + e.previous.sum) / count
 }
 
 func (e *estimate) advance(now time.Time) {
@@ -168,7 +182,7 @@
 	}
 	e.previous = e.present
 	if age >= 2*estimateWindow {
-		e.previous = 0
+		e.previous = window{}
 	}
-	e.present, e.since = 0, now
+	e.present, e.since = window{}, now
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -65,6 +65,8 @@
 	// Failed is true for an answer that a backend server may repeat the call
 	// for, such as one with status 500 or above.
 	Failed bool
+	// Shed is true if the child call, or one below it, was refused for overload.
+	Shed bool
 	// Key is the booking key of the child call, or empty.
 	Key string
 }
@@ -102,7 +104,9 @@
 	Running
 	tokens int
 	// lent is the number of tokens that children have not returned.
-	lent   int
+	lent int
+	// shed is true if a child call was refused for overload.
+	shed   bool
 	failed []failedChild
 	keys   []boundKey
 }
@@ -158,6 +162,15 @@
 	return e.Running, true
 }
 
+// Shed reports whether a child of the running call was refused for overload, so
+// that its failure, if it fails, is due to a service further down.
+func (l *Ledger) Shed(id call.ID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, ok := l.running[id]
+	return ok && e.shed
+}
+
 // Close ends a running call and returns the tokens it has left. Tokens lent to
 // children that are still in progress are forfeited.
 func (l *Ledger) Close(id call.ID) (tokensLeft int) {
@@ -226,6 +239,7 @@
 	left := min(max(end.TokensLeft, 0), e.lent)
 	e.lent -= left
 	e.tokens += left
+	e.shed = e.shed || end.Shed
 	e.release(c, end)
 	e.mark(c, failed)
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -83,7 +83,7 @@
 	callCost = 1 << 10
 	// remoteBurst is the cost that may cross regions whatever the share is, so
 	// that services with little traffic can use other regions at all.
-	remoteBurst = 16 << 10
+	remoteBurst = 4 << 10
 	// remoteHalfLife is the time after which past traffic counts half.
 	remoteHalfLife = time.Second
 	// reportAge is how long a stated load counts.
