--- a/internal/e2e/relay.go
+++ b/internal/e2e/relay.go
@@ -31,8 +31,8 @@
 // Address is where the relay listens.
 func (r *Relay) Address() string { return r.listener.Addr().String() }
 
-// CutAnswersAfter breaks each connection once the target has sent so many more
-// bytes on it. A negative number lets everything pass.
+// CutAnswersAfter breaks each connection within the next answer, after so many
+// of its bytes. A negative number lets everything pass.
 func (r *Relay) CutAnswersAfter(bytes int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
