--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -91,18 +91,18 @@
 // WithAnswerBytes sets the size of the answer body.
 func WithAnswerBytes(n int) Option { return func(b *Backend) { b.answerBytes = n } }
 
-// WithWorkers makes calls beyond the number wait for their turn, as at a real
-// server. By default all calls run at once.
-func WithWorkers(n int) Option {
-	return func(b *Backend) { b.workers = make(chan struct{}, n) }
-}
-
 // WithHandler replaces the work on each call, for answers that a working backend
 // server does not give.
 func WithHandler(handler http.HandlerFunc) Option {
 	return func(b *Backend) { b.handler = handler }
 }
 
+// WithWorkers makes calls beyond the number wait for their turn, as at a real
+// server. By default all calls run at once.
+func WithWorkers(n int) Option {
+	return func(b *Backend) { b.workers = make(chan struct{}, n) }
+}
+
 // WithoutPropagation makes the backend server lose the call context.
 func WithoutPropagation() Option { return func(b *Backend) { b.propagate = false } }
 
