Record what the pages promise: attempts, shedding, limits, regions

Five events of the catalogue and one metric were recorded nowhere: callStarted, limitChanged, sheddingStarted, sheddingStopped, upstreamAvoided and the bytes between regions. The sidecar counted no calls, so latency per hop lacked the hop that matters most. A new test finds events of the catalogue that no package records; it would have failed for the five.

limitChanged is recorded for changes of a tenth or more and upstreamAvoided once a second per upstream. Recording each was ruled out: in a surge both happen with most calls and would push everything else out of the ring. Calls to unknown services are counted with an empty service, as the page says. Answers of the client library without a body (HEAD, 304) are no longer taken for truncated.

--- a/attempt.go
+++ b/attempt.go
@@ -129,7 +129,7 @@
 	lost := func(err error) (Answer, *Error) {
 		return Answer{}, &Error{outcome: call.Unknown, reason: call.ReasonLost, status: resp.StatusCode, cause: err}
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed {
+	if !checkable(resp) {
 		return lost(errors.New("the end of the answer can't be checked: it has neither a length nor chunks"))
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxAnswerBytes+1))
@@ -145,6 +145,12 @@
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Retries: readRetries(resp)}, nil
 }
 
+// checkable reports whether a cut answer would be noticed.
+func checkable(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Uncompressed ||
+		resp.Request.Method == http.MethodHead || resp.StatusCode == http.StatusNotModified
+}
+
 type errorBody struct {
 	Message   string `json:"message"`
 	RequestID string `json:"requestId"`
--- a/client_test.go
+++ b/client_test.go
@@ -120,6 +120,30 @@
 	}
 }
 
+// Guards against answers that never have a body being taken for truncated ones.
+func TestAnswersWithoutBody(t *testing.T) {
+	cases := map[string]struct {
+		method string
+		status int
+	}{
+		"head":         {http.MethodHead, 200},
+		"no content":   {http.MethodGet, 204},
+		"not modified": {http.MethodGet, 304},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				node := newFakeNode(t, func(w http.ResponseWriter) {
+					hijack(w, fmt.Sprintf("HTTP/1.1 %d X\r\nLacewingslip-Outcome: answered\r\n\r\n", tc.status))
+				})
+				got, err := node.client(t).Do(t.Context(), lacewingslip.Request{Service: "orders", Method: tc.method, Path: "/stock"})
+				must.NoError(t, err)
+				must.EqOp(t, tc.status, got.Status)
+			})
+		})
+	}
+}
+
 // Guards against a caller-chosen key that is replaced, which would book twice.
 func TestCallerChosenKeyIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -27,3 +29,20 @@
 	}
 	must.Eq(t, want, listed)
 }
+
+// Guards against events that operators look for and no package records.
+func TestCatalogueIsRecorded(t *testing.T) {
+	var code strings.Builder
+	must.NoError(t, filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		code.Write(text)
+		return err
+	}))
+	for _, e := range event.Catalogue() {
+		constant := "event." + strings.ToUpper(e.Name[:1]) + e.Name[1:]
+		must.RegexMatch(t, regexp.MustCompile(regexp.QuoteMeta(constant)+`\b`), code.String(), must.Sprintf("%s is recorded nowhere", constant))
+	}
+}
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -42,6 +42,7 @@
 	report := routing.Report{}
 	defer func() {
 		report.End = endOf(end)
+		s.watch.ended(c.service.Name, a.upstream, cost, end, report.End)
 		s.routes.done(c.service.Name, a.upstream.Node, cost, report)
 	}()
 	request, err := s.request(ctx, c, a)
--- a/node/gate.go
+++ b/node/gate.go
@@ -19,8 +19,10 @@
 	decisions  []admission.Decision
 	lastID     uint64
 	inside     int
-	draining   bool
-	empty      chan struct{}
+	// shed counts calls that were refused for lack of capacity.
+	shed     uint64
+	draining bool
+	empty    chan struct{}
 }
 
 func newGate() *gate {
@@ -115,6 +117,13 @@
 	return g.controller.Load()
 }
 
+// refused returns how many calls were refused for lack of capacity.
+func (g *gate) refused() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shed
+}
+
 // cancel takes a queued call of a caller that has gone out of the queue. The
 // decision may have been made at the same moment; an admitted call must then
 // leave without having run.
@@ -149,6 +158,9 @@
 		delete(g.waiting, decision.ID)
 		if decision.Verdict == admission.Refused {
 			g.gone()
+			if decision.Reason == call.ReasonOverloaded || decision.Reason == call.ReasonDisplaced {
+				g.shed++
+			}
 		}
 		decided <- decision
 	}
--- a/node/life.go
+++ b/node/life.go
@@ -44,17 +44,20 @@
 	metrics   *metrics.Metrics
 	events    recorder
 	ready     *readiness
+	attempts  *attemptWatch
+	load      *loadWatch
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
 }
 
 func newLife(file File, s *servers, f *settings.Follower, g *membership.Gossip, gate *gate, b *booking.Ledger,
-	backend *backendServer, r *routes, p *peers, d *directory, c *booking.Claims, running *retry.Ledger, m *metrics.Metrics, events *timeline.Recorder, o *operator,
+	backend *backendServer, r *routes, p *peers, d *directory, c *booking.Claims, running *retry.Ledger, m *metrics.Metrics, events *timeline.Recorder, watch *attemptWatch, o *operator,
 ) *life {
 	return &life{
 		file: file, servers: s, follower: f, gossip: g, gate: gate, bookings: b, backend: backend,
 		routes: r, peers: p, directory: d, claims: c, running: running, metrics: m, events: events, ready: o.ready,
+		attempts: watch, load: &loadWatch{events: events},
 	}
 }
 
@@ -144,7 +147,8 @@
 	l.backend.probe()
 	l.running.Tick(now)
 	l.applySettings()
-	l.measure(members)
+	l.attempts.forget(now)
+	l.measure(now, members)
 }
 
 // applySettings gives the settings of this node's service to admission.
@@ -163,7 +167,7 @@
 }
 
 // measure states the gauges.
-func (l *life) measure(members []membership.Member) {
+func (l *life) measure(now time.Time, members []membership.Member) {
 	byHealth := make(map[membership.Health]int)
 	for _, m := range members {
 		byHealth[m.Health]++
@@ -173,5 +177,6 @@
 	}
 	l.metrics.SetSettingsOffset(l.follower.Offset())
 	load := l.gate.load()
+	l.load.look(now, load, l.gate.refused(), l.backend.service())
 	l.metrics.SetLoad(l.backend.service(), metrics.Load{Running: load.Running, Limit: load.Limit, Queued: load.Queued})
 }
--- /dev/null
+++ b/node/loadwatch_test.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/admission"
+	"github.com/lacewingslip/lacewingslip/event"
+)
+
+// recorded keeps the IDs of events.
+type recorded []event.ID
+
+func (r *recorded) Record(id event.ID, _ ...slog.Attr) { *r = append(*r, id) }
+
+// Guards against a timeline that misses the start or end of shedding, or that
+// is flooded by it.
+func TestLoadWatch(t *testing.T) {
+	var got recorded
+	watch := &loadWatch{events: &got, limit: 50}
+	steps := []struct {
+		millis  int
+		limit   int
+		refused uint64
+		want    []event.ID
+	}{
+		{0, 50, 0, nil},
+		{200, 54, 0, nil}, // less than a tenth
+		{400, 30, 0, []event.ID{event.LimitChanged}},
+		{600, 30, 5, []event.ID{event.SheddingStarted}},
+		{800, 30, 9, nil},
+		{1700, 30, 9, nil}, // less than a second since the last refusal
+		{1800, 30, 9, []event.ID{event.SheddingStopped}},
+		{2000, 30, 9, nil},
+		{2200, 30, 10, []event.ID{event.SheddingStarted}},
+	}
+	for _, s := range steps {
+		got = nil
+		watch.look(time.UnixMilli(int64(s.millis)), admission.Load{Limit: s.limit}, s.refused, "orders")
+		must.Eq(t, recorded(s.want), got, must.Sprintf("at %d ms", s.millis))
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -134,7 +134,7 @@
 			func() journal.Journal { return o.journal },
 			newIncarnation, newClock, newRecorder, metrics.New, newListeners,
 			newFollower, newGossip, newGate, newBookings, newLedger, newClaims,
-			newTable, newPeersOf, newDirectory, newSender, newIngress, newEgress, newSidecar, newBackendServer, newOperator,
+			newTable, newPeersOf, newDirectory, newAttemptWatch, newSender, newIngress, newEgress, newSidecar, newBackendServer, newOperator,
 			newBufferPool, newServers, newLife,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, life *life) {
@@ -193,8 +193,8 @@
 		membership.OnBehind(follower.Behind))
 }
 
-func newSender(r *routes, p *peers, clock *timeline.Clock, events *timeline.Recorder) *sender {
-	return &sender{transport: newTransport(0, peerIdle), routes: r, peers: p, clock: clock, events: events}
+func newSender(r *routes, p *peers, clock *timeline.Clock, events *timeline.Recorder, watch *attemptWatch) *sender {
+	return &sender{transport: newTransport(0, peerIdle), routes: r, peers: p, clock: clock, events: events, watch: watch}
 }
 
 func newIngress(f *settings.Follower, s *sender, r *routes, p *peers, c *booking.Claims, events *timeline.Recorder,
--- a/node/record.go
+++ b/node/record.go
@@ -45,11 +45,9 @@
 }
 
 func (m meter) ended(c *outgoing, f *failure, latency time.Duration) {
-	if c == nil {
-		return
-	}
-	ended := metrics.Call{
-		Hop: m.hop, Service: c.service.Name, Importance: c.context.Importance, Outcome: call.Answered,
+	ended := metrics.Call{Hop: m.hop, Outcome: call.Answered}
+	if c != nil {
+		ended.Service, ended.Importance = c.service.Name, c.context.Importance
 	}
 	if f != nil {
 		ended.Outcome, ended.Reason = f.outcome, f.reason
@@ -57,6 +55,14 @@
 	m.metrics.CallEnded(ended, latency)
 }
 
+// endedAttempt counts an attempt at the sidecar. One that could not be read has
+// no service to count it by.
+func (m meter) endedAttempt(in *incoming, latency time.Duration) {
+	if in != nil {
+		m.ended(in.outgoing, in.failure, latency)
+	}
+}
+
 func (m meter) booked(c *outgoing, verdict booking.Verdict) {
 	m.metrics.BookingDecided(c.service.Name, verdict.String())
 }
--- a/node/sender.go
+++ b/node/sender.go
@@ -60,6 +60,7 @@
 	peers     *peers
 	clock     *timeline.Clock
 	events    recorder
+	watch     *attemptWatch
 }
 
 // do sends the call until it is answered, until it may not be sent again, or
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -42,6 +42,8 @@
 	fingerprint booking.Fingerprint
 	// successor is the key that the sender proposes in case of a refusal.
 	successor *booking.Key
+	// failure is set if the attempt does not end with a complete answer.
+	failure *failure
 }
 
 // ServeHTTP carries an attempt of another node, or of this one, to the backend
@@ -49,7 +51,9 @@
 func (s *sidecar) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// A clock that is far ahead is not followed; the call goes on.
 	_ = s.clock.ObserveText(r.Header.Get(call.HeaderClock))
+	arrived := time.Now()
 	in, f := s.accept(w, r)
+	defer func() { s.meter.endedAttempt(in, time.Since(arrived)) }()
 	s.mark(w, r)
 	if f != nil {
 		// The key of an attempt that is refused here is not sealed, so an earlier attempt may still run.
@@ -243,6 +247,7 @@
 		s.end(w, in, notRun(call.ReasonBadRequest, err.Error()), closeCall())
 		return false
 	}
+	s.events.Record(event.CallStarted, in.attrs()...)
 	answer, sent, err := roundTrip(s.backend.transport(), request)
 	if err == nil {
 		if err = checkFraming(answer); err != nil {
@@ -305,7 +310,10 @@
 }
 
 func (s *sidecar) broken(in *incoming) (report func(err error)) {
-	return func(err error) { s.events.Record(event.AnswerCut, append(in.attrs(), attrError(err))...) }
+	return func(err error) {
+		in.failure = unknown(call.ReasonLost, err.Error())
+		s.events.Record(event.AnswerCut, append(in.attrs(), attrError(err))...)
+	}
 }
 
 // request builds the HTTP request to the backend server.
@@ -400,6 +408,7 @@
 func (s *sidecar) refuse(w http.ResponseWriter, in *incoming, f *failure) {
 	var request call.ID
 	if in != nil {
+		in.failure = f
 		request = in.context.Request
 		w.Header().Set(call.HeaderTokensLeft, strconv.Itoa(in.context.Tokens))
 		s.events.Record(failureEvent(f), append(in.attrs(), attrReason(f.reason))...)
