Call a followed booking unknown when its successor's node has restarted

Cause, found by the end-to-end test of successors: a booking was refused at one node with a recorded successor and ran at another, which was then killed and restarted. The repeat found the owner of the successor gone and fell back to the last refusal, that under the first key, and so called a booking that ran notRun. The refusal is forgotten when a successor is followed. The new unit test fails without the change (notRun) and passes with it (unknown).

Found in the same run: a node whose address was taken crashed instead of saying so, because its listeners were closed through a result that had been set to nil. The error now names the address and leaves out how fx came to it. The harness picked ports that the kernel may give to outgoing connections at the same moment, which failed 2 of 30 starts; it now takes them from below that range.

Ruled out for the start failures: slow membership; the nodes' own output showed the crash.

--- a/internal/e2e/processes.go
+++ b/internal/e2e/processes.go
@@ -17,6 +17,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -187,12 +188,24 @@
 		}
 		select {
 		case <-ctx.Done():
-			return eris.Wrap(ctx.Err(), "nodes did not find each other")
+			return eris.Wrapf(ctx.Err(), "nodes did not find each other: %s", s.report())
 		case <-time.After(settleInterval):
 		}
 	}
 }
 
+// report collects what the processes of the upstreams printed last.
+func (s *System) report() (text string) {
+	const lastBytes = 1500
+	for _, u := range s.upstreams {
+		for _, p := range []*Process{u.Node, u.Backend} {
+			output := p.Output()
+			text += fmt.Sprintf("\n%s: %s", p.command.Args, output[max(len(output)-lastBytes, 0):])
+		}
+	}
+	return text
+}
+
 // Runs asks the backend server of an upstream how often each booking ran.
 func (u *Upstream) Runs(ctx context.Context) (runs map[string]int, err error) {
 	err = getJSON(ctx, "http://"+u.Address+"/stand-in/runs", &runs)
@@ -294,14 +307,27 @@
 	return json.NewDecoder(answer.Body).Decode(value)
 }
 
+const (
+	// Ports below the range from which the kernel takes those of outgoing
+	// connections. One of that range may be taken between the choice and the start
+	// of the process that listens on it.
+	lowestPort, highestPort = 15_000, 32_000
+	portAttempts            = 100
+)
+
 // freeAddress picks a port that nothing listens on at the moment.
 func freeAddress() (address string, err error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portAttempts {
+		address = fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		listener, errListen := net.Listen("tcp", address)
+		if errListen != nil {
+			err = errListen
+			continue
+		}
+		listener.Close()
+		return address, nil
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", err
 }
 
 // lockedBuffer collects output that is read while the process still writes.
--- a/node/input_test.go
+++ b/node/input_test.go
@@ -1,7 +1,9 @@
 package node_test
 
 import (
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -128,6 +130,24 @@
 	}
 }
 
+// A node whose address is taken must say which one, and must not hold the
+// others.
+func TestAddressTaken(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer taken.Close()
+	file, err := node.ParseFile([]byte(strings.ReplaceAll(`node: n1
+region: addis
+availabilityZone: addis-a
+listen: {caller: "127.0.0.1:0", backend: ADDRESS, peer: "127.0.0.1:0", operator: "127.0.0.1:0"}
+log: "127.0.0.1:5"
+rootPublicKey: 7bQWkm1Az9j8lTLOuMELirIq+78BmiykzERsdmNgYdw=
+`, "ADDRESS", strconv.Quote(taken.Addr().String()))))
+	must.NoError(t, err)
+	_, err = node.New(file)
+	must.ErrorContains(t, err, taken.Addr().String())
+}
+
 func FuzzParseFile(f *testing.F) {
 	f.Add([]byte("node: n1\nlisten: {caller: a}"))
 	f.Add([]byte("a: &a [*a]"))
--- a/node/node.go
+++ b/node/node.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -81,7 +82,8 @@
 		fx.StopTimeout(file.stopDeadline+startTimeout),
 	)
 	if err = n.app.Err(); err != nil {
-		return nil, err
+		// The cause is for operators; how fx came to it is not.
+		return nil, dig.RootCause(err)
 	}
 	return n, nil
 }
--- a/node/sender.go
+++ b/node/sender.go
@@ -231,6 +231,8 @@
 	p.call.key = &successor
 	p.call.keyKnown = true
 	p.mayHaveRun = false
+	// The refusal under the first key says nothing about the successor.
+	p.last = nil
 	return true
 }
 
--- a/node/sender_test.go
+++ b/node/sender_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -24,11 +25,34 @@
 	"github.com/lacewingslip/lacewingslip/timeline"
 )
 
+// restarted is a membership table in which all nodes but n0 have restarted.
+type restarted struct{ allKnown }
+
+func (restarted) Epoch(node string) (uint64, uint32, bool) {
+	if node == "n0" {
+		return 1, 0, true
+	}
+	return 2, 0, true
+}
+
+// A booking that was refused at one node and ran at another must not be called
+// notRun once that other node has restarted: the refusal is not the outcome.
+func TestSuccessorOfRestartedNodeIsUnknown(t *testing.T) {
+	s, played := testSender("follow overloaded")
+	played.successor = booking.Issue("orders", "n1", 1, 0).String()
+	s.peers.members = restarted{}
+	end := s.do(context.Background(), testCall(call.Never, 3, true))
+	must.EqOp(t, call.Unknown, end.failure.outcome)
+	must.EqOp(t, call.ReasonOwnerGone, end.failure.reason)
+}
+
 // script is a transport that plays one end per attempt and keeps the requests.
 // The last end repeats.
 type script struct {
 	ends     []string
 	requests []*http.Request
+	// successor, if set, is the key that a refusing node had recorded before.
+	successor string
 }
 
 func (s *script) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -59,7 +83,7 @@
 		header.Set(call.HeaderOutcome, call.NotRun.String())
 		header.Set(call.HeaderReason, strings.TrimPrefix(end, "follow "))
 		if strings.HasPrefix(end, "follow ") {
-			header.Set(call.HeaderSuccessor, r.Header.Get(call.HeaderSuccessor))
+			header.Set(call.HeaderSuccessor, cmp.Or(s.successor, r.Header.Get(call.HeaderSuccessor)))
 		}
 	}
 	return &http.Response{StatusCode: http.StatusOK, Header: header, ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}, nil
--- a/node/server.go
+++ b/node/server.go
@@ -36,26 +36,26 @@
 }
 
 func newListeners(file File) (l *listeners, err error) {
-	l = &listeners{}
+	opened := &listeners{}
 	defer func() {
 		if err != nil {
-			l.close()
+			opened.close()
 		}
 	}()
 	for _, open := range []struct {
 		listener *net.Listener
 		address  string
 	}{
-		{&l.caller, file.listen.Caller},
-		{&l.backend, file.listen.Backend},
-		{&l.peer, file.listen.Peer},
-		{&l.operator, file.listen.Operator},
+		{&opened.caller, file.listen.Caller},
+		{&opened.backend, file.listen.Backend},
+		{&opened.peer, file.listen.Peer},
+		{&opened.operator, file.listen.Operator},
 	} {
 		if *open.listener, err = net.Listen("tcp", open.address); err != nil {
 			return nil, err
 		}
 	}
-	return l, nil
+	return opened, nil
 }
 
 func (l *listeners) close() {
