--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -101,7 +101,7 @@
 func New(service string, opts ...Option) *Backend {
 	b := &Backend{
 		service: service, propagate: true, runs: make(map[string]int), client: &http.Client{},
-		instance: string(call.NewID()),
+		instance:    string(call.NewID()),
 		serviceTime: func() time.Duration { return 0 },
 	}
 	for _, opt := range opts {
--- a/settings/follower.go
+++ b/settings/follower.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gorilla/mux"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lacewingslip/lacewingslip/event"
@@ -322,7 +323,11 @@
 }
 
 // Handler serves [PathRecords] to nodes that are behind.
-func (f *Follower) Handler() http.Handler { return http.HandlerFunc(f.serveRecords) }
+func (f *Follower) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc(PathRecords, f.serveRecords).Methods(http.MethodGet)
+	return router
+}
 
 func (f *Follower) serveRecords(w http.ResponseWriter, r *http.Request) {
 	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
--- a/settings/parse_test.go
+++ b/settings/parse_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"encoding/json"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -99,6 +100,16 @@
 	}
 }
 
+// Guards against an operator endpoint that shows an empty tree.
+func TestTreeJSON(t *testing.T) {
+	tree, err := Parse(testRoot(""), testBranch("{slots: 20, connections: 20, routes: [{path: /book, methods: [POST], repeat: never}]}"))
+	must.NoError(t, err)
+	data, err := json.Marshal(tree)
+	must.NoError(t, err)
+	must.Eq(t, `{"keyValidity":"10m","callerKeyValidity":"1h","services":[{"name":"orders","team":"orders","slots":20,"connections":20,"floor":2,"queueLength":40,"warmUp":"10s",`+
+		`"routes":[{"path":"/book","methods":["POST"],"importance":"normal","repeat":"never","timeout":"2s","retries":3,"keyRequired":true,"maxBodyBytes":1048576}]}]}`, string(data))
+}
+
 // Guards against a booking that is treated as a lookup because its path was
 // written in another way, and against the wrong precedence of routes.
 func TestRoute(t *testing.T) {
