--- a/node/sender.go
+++ b/node/sender.go
@@ -231,6 +231,9 @@
 	p.call.key = &successor
 	p.call.keyKnown = true
 	p.mayHaveRun = false
+	// If the successor's node can't be asked, the refusal of the first key must
+	// not stand for the outcome.
+	p.last = unknown(call.ReasonOwnerGone, "the booking may have run under a successor key whose node is gone")
 	return true
 }
 
