--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -56,9 +56,11 @@
 	serviceTime func() time.Duration
 	children    []Child
 	answerBytes int
+	handler     http.HandlerFunc
 	propagate   bool
 	slots       int
 	connections int
+	workers     chan struct{}
 	client      *http.Client
 	// instance tells this process from the one before it at the same address.
 	instance string
@@ -89,6 +91,18 @@
 // WithAnswerBytes sets the size of the answer body.
 func WithAnswerBytes(n int) Option { return func(b *Backend) { b.answerBytes = n } }
 
+// WithHandler replaces the work on each call, for answers that a working backend
+// server does not give.
+func WithHandler(handler http.HandlerFunc) Option {
+	return func(b *Backend) { b.handler = handler }
+}
+
+// WithWorkers makes calls beyond the number wait for their turn, as at a real
+// server. By default all calls run at once.
+func WithWorkers(n int) Option {
+	return func(b *Backend) { b.workers = make(chan struct{}, n) }
+}
+
 // WithoutPropagation makes the backend server lose the call context.
 func WithoutPropagation() Option { return func(b *Backend) { b.propagate = false } }
 
@@ -101,7 +115,7 @@
 func New(service string, opts ...Option) *Backend {
 	b := &Backend{
 		service: service, propagate: true, runs: make(map[string]int), client: &http.Client{},
-		instance: string(call.NewID()),
+		instance:    string(call.NewID()),
 		serviceTime: func() time.Duration { return 0 },
 	}
 	for _, opt := range opts {
@@ -171,8 +185,17 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if !b.takeWorker(r.Context()) {
+		return
+	}
+	defer b.freeWorker()
 	b.began(r)
 	defer b.ended()
+	if b.handler != nil {
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		b.handler(w, r)
+		return
+	}
 	if !pause(r.Context(), b.serviceTime()) {
 		return
 	}
@@ -186,6 +209,25 @@
 	_, _ = w.Write(b.answer(r, body))
 }
 
+// takeWorker waits for a worker, unless the call is cancelled first.
+func (b *Backend) takeWorker(ctx context.Context) (taken bool) {
+	if b.workers == nil {
+		return true
+	}
+	select {
+	case b.workers <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (b *Backend) freeWorker() {
+	if b.workers != nil {
+		<-b.workers
+	}
+}
+
 // answer repeats what was asked, so that a caller can tell its own answer from
 // that of another.
 func (b *Backend) answer(r *http.Request, body []byte) (text []byte) {
