Measure a call through two nodes, and flush only answers of unknown length

Cause: the cost of a hop was not known. The benchmark compares a direct call, one and two bare net/http relays, and ingress with sidecar, in one run.

--- a/call/context.go
+++ b/call/context.go
@@ -140,10 +140,11 @@
 	return n, nil
 }
 
-// RemoveInternal deletes every header that only nodes may set.
+// RemoveInternal deletes every header that only nodes may set. Names are in
+// canonical form, as net/http reads them.
 func RemoveInternal(header http.Header) {
 	for name := range header {
-		if strings.HasPrefix(http.CanonicalHeaderKey(name), headerPrefix) {
+		if strings.HasPrefix(name, headerPrefix) {
 			delete(header, name)
 		}
 	}
--- /dev/null
+++ b/node/bench_test.go
@@ -0,0 +1,100 @@
+package node_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/lacewingslip/lacewingslip/internal/loopback"
+	"github.com/lacewingslip/lacewingslip/internal/standin/backend"
+	"github.com/lacewingslip/lacewingslip/settings"
+)
+
+// BenchmarkCall compares the ways of a small call in one run: straight to the
+// backend server, through one and two bare relays, and through ingress and
+// sidecar. The metrics p50-µs and p99-µs are of whole calls, one at a time.
+//
+//	go test ./node -run xxx -bench Call -benchtime 3s
+func BenchmarkCall(b *testing.B) {
+	root, branches, err := settings.ReadDirectory("../examples/tesfaye")
+	if err != nil {
+		b.Fatal(err)
+	}
+	catalogue := backend.New("catalogue")
+	system, err := loopback.Start(context.Background(), loopback.WithTree(root, branches...),
+		loopback.WithUpstream("addis", "addis-a", backend.New("orders")),
+		loopback.WithUpstream("addis", "addis-b", catalogue))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer system.Stop(context.Background())
+	direct := httptest.NewServer(catalogue)
+	defer direct.Close()
+	one := httptest.NewServer(bareRelay(direct.URL))
+	defer one.Close()
+	two := httptest.NewServer(bareRelay(one.URL))
+	defer two.Close()
+	for _, way := range []struct{ name, url string }{
+		{"direct", direct.URL},
+		{"oneBareRelay", one.URL},
+		{"twoBareRelays", two.URL},
+		{"ingressAndSidecar", "http://" + system.Caller(0)},
+	} {
+		b.Run(way.name, func(b *testing.B) { measureCalls(b, way.url+"/catalogue/moulds") })
+	}
+}
+
+// bareRelay passes requests on with net/http and does nothing else.
+func bareRelay(target string) http.Handler {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		request, err := http.NewRequestWithContext(r.Context(), r.Method, target+r.URL.RequestURI(), r.Body)
+		if err != nil {
+			panic(err)
+		}
+		request.Header = r.Header.Clone()
+		answer, err := transport.RoundTrip(request)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer answer.Body.Close()
+		w.WriteHeader(answer.StatusCode)
+		_, _ = io.Copy(w, answer.Body)
+	})
+}
+
+// processorTime is what this process has used so far. Unlike elapsed time it
+// depends little on what else the machine does.
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func measureCalls(b *testing.B, url string) {
+	latencies := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+	b.ReportAllocs()
+	before := processorTime(b)
+	for b.Loop() {
+		started := time.Now()
+		answer, err := http.Get(url)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, answer.Body)
+		answer.Body.Close()
+		_ = latencies.RecordValue(time.Since(started).Microseconds())
+	}
+	b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "cpu-µs/op")
+	b.ReportMetric(float64(latencies.ValueAtQuantile(50)), "p50-µs")
+	b.ReportMetric(float64(latencies.ValueAtQuantile(99)), "p99-µs")
+}
--- a/node/relay.go
+++ b/node/relay.go
@@ -90,10 +90,11 @@
 	}
 }
 
-// copyBody streams an answer in bounded memory and reports whether it was
-// complete. Each part is flushed, so that a slow answer reaches the caller as
-// it comes.
-func copyBody(w http.ResponseWriter, body io.Reader, buffer []byte) (written int64, err error) {
+// copyBody streams an answer in bounded memory; an error means that it was not
+// complete. Parts of an answer of unknown length are flushed, so that a slow
+// stream reaches the caller as it comes. One of known length is left to the
+// writer's buffer, which saves a system call for each short answer.
+func copyBody(w http.ResponseWriter, body io.Reader, length int64, buffer []byte) (err error) {
 	controller := http.NewResponseController(w)
 	for {
 		n, readErr := body.Read(buffer)
@@ -101,16 +102,15 @@
 			// Writers without deadlines, as in tests, are not bounded.
 			_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, err = w.Write(buffer[:n]); err != nil {
-				return written, err
+				return err
 			}
-			written += int64(n)
 		}
 		switch {
 		case readErr == io.EOF:
-			return written, nil
+			return nil
 		case readErr != nil:
-			return written, readErr
-		case n < len(buffer):
+			return readErr
+		case length < 0 && n < len(buffer):
 			// A writer that can't flush passes the answer on later.
 			_ = controller.Flush()
 		}
@@ -152,7 +152,7 @@
 	w.WriteHeader(answer.StatusCode)
 	buffer := p.get()
 	defer p.put(buffer)
-	if _, err := copyBody(w, answer.Body, *buffer); err != nil {
+	if err := copyBody(w, answer.Body, answer.ContentLength, *buffer); err != nil {
 		broken(err)
 		panic(http.ErrAbortHandler)
 	}
