Refuse customer requests at the first hop when a service further down refuses

Lowering the concurrency limit by the share of refused child calls is replaced by a threshold on importance at the first hop. The limit cut every hop at once from the same signal and refused bookings with the rest. A threshold at every hop was ruled out as well: the refusals of each hop counted as refusals further down at all hops above, and bookings were refused.

Repeats of child calls that were refused for overload are refused, because each repeat worked for the same refusal once more. The node passes the signal up the chain in Lacewingslip-Shed and gives admission the depth and the lot of a request.

The experiment tool has its third contestant: one node per backend server.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -204,7 +204,7 @@
 	c.limiter.observe(ended.started, len(c.running), r)
 	c.estimate.observe(now, r)
 	if ended.first {
-		c.threshold.finish(r)
+		c.threshold.finish(ended.started, r)
 	}
 	delete(c.running, id)
 	return c.settle(now, out)
--- a/call/call.go
+++ b/call/call.go
@@ -20,6 +20,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"strconv"
 	"strings"
 )
 
@@ -116,6 +117,17 @@
 	return ID(hex.EncodeToString(bits[:]))
 }
 
+// Lot returns 32 of the ID's random bits, by which all nodes make the same
+// random choice for a customer request.
+func (id ID) Lot() (lot uint32) {
+	if len(id) < 8 {
+		return 0
+	}
+	// An ID that is not hexadecimal gets the lot 0 like one that is too short.
+	bits, _ := strconv.ParseUint(string(id[:8]), 16, 32)
+	return uint32(bits)
+}
+
 // ParseID checks that text has the form that [NewID] gives.
 func ParseID(text string) (id ID, err error) {
 	if len(text) != 32 || strings.ToLower(text) != text {
--- a/call/context.go
+++ b/call/context.go
@@ -29,8 +29,11 @@
 	HeaderClock      = "Lacewingslip-Clock"
 
 	HeaderTokensLeft = "Lacewingslip-Tokens-Left"
-	HeaderLoad       = "Lacewingslip-Load"
-	HeaderEpoch      = "Lacewingslip-Epoch"
+	// HeaderShed marks an error answer to a call of which a child call, or one
+	// further down, was refused for overload.
+	HeaderShed  = "Lacewingslip-Shed"
+	HeaderLoad  = "Lacewingslip-Load"
+	HeaderEpoch = "Lacewingslip-Epoch"
 )
 
 const (
--- a/internal/experiment/backend.go
+++ b/internal/experiment/backend.go
@@ -57,6 +57,8 @@
 	// work is the backend time spent per attempt of a customer request.
 	work        map[string]time.Duration
 	remoteBytes int64
+	// reasons counts the child calls that failed, by service and reason.
+	reasons map[string]int
 	// retries counts calls sent again by callers, relays and backend servers.
 	retries atomic.Int64
 }
@@ -68,6 +70,12 @@
 	m.remoteBytes += int64(remoteBytes)
 }
 
+func (m *meter) failed(service string, r reply) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reasons[fmt.Sprintf("%s %d %s", service, r.status, r.reason)]++
+}
+
 func (b *backend) listen() error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -87,6 +95,10 @@
 		_, _ = fmt.Fprint(w, b.stated.Load())
 		return
 	}
+	if !strings.HasPrefix(r.URL.Path, "/"+b.service+"/") {
+		// A probe takes no slot.
+		return
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	if b.waiting.Add(1) > int64(b.Connections) {
 		b.waiting.Add(-1)
@@ -157,6 +169,9 @@
 			}
 			answer := b.child(r.Context(), b, service, header)
 			ok = answer.status == http.StatusOK
+			if !ok {
+				b.meter.failed(service, answer)
+			}
 			if i > 0 && answer.reason != string(call.ReasonNoTokens) {
 				b.meter.retries.Add(1)
 			}
--- a/internal/experiment/contest.go
+++ b/internal/experiment/contest.go
@@ -43,7 +43,9 @@
 	// servers, relays and nodes.
 	RetriesPerRequest float64 `json:"retriesPerRequest"`
 	RemoteBytes       int64   `json:"remoteBytes"`
-	record            Record
+	// Reasons counts the calls that failed, by service, status and reason.
+	Reasons map[string]int `json:"reasons"`
+	record  Record
 }
 
 // RunFile runs the experiment in the file, writes result and plot files into
@@ -144,7 +146,7 @@
 	t = Trial{Contestant: name, Surge: surge, record: Run(ctx, plan)}
 	t.Summary = t.record.Summarize()
 	t.Goodput = f.goodput(t.record, capacity)
-	t.Wasted, t.RemoteBytes = w.meter.wasted(&good), w.meter.remoteBytes
+	t.Wasted, t.RemoteBytes, t.Reasons = w.meter.wasted(&good), w.meter.remoteBytes, w.meter.reasons
 	retries := w.meter.retries.Load()
 	for _, count := range t.Summary.Counts {
 		retries += int64(count.Retries)
@@ -218,6 +220,9 @@
 		header.Set(call.HeaderTimeout, call.FormatTimeout(time.Until(deadline)))
 	}
 	r := send(ctx, w.client, method, c.entry(region, class.Service)+"/"+class.Service+"/"+class.Name, header)
+	if r.status != http.StatusOK {
+		w.meter.failed(class.Service+" "+class.Importance, r)
+	}
 	reply := Reply{Retries: r.retries}
 	switch {
 	case r.status == http.StatusOK:
--- a/internal/experiment/contestant.go
+++ b/internal/experiment/contestant.go
@@ -27,8 +27,9 @@
 }
 
 var contestants = map[string]func() contestant{
-	"none":  func() contestant { return &noLayer{} },
-	"relay": func() contestant { return &relays{} },
+	"none":         func() contestant { return &noLayer{} },
+	"relay":        func() contestant { return &relays{} },
+	"lacewingslip": func() contestant { return &lacewing{} },
 }
 
 // Contestants returns the names of all contestants.
@@ -47,7 +48,7 @@
 
 // newWorld starts the backend servers of the file.
 func newWorld(ctx context.Context, f *File) (w *world, err error) {
-	w = &world{file: f, meter: &meter{work: make(map[string]time.Duration)}, next: make(map[string]*atomic.Uint64)}
+	w = &world{file: f, meter: &meter{work: make(map[string]time.Duration), reasons: make(map[string]int)}, next: make(map[string]*atomic.Uint64)}
 	w.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: 10 * time.Second}}
 	for _, service := range slices.Sorted(maps.Keys(f.Services)) {
 		w.next[service] = new(atomic.Uint64)
--- a/node/egress.go
+++ b/node/egress.go
@@ -160,8 +160,23 @@
 	} else {
 		childEnd.Failed = end.answer.StatusCode >= http.StatusInternalServerError
 	}
+	childEnd.Shed = shedBelow(end)
 	if end.key != nil {
 		childEnd.Key = end.key.String()
 	}
 	return childEnd
 }
+
+// shedBelow reports whether the child call, or one further down, was refused
+// for overload.
+func shedBelow(end sent) bool {
+	if end.failure == nil {
+		return end.answer.Header.Get(call.HeaderShed) != ""
+	}
+	switch end.failure.reason {
+	case call.ReasonOverloaded, call.ReasonDisplaced, call.ReasonTooLate:
+		return end.failure.outcome == call.NotRun
+	default:
+		return false
+	}
+}
--- a/node/gate.go
+++ b/node/gate.go
@@ -31,7 +31,7 @@
 
 // enter waits until the call is admitted or refused. A call that is admitted
 // must leave.
-func (g *gate) enter(ctx context.Context, importance call.Importance, deadline time.Time) (id uint64, refusal *failure) {
+func (g *gate) enter(ctx context.Context, in *incoming) (id uint64, refusal *failure) {
 	decided := make(chan admission.Decision, 1)
 	g.mu.Lock()
 	if g.draining {
@@ -42,7 +42,10 @@
 	id = g.lastID
 	g.inside++
 	g.waiting[id] = decided
-	request := admission.Request{ID: id, Importance: importance, Deadline: deadline}
+	request := admission.Request{
+		ID: id, Importance: in.context.Importance, Deadline: in.deadline,
+		First: in.context.Depth == 1, Lot: in.context.Request.Lot(),
+	}
 	g.apply(g.controller.Arrive(time.Now(), request, g.decisions[:0]))
 	g.mu.Unlock()
 
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -205,7 +205,7 @@
 
 // run takes the call through admission to the backend server.
 func (s *sidecar) run(ctx context.Context, w http.ResponseWriter, in *incoming) {
-	id, refusal := s.gate.enter(ctx, in.context.Importance, in.deadline)
+	id, refusal := s.gate.enter(ctx, in)
 	if refusal != nil {
 		s.seal(w, in, refusal)
 		s.refuse(w, in, refusal)
@@ -217,11 +217,11 @@
 		result.Latency = time.Since(started)
 		s.gate.leave(id, result)
 	}()
-	result.Failed = !s.forward(ctx, w, in)
+	result.Failed = !s.forward(ctx, w, in, &result)
 }
 
 // forward sends the call to the backend server and streams its answer back.
-func (s *sidecar) forward(ctx context.Context, w http.ResponseWriter, in *incoming) (ok bool) {
+func (s *sidecar) forward(ctx context.Context, w http.ResponseWriter, in *incoming, result *admission.Result) (ok bool) {
 	if in.key != nil {
 		ctx = context.WithoutCancel(ctx)
 	}
@@ -255,10 +255,20 @@
 		return false
 	}
 	defer answer.Body.Close()
+	if failedStatus(answer.StatusCode) && s.running.Shed(in.context.Call) {
+		result.Shed = true
+		w.Header().Set(call.HeaderShed, "true")
+	}
 	w.Header().Set(call.HeaderTokensLeft, strconv.Itoa(closeCall()))
 	return s.answer(w, in, answer)
 }
 
+// failedStatus reports whether a backend server would answer so because a child
+// call failed.
+func failedStatus(status int) bool {
+	return status >= http.StatusInternalServerError || status == http.StatusTooManyRequests
+}
+
 // answer passes the backend server's answer on. That of a booking is read to
 // its end before it counts as done, up to the size that is kept for repeats.
 func (s *sidecar) answer(w http.ResponseWriter, in *incoming, answer *http.Response) (ok bool) {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -116,6 +116,8 @@
 	id identity
 	// retries is the number of retries in progress.
 	retries int
+	// shed is true if the latest failure was a refusal for overload.
+	shed bool
 }
 
 // boundKey is the key of a child booking whose outcome is not known.
@@ -188,8 +190,9 @@
 // BeginChild takes all tokens that a child call may be lent: half of those the
 // running call has, rounded up. The other half is kept for its siblings, and
 // every hop of a chain still gets a token as long as one is left. A repeat of a
-// failed child costs one token; ok is false if there is none. Child calls
-// without a known running call get no tokens.
+// failed child costs one token; ok is false if there is none, or if the child
+// was refused for overload: its sender has tried other upstreams, and a repeat
+// would work for the same refusal once more. Child calls without a known running call get no tokens.
 func (l *Ledger) BeginChild(id call.ID, c Child) (p Permit, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -200,7 +203,7 @@
 	f := e.failedAt(c)
 	p.Key = e.keyOf(c)
 	p.Retry = f >= 0 || p.Key != ""
-	if p.Retry && e.tokens == 0 {
+	if p.Retry && (e.tokens == 0 || f >= 0 && e.failed[f].shed) {
 		return p, false
 	}
 	if p.Retry {
@@ -241,7 +244,7 @@
 	e.tokens += left
 	e.shed = e.shed || end.Shed
 	e.release(c, end)
-	e.mark(c, failed)
+	e.mark(c, failed, end.Shed)
 }
 
 // Tick lets failures of child calls without a context be forgotten.
@@ -315,13 +318,14 @@
 }
 
 // mark remembers a failure until a retry of the same call is answered.
-func (e *entry) mark(c Child, failed bool) {
+func (e *entry) mark(c Child, failed, shed bool) {
 	at := e.failedAt(c)
 	switch {
 	case at < 0 && failed:
-		e.failed = append(e.failed, failedChild{id: c.identity()})
+		e.failed = append(e.failed, failedChild{id: c.identity(), shed: shed})
 	case at >= 0 && e.failed[at].retries > 0:
 		e.failed[at].retries--
+		e.failed[at].shed = shed
 		if !failed {
 			e.failed = slices.Delete(e.failed, at, at+1)
 		}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -146,6 +146,18 @@
 	must.EqOp(t, "0 false true", begin(), must.Sprint("after the repeat was answered"))
 }
 
+// Guards against repeats that do the same work for the same refusal.
+func TestShed(t *testing.T) {
+	l := open(3)
+	p, _ := l.BeginChild("c", child("a"))
+	must.False(t, l.Shed("c"))
+	l.EndChild("c", child("a"), retry.ChildEnd{TokensLeft: p.Tokens, Outcome: call.Answered, Failed: true, Shed: true})
+	must.True(t, l.Shed("c"))
+	_, ok := l.BeginChild("c", child("a"))
+	must.False(t, ok)
+	must.EqOp(t, 3, l.Close("c"))
+}
+
 // Guards against a child booking that runs twice because its backend server
 // repeated it under a new key.
 func TestKeys(t *testing.T) {
