--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -81,6 +81,21 @@
 	must.EqOp(t, "8 admitted ;", s.arrive(203, 8, call.Low, 210), must.Sprint("an idle server tries any call"))
 }
 
+// Guards against running the queued calls that barely fail while others wait
+// that would be answered.
+func TestTypical(t *testing.T) {
+	s := newScript(2, 9)
+	for id, latency := range map[uint64]int{1: 100, 2: 300, 3: 200, 4: 200} {
+		s.arrive(0, id, call.Low, 9000)
+		s.finish(int(id), id, latency)
+	}
+	s.arrive(10, 5, call.Low, 9000)
+	s.arrive(10, 8, call.Low, 9000)
+	must.EqOp(t, "6 queued ;", s.arrive(10, 6, call.Low, 400))
+	must.EqOp(t, "7 queued ;", s.arrive(10, 7, call.Low, 700))
+	must.EqOp(t, "6 refused tooLate;7 admitted ;", s.finish(200, 5, 200))
+}
+
 // simulate keeps a controller busy for some seconds and returns its last limit.
 // latency gives the time in ms of a call that starts as one of several.
 func simulate(c *admission.Controller, fromMs, toMs int, latency func(running int) int) int {
@@ -121,7 +136,7 @@
 	simulate(shared, 0, 1000, func(int) int { return 10 })
 	limit := simulate(shared, 1000, 6000, func(running int) int { return max(10, running*2) })
 	must.Between(t, 5, limit, 25, must.Sprint("capacity for 5 calls at 10 ms"))
-	must.EqOp(t, 50, simulate(shared, 6000, 9000, func(int) int { return 10 }), must.Sprint("after the cause has passed"))
+	must.EqOp(t, 50, simulate(shared, 6000, 7200, func(int) int { return 10 }), must.Sprint("after the cause has passed"))
 
 	deep := newController()
 	simulate(deep, 0, 1000, func(int) int { return 10 })
--- a/internal/experiment/lacewing.go
+++ b/internal/experiment/lacewing.go
@@ -147,7 +147,7 @@
 	services := make(map[string]any)
 	for name, b := range f.Services {
 		services[name] = map[string]any{
-			"slots": b.Slots, "connections": b.Connections, "warmUp": b.ColdTime.String(), "routes": f.routes(name),
+			"slots": b.Slots, "connections": b.Connections, "warmUp": millis(b.ColdTime), "routes": f.routes(name),
 		}
 	}
 	text, err := yaml.Marshal(map[string]any{"services": services})
@@ -155,13 +155,13 @@
 }
 
 func (f *File) routes(service string) []any {
-	routes := []any{map[string]any{"path": "/child", "importance": "normal", "timeout": f.Timeout.String(), "retries": tokensGranted}}
+	routes := []any{map[string]any{"path": "/child", "importance": "normal", "timeout": millis(f.Timeout), "retries": tokensGranted}}
 	for _, class := range f.Classes {
 		if class.Service != service {
 			continue
 		}
 		route := map[string]any{
-			"path": "/" + class.Name, "importance": class.Importance, "timeout": f.Timeout.String(), "retries": tokensGranted,
+			"path": "/" + class.Name, "importance": class.Importance, "timeout": millis(f.Timeout), "retries": tokensGranted,
 		}
 		if class.Booking {
 			route["repeat"], route["keyRequired"] = "never", false
@@ -170,3 +170,6 @@
 	}
 	return routes
 }
+
+// millis writes a duration in a form that settings accept.
+func millis(d time.Duration) string { return fmt.Sprintf("%dms", d.Milliseconds()) }
