Call a booking with the caller's own key unknown if no node was asked

The Go library reported notRun when it reached no node. That holds for a key it took for this call, but a key given in Request.Key may have been sent in an earlier call of Do, and that booking may have run. The outcome is now unknown in that case, and stays notRun if a node was asked and refused, since the key's owner seals it.

Measured: the new case in TestUnreachableNode fails before the change (notRun) and passes after it; the other tests of the library pass unchanged. Ruled out: treating every delivery with a given key as one that may have run, which would hide the notRun of a sealed key.

--- a/attempt.go
+++ b/attempt.go
@@ -101,7 +101,7 @@
 	case connections.Load() > 0:
 		return nil, false, &Error{outcome: call.Unknown, reason: lostReason(req.Context()), cause: err}
 	case req.Context().Err() != nil:
-		return nil, false, &Error{outcome: call.NotRun, reason: call.ReasonCanceled, cause: err}
+		return nil, false, &Error{outcome: call.NotRun, reason: call.ReasonCanceled, cause: err, notSent: true}
 	default:
 		c.nodes.avoid(address)
 		return nil, false, &Error{outcome: call.NotRun, reason: call.ReasonUnreachable, cause: err, notSent: true}
--- a/client.go
+++ b/client.go
@@ -194,11 +194,13 @@
 	}
 }
 
-// report makes the failure of the last attempt that of the whole delivery.
+// report makes the failure of the last attempt that of the whole delivery. A
+// booking whose key came from the caller may have run in an earlier delivery; if
+// no node was asked, nothing excludes that.
 func (d *delivery) report(failure *Error) *Error {
 	failure.key = d.key
 	failure.retries = d.retries
-	if d.mayHaveRun {
+	if d.mayHaveRun || failure.notSent && d.request.Key != "" {
 		failure.outcome = call.Unknown
 	}
 	return failure
--- a/client_test.go
+++ b/client_test.go
@@ -195,6 +195,10 @@
 	must.NoError(t, err)
 	_, err = client.Do(t.Context(), request)
 	must.EqOp(t, call.NotRun, lacewingslip.OutcomeOf(err))
+
+	request.Repeat, request.Key = call.Never, "1700000000-order-7" // may have been sent before
+	_, err = client.Do(t.Context(), request)
+	must.EqOp(t, call.Unknown, lacewingslip.OutcomeOf(err))
 }
 
 // Guards against requests and addresses that could only fail later, and with a
