--- a/node/answer_test.go
+++ b/node/answer_test.go
@@ -73,6 +73,19 @@
 	must.Eq(t, map[string]int{"trays": 1}, orders.Runs())
 }
 
+// A backend server that lost the call context repeats a booking with its key: the
+// refusal for lack of tokens must not say that the booking did not run.
+func TestRepeatWithoutContextIsUnknown(t *testing.T) {
+	orders := backend.New("orders", backend.WithHandler(raw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")))
+	system := startTesfaye(t, loopback.WithUpstream("addis", "addis-a", orders))
+	key := do(t, http.MethodPost, "http://"+system.Caller(0)+"/orders/book", "", "trays").header.Get(call.HeaderNextKey)
+	url := "http://" + system.Upstreams()[0].Node().BackendAddress() + "/orders/book"
+	for range 2 {
+		must.EqOp(t, "unknown", do(t, http.MethodPost, url, key, "trays").header.Get(call.HeaderOutcome))
+	}
+	must.Eq(t, map[string]int{"trays": 1}, orders.Runs())
+}
+
 // Answers that arrive late, out of order, or after a cancelled call on the same
 // connection must not reach another caller, even if callers use one request ID.
 func TestOwnAnswer(t *testing.T) {
--- a/node/egress.go
+++ b/node/egress.go
@@ -76,13 +76,15 @@
 		c.context.Importance = call.Low
 		c.context.Tokens = 0
 	}
+	key := r.Header.Get(call.HeaderKey)
 	if f != nil {
-		e.refuse(w, r, c, f, request)
+		e.refuse(w, r, c, withKey(f, key), request)
 		return
 	}
 	child := childOf(c)
 	if _, ok := e.running.BeginChild("", child); !ok {
-		e.refuse(w, r, c, notRun(call.ReasonNoTokens, "the call failed a moment ago, and calls without a context have no retry tokens"), request)
+		f = notRun(call.ReasonNoTokens, "the call failed a moment ago, and calls without a context have no retry tokens")
+		e.refuse(w, r, c, withKey(f, key), request)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
