--- a/internal/e2e/processes.go
+++ b/internal/e2e/processes.go
@@ -315,19 +315,33 @@
 	portAttempts            = 100
 )
 
-// freeAddress picks a port that nothing listens on at the moment.
+var takenPorts = struct {
+	sync.Mutex
+	ports map[int]bool
+}{ports: map[int]bool{}}
+
+// freeAddress picks a port that nothing listens on at the moment. It returns no
+// port twice: among the 15 ports of three upstreams, two would be equal in 1 of
+// 160 systems.
 func freeAddress() (address string, err error) {
+	takenPorts.Lock()
+	defer takenPorts.Unlock()
 	for range portAttempts {
-		address = fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		if takenPorts.ports[port] {
+			continue
+		}
+		address = fmt.Sprintf("127.0.0.1:%d", port)
 		listener, errListen := net.Listen("tcp", address)
 		if errListen != nil {
 			err = errListen
 			continue
 		}
 		listener.Close()
+		takenPorts.ports[port] = true
 		return address, nil
 	}
-	return "", err
+	return "", eris.Wrap(err, "no free port found")
 }
 
 // lockedBuffer collects output that is read while the process still writes.
