--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -34,6 +34,8 @@
 		"bad format":       {"version --output xml", command.ExitUsage, `"xml" is neither text nor json`},
 		"extra argument":   {"version now", command.ExitUsage, `unexpected argument "now"`},
 		"bad duration":     {"timeline --operator 127.0.0.1:1 --since long", command.ExitUsage, "long"},
+		"no experiment":    {"experiment run", command.ExitUsage, "expected an experiment file"},
+		"lost experiment":  {"experiment run nosuch.yaml", command.ExitFailed, "nosuch.yaml"},
 		"node not running": {"status --operator 127.0.0.1:1", command.ExitFailed, "ask node at 127.0.0.1:1"},
 	}
 	for name, tc := range cases {
