Say by which time the demo counts requests

Requests count by the time at which they were due, which the output now says. Counting by the time of the answer was ruled out, since recovery is defined by the same share.

--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -128,6 +128,8 @@
 	_, err := fmt.Fprintf(w, `
 Load: %d requests/s, in the surge %d. The deep service can do %d calls/s, in the
 surge %d. Without the layer every hop tries three times with a timeout of 1 s.
+Requests count for the time in which they were sent, also if they were answered
+after it.
 `, plan.OrdinaryRate, plan.SurgeRate, usual, slowed)
 	return err
 }
