--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -56,12 +56,14 @@
 	serviceTime func() time.Duration
 	children    []Child
 	answerBytes int
-	handler     http.HandlerFunc
-	propagate   bool
-	slots       int
-	connections int
-	workers     chan struct{}
-	client      *http.Client
+	// childAttempts is how often a failing child call is tried.
+	childAttempts int
+	handler       http.HandlerFunc
+	propagate     bool
+	slots         int
+	connections   int
+	workers       chan struct{}
+	client        *http.Client
 	// instance tells this process from the one before it at the same address.
 	instance string
 
@@ -88,6 +90,10 @@
 // WithChildren sets the child calls that each call makes, one after the other.
 func WithChildren(children ...Child) Option { return func(b *Backend) { b.children = children } }
 
+// WithChildAttempts sets how often the backend server tries a child call, as one
+// with retries of its own does. The default is once.
+func WithChildAttempts(n int) Option { return func(b *Backend) { b.childAttempts = n } }
+
 // WithAnswerBytes sets the size of the answer body.
 func WithAnswerBytes(n int) Option { return func(b *Backend) { b.answerBytes = n } }
 
@@ -114,7 +120,7 @@
 // New returns a stand-in backend server of the service.
 func New(service string, opts ...Option) *Backend {
 	b := &Backend{
-		service: service, propagate: true, runs: make(map[string]int), client: &http.Client{},
+		service: service, propagate: true, childAttempts: 1, runs: make(map[string]int), client: &http.Client{},
 		instance:    string(call.NewID()),
 		serviceTime: func() time.Duration { return 0 },
 	}
@@ -200,7 +206,7 @@
 		return
 	}
 	for _, child := range b.children {
-		if err := b.callChild(r, child); err != nil {
+		if err := b.tryChild(r, child); err != nil {
 			http.Error(w, err.Error(), http.StatusBadGateway)
 			return
 		}
@@ -254,6 +260,17 @@
 	b.running--
 }
 
+// tryChild makes a child call, and repeats it after a failure as often as the
+// backend server does.
+func (b *Backend) tryChild(r *http.Request, child Child) (err error) {
+	for range b.childAttempts {
+		if err = b.callChild(r, child); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 // callChild makes a child call through the node beside the backend server.
 func (b *Backend) callChild(r *http.Request, child Child) (err error) {
 	b.mu.Lock()
--- a/node/egress.go
+++ b/node/egress.go
@@ -39,7 +39,7 @@
 	}
 	c.context.Tokens = permit.Tokens
 	c.bind = func(key booking.Key) { e.running.BindKey(parent.Context.Call, child, key.String()) }
-	if f = e.assignChildKey(c, permit); f != nil {
+	if f = e.admitChild(c, permit); f != nil {
 		e.running.EndChild(parent.Context.Call, child, retry.ChildEnd{TokensLeft: permit.Tokens, Outcome: call.NotRun})
 		e.refuse(w, r, c, f, parent.Context.Request)
 		return
@@ -106,8 +106,6 @@
 		c.deadline = parent.Deadline
 	}
 	switch {
-	case e.routes.sheds(c.service.Name, c.context.Importance):
-		return c, child, notRun(call.ReasonOverloaded, "bookings of the service were refused a moment ago, so less important calls are")
 	case c.context.Depth > call.MaxDepth:
 		return c, child, notRun(call.ReasonTooDeep, "the chain of calls is too long")
 	case c.context.Repeated && c.route.Repeat == call.Never:
@@ -126,6 +124,16 @@
 	}
 }
 
+// admitChild refuses a child call that should not be sent now, and gives a child
+// booking its key. A repeat of a booking whose outcome is not known is never
+// refused here, because the refusal would say nothing about the first attempt.
+func (e *egress) admitChild(c *outgoing, permit retry.Permit) (f *failure) {
+	if permit.Key == "" && e.routes.sheds(c.service.Name, c.context.Importance) {
+		return notRun(call.ReasonOverloaded, "bookings of the service were refused a moment ago, so less important calls are")
+	}
+	return e.assignChildKey(c, permit)
+}
+
 // assignChildKey gives a child booking its key. A repeat of a child booking
 // whose outcome is not known gets the key of the first, so that it can't run
 // twice.
