--- a/internal/capacity/storm.go
+++ b/internal/capacity/faults.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// storm is what a fault costs until all nodes agree on it.
-type storm struct {
+// spread is what a fault costs until all nodes agree on it.
+type spread struct {
 	fault      string
 	affected   int
 	half, last time.Duration
@@ -19,18 +19,18 @@
 	mostPerSec int
 }
 
-func measureStorms(ctx context.Context, sizes []int, apart time.Duration) (err error) {
+func measureFaults(ctx context.Context, sizes []int, apart time.Duration) (err error) {
 	fmt.Println("| nodes | fault | nodes affected | agreed, half s | agreed, last s | messages per node until then | KB per node until then | core % | peak B/s per node | quiet after s | log appends | appends in busiest s |")
 	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, size := range sizes {
-		if err := stormsOf(ctx, size, apart); err != nil {
+		if err := faultsOf(ctx, size, apart); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func stormsOf(ctx context.Context, size int, apart time.Duration) (err error) {
+func faultsOf(ctx context.Context, size int, apart time.Duration) (err error) {
 	c := newCluster()
 	defer c.stop()
 	if err := c.start(ctx, size); err != nil {
@@ -56,7 +56,7 @@
 // report runs a fault and prints what it costs.
 func (c *cluster) report(ctx context.Context, fault string, affected int, run func(), agreed func(n *node) bool) {
 	c.log.reset()
-	s := storm{fault: fault, affected: affected}
+	s := spread{fault: fault, affected: affected}
 	done := make(chan float64, 1)
 	sampled, stop := context.WithCancel(ctx)
 	go func() { done <- c.sample(sampled) }()
--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	go run ./internal/capacity membership --nodes 10,30,100,300 --seconds 20
-//	go run ./internal/capacity storm --nodes 100,300
+//	go run ./internal/capacity faults --nodes 100,300
 //	go run ./internal/capacity roles
 //	go run ./internal/capacity calls --nodes 3,6 --rates 50,150
 package main
@@ -55,11 +55,11 @@
 				return measureWholeNodes(ctx, c.IntSlice("nodes"), c.IntSlice("rates"), time.Duration(c.Int("seconds"))*time.Second)
 			},
 		}, {
-			Name:  "storm",
+			Name:  "faults",
 			Usage: "messages, time to agree and log appends when a rack, an availability zone or the link between regions fails",
 			Flags: []cli.Flag{sizes, &cli.IntFlag{Name: "apart", Value: 60, Usage: "seconds for which the regions are apart"}},
 			Action: func(ctx context.Context, c *cli.Command) error {
-				return measureStorms(ctx, c.IntSlice("nodes"), time.Duration(c.Int("apart"))*time.Second)
+				return measureFaults(ctx, c.IntSlice("nodes"), time.Duration(c.Int("apart"))*time.Second)
 			},
 		}},
 	}
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -77,7 +77,10 @@
 		var newer []update
 		changes, newer = g.table.merge(now, answer.Entries)
 		g.table.Heard(time.Now(), answer.From, answer.Incarnation, answer.Age)
-		g.complete = g.complete || request.Ask == askAll
+		if request.Ask == askAll {
+			g.fetched++
+			g.complete = g.complete || answer.Complete || g.fetched >= enoughTables
+		}
 		header.Entries = g.repairs(now, newer, answer.Want)
 		next = &exchangeRequest{header: header, To: answer.From}
 		if answer.Same {
@@ -171,6 +174,7 @@
 			answer.Want = append(answer.Want, unknown...)
 		}
 		answer.Entries = g.entriesFor(now, request, newer)
+		answer.Complete = request.Ask == askAll && g.complete
 		if request.Digest && !answer.Same && request.Sum != g.table.sum() {
 			answer.Digest = new(g.table.buckets)
 		}
--- a/membership/failure_test.go
+++ b/membership/failure_test.go
@@ -255,6 +255,29 @@
 	})
 }
 
+// Guards against a starting node that takes the table of another starting node
+// for the whole table, which the comparison of a few buckets at a time would
+// then repair only after a minute.
+func TestFetchesUntilComplete(t *testing.T) {
+	for name, tc := range map[string]struct {
+		answers  []bool
+		complete bool
+	}{
+		"other is complete": {[]bool{true}, true},
+		"other is starting": {[]bool{false}, false},
+		"second is":         {[]bool{false, true}, true},
+		"none is":           {[]bool{false, false, false}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := New(Self{Node: "a", Incarnation: 1, Started: start, Peer: "a:1"})
+			for _, complete := range tc.answers {
+				g.takeAnswer(&exchangeRequest{Ask: askAll}, &exchangeAnswer{Complete: complete})
+			}
+			must.Eq(t, tc.complete, g.isComplete())
+		})
+	}
+}
+
 // fakeLog is a log service in memory.
 type fakeLog struct {
 	mu      sync.Mutex
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -34,6 +34,10 @@
 	maxInFlight    = 64
 	maxExpired     = 3
 	sampleSize     = 16
+	// After the restart of an availability zone, a node that is asked for its
+	// table may have started itself just now. When all nodes have, none has the
+	// whole table, and this many will do.
+	enoughTables = 3
 
 	// An exchange is a request, a comparison and repairs. More messages come
 	// only from a faulty node.
@@ -75,8 +79,10 @@
 	// members is the table in order, as of the revision listed.
 	members []Member
 	listed  uint64
-	// complete says that a whole table has been received since the start.
+	// complete says that a whole table has been received since the start, and
+	// fetched how many tables have been received for that.
 	complete bool
+	fetched  int
 	compared time.Time
 	// joined holds the addresses of nodes that the log says have joined.
 	joined joins
--- a/membership/wire.go
+++ b/membership/wire.go
@@ -68,6 +68,8 @@
 	// Same says that the tables were the same before this exchange.
 	Same   bool    `json:"same,omitempty"`
 	Digest *digest `json:"digest,omitempty"`
+	// Complete says that the node has the whole table, as far as it knows.
+	Complete bool `json:"complete,omitempty"`
 	// Want lists the nodes of which the answering node lacks the entry.
 	Want []string `json:"want,omitempty"`
 }
