--- a/node/gate.go
+++ b/node/gate.go
@@ -19,8 +19,10 @@
 	decisions  []admission.Decision
 	lastID     uint64
 	inside     int
-	draining   bool
-	empty      chan struct{}
+	// shed counts calls that were refused for lack of capacity.
+	shed     uint64
+	draining bool
+	empty    chan struct{}
 }
 
 func newGate() *gate {
@@ -31,7 +33,7 @@
 
 // enter waits until the call is admitted or refused. A call that is admitted
 // must leave.
-func (g *gate) enter(ctx context.Context, importance call.Importance, deadline time.Time) (id uint64, refusal *failure) {
+func (g *gate) enter(ctx context.Context, in *incoming) (id uint64, refusal *failure) {
 	decided := make(chan admission.Decision, 1)
 	g.mu.Lock()
 	if g.draining {
@@ -42,7 +44,10 @@
 	id = g.lastID
 	g.inside++
 	g.waiting[id] = decided
-	request := admission.Request{ID: id, Importance: importance, Deadline: deadline}
+	request := admission.Request{
+		ID: id, Importance: in.context.Importance, Deadline: in.deadline,
+		First: in.context.Depth == 1, Lot: in.context.Request.Lot(),
+	}
 	g.apply(g.controller.Arrive(time.Now(), request, g.decisions[:0]))
 	g.mu.Unlock()
 
@@ -115,6 +120,13 @@
 	return g.controller.Load()
 }
 
+// refused returns how many calls were refused for lack of capacity.
+func (g *gate) refused() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shed
+}
+
 // cancel takes a queued call of a caller that has gone out of the queue. The
 // decision may have been made at the same moment; an admitted call must then
 // leave without having run.
@@ -149,6 +161,9 @@
 		delete(g.waiting, decision.ID)
 		if decision.Verdict == admission.Refused {
 			g.gone()
+			if decision.Reason == call.ReasonOverloaded || decision.Reason == call.ReasonDisplaced {
+				g.shed++
+			}
 		}
 		decided <- decision
 	}
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -42,6 +42,8 @@
 	fingerprint booking.Fingerprint
 	// successor is the key that the sender proposes in case of a refusal.
 	successor *booking.Key
+	// failure is set if the attempt does not end with a complete answer.
+	failure *failure
 }
 
 // ServeHTTP carries an attempt of another node, or of this one, to the backend
@@ -49,7 +51,9 @@
 func (s *sidecar) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// A clock that is far ahead is not followed; the call goes on.
 	_ = s.clock.ObserveText(r.Header.Get(call.HeaderClock))
+	arrived := time.Now()
 	in, f := s.accept(w, r)
+	defer func() { s.meter.endedAttempt(in, time.Since(arrived)) }()
 	s.mark(w, r)
 	if f != nil {
 		// The key of an attempt that is refused here is not sealed, so an earlier attempt may still run.
@@ -205,7 +209,7 @@
 
 // run takes the call through admission to the backend server.
 func (s *sidecar) run(ctx context.Context, w http.ResponseWriter, in *incoming) {
-	id, refusal := s.gate.enter(ctx, in.context.Importance, in.deadline)
+	id, refusal := s.gate.enter(ctx, in)
 	if refusal != nil {
 		s.seal(w, in, refusal)
 		s.refuse(w, in, refusal)
@@ -217,11 +221,11 @@
 		result.Latency = time.Since(started)
 		s.gate.leave(id, result)
 	}()
-	result.Failed = !s.forward(ctx, w, in)
+	result.Failed = !s.forward(ctx, w, in, &result)
 }
 
 // forward sends the call to the backend server and streams its answer back.
-func (s *sidecar) forward(ctx context.Context, w http.ResponseWriter, in *incoming) (ok bool) {
+func (s *sidecar) forward(ctx context.Context, w http.ResponseWriter, in *incoming, result *admission.Result) (ok bool) {
 	if in.key != nil {
 		ctx = context.WithoutCancel(ctx)
 	}
@@ -243,6 +247,7 @@
 		s.end(w, in, notRun(call.ReasonBadRequest, err.Error()), closeCall())
 		return false
 	}
+	s.events.Record(event.CallStarted, in.attrs()...)
 	answer, sent, err := roundTrip(s.backend.transport(), request)
 	if err == nil {
 		if err = checkFraming(answer); err != nil {
@@ -255,10 +260,20 @@
 		return false
 	}
 	defer answer.Body.Close()
+	if failedStatus(answer.StatusCode) && s.running.Shed(in.context.Call) {
+		result.Shed = true
+		w.Header().Set(call.HeaderShed, "true")
+	}
 	w.Header().Set(call.HeaderTokensLeft, strconv.Itoa(closeCall()))
 	return s.answer(w, in, answer)
 }
 
+// failedStatus reports whether a backend server would answer so because a child
+// call failed.
+func failedStatus(status int) bool {
+	return status >= http.StatusInternalServerError || status == http.StatusTooManyRequests
+}
+
 // answer passes the backend server's answer on. That of a booking is read to
 // its end before it counts as done, up to the size that is kept for repeats.
 func (s *sidecar) answer(w http.ResponseWriter, in *incoming, answer *http.Response) (ok bool) {
@@ -305,7 +320,10 @@
 }
 
 func (s *sidecar) broken(in *incoming) (report func(err error)) {
-	return func(err error) { s.events.Record(event.AnswerCut, append(in.attrs(), attrError(err))...) }
+	return func(err error) {
+		in.failure = unknown(call.ReasonLost, err.Error())
+		s.events.Record(event.AnswerCut, append(in.attrs(), attrError(err))...)
+	}
 }
 
 // request builds the HTTP request to the backend server.
@@ -400,6 +418,7 @@
 func (s *sidecar) refuse(w http.ResponseWriter, in *incoming, f *failure) {
 	var request call.ID
 	if in != nil {
+		in.failure = f
 		request = in.context.Request
 		w.Header().Set(call.HeaderTokensLeft, strconv.Itoa(in.context.Tokens))
 		s.events.Record(failureEvent(f), append(in.attrs(), attrReason(f.reason))...)
