Tell a caller that its request itself did not run

Cause: callers keep issued keys in stock. A key whose node stops before the key is used ended the booking with unknown, because a node can't know that nobody sent the key before.

An unknown answer now says with Lacewingslip-Attempt: notRun that this request itself did not run. The caller alone knows whether it used the key before; the Go library does for keys of its own stock, and takes another one. A key that the ingress issued itself is replaced there when its node has ended.

Ruled out: taking the reason ownerGone alone as notRun. An ingress repeats a lost booking at its owner, which may have run it and restarted in between; the sender's table has that case, and it does not get the new statement.

--- a/attempt.go
+++ b/attempt.go
@@ -45,6 +45,7 @@
 	answer, failure = d.client.read(resp)
 	if failure != nil && resent {
 		failure.outcome = call.Unknown
+		failure.attemptNotRun = false
 	}
 	return answer, failure
 }
@@ -169,6 +170,8 @@
 		requestID:  body.RequestID,
 		retryAfter: time.Duration(max(seconds, 0)) * time.Second,
 		retries:    readRetries(resp),
+
+		attemptNotRun: resp.Header.Get(call.HeaderAttempt) == call.NotRun.String(),
 	}
 	if outcome == call.NotRun && resp.StatusCode < http.StatusBadRequest {
 		failure.outcome = call.Unknown
--- a/call/context.go
+++ b/call/context.go
@@ -17,6 +17,10 @@
 	HeaderReason  = "Lacewingslip-Reason"
 	HeaderNextKey = "Lacewingslip-Next-Key"
 	HeaderRetries = "Lacewingslip-Retries"
+	// HeaderAttempt is "notRun" with an unknown outcome if this request itself
+	// certainly did not run and won't: only an earlier request with the same key
+	// may have. A caller that has not used the key before may take another one.
+	HeaderAttempt = "Lacewingslip-Attempt"
 
 	HeaderRequest    = "Lacewingslip-Request"
 	HeaderCall       = "Lacewingslip-Call"
--- a/client.go
+++ b/client.go
@@ -186,6 +186,7 @@
 		}
 		d.retries += failure.retries
 		d.dropStaleKeys(failure)
+		d.judge(failure)
 		d.mayHaveRun = d.mayHaveRun || failure.outcome == call.Unknown
 		if attempt == d.client.attempts || !d.repeatable(failure) || !wait(ctx, d.backoff(attempt, failure)) {
 			return Answer{}, d.report(failure)
@@ -195,6 +196,15 @@
 	}
 }
 
+// judge uses what only the client knows: a key from its stock has not been sent
+// by anybody before this delivery. If the node says that the request itself did
+// not run, and no earlier attempt of the delivery may have, the booking did not.
+func (d *delivery) judge(failure *Error) {
+	if failure.attemptNotRun && d.request.Key == "" && !d.mayHaveRun {
+		failure.outcome = call.NotRun
+	}
+}
+
 // report makes the failure of the last attempt that of the whole delivery. A
 // booking whose key came from the caller may have run in an earlier delivery; if
 // no node was asked, nothing excludes that.
@@ -216,7 +226,7 @@
 	case call.ReasonOverloaded, call.ReasonDisplaced, call.ReasonDraining, call.ReasonNoUpstream,
 		call.ReasonUnreachable, call.ReasonLost, call.ReasonDeadline, call.ReasonLogUnavailable, call.ReasonInternal:
 		return true
-	case call.ReasonKeyExpired:
+	case call.ReasonKeyExpired, call.ReasonOwnerGone:
 		return d.request.Key == "" && !d.mayHaveRun
 	default:
 		return false
--- a/error.go
+++ b/error.go
@@ -21,6 +21,9 @@
 	cause      error
 	// notSent is true if no connection to a node was made.
 	notSent bool
+	// attemptNotRun is true if a node says that this attempt did not run, and
+	// the transport did not send it before.
+	attemptNotRun bool
 }
 
 // Outcome is [call.NotRun] only if no attempt of the call has run or will run.
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -89,14 +89,20 @@
 // key: an earlier attempt with the key may have run, or may still arrive. Only
 // what holds for every attempt with that key is certain.
 func withKey(f *failure, key string) *failure {
-	if key == "" || f.outcome != call.NotRun {
+	if f.outcome == call.Unknown {
+		f.selfNotRun = true
+		return f
+	}
+	if key == "" {
 		return f
 	}
 	switch f.reason {
 	case call.ReasonKeyMalformed, call.ReasonKeyReused, call.ReasonTooLarge:
 		return f
 	default:
-		return unknown(f.reason, f.message+"; an earlier attempt with this key may have run")
+		earlier := unknown(f.reason, f.message+"; an earlier attempt with this key may have run")
+		earlier.selfNotRun = true
+		return earlier
 	}
 }
 
--- a/node/problem.go
+++ b/node/problem.go
@@ -16,6 +16,9 @@
 	reason     call.Reason
 	message    string
 	retryAfter time.Duration
+	// selfNotRun is true for an unknown outcome that only an earlier request
+	// with the same key leaves open: this request did not run.
+	selfNotRun bool
 }
 
 func notRun(reason call.Reason, message string) *failure {
@@ -43,6 +46,9 @@
 	header.Set("Content-Type", "application/json")
 	header.Set(call.HeaderOutcome, f.outcome.String())
 	header.Set(call.HeaderReason, string(f.reason))
+	if f.selfNotRun {
+		header.Set(call.HeaderAttempt, call.NotRun.String())
+	}
 	if f.retryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(retrySeconds(f.retryAfter)))
 	}
--- a/node/sender.go
+++ b/node/sender.go
@@ -100,7 +100,7 @@
 		return end, false
 	}
 	p.last = end.failure
-	p.mayHaveRun = p.mayHaveRun || end.failure.outcome == call.Unknown
+	p.mayHaveRun = p.mayHaveRun || mayHaveRun(end.failure)
 	if p.call.key != nil {
 		return end, s.nextBooking(ctx, p, &end)
 	}
@@ -130,8 +130,8 @@
 	switch {
 	case ok && ownedBy(key, key.Node(), incarnation):
 		return routing.Upstream{Node: key.Node(), Address: address}, nil
-	case !ok && !p.call.keyKnown:
-		return routing.Upstream{}, notRun(call.ReasonUnreachable, "the node of the key is not known here")
+	case !p.call.keyKnown && !p.mayHaveRun:
+		return s.nextOwner(p)
 	case p.mayHaveRun:
 		return routing.Upstream{}, p.last
 	default:
@@ -140,6 +140,18 @@
 	}
 }
 
+// nextOwner replaces a key whose node has ended before the key was sent. Nobody
+// else knows the key, so another may take its place.
+func (s *sender) nextOwner(p *sending) (upstream routing.Upstream, refusal *failure) {
+	if s.reissue(p) {
+		key := *p.call.key
+		if address, incarnation, ok := s.peers.find(key.Node()); ok && ownedBy(key, key.Node(), incarnation) {
+			return routing.Upstream{Node: key.Node(), Address: address}, nil
+		}
+	}
+	return routing.Upstream{}, notRun(call.ReasonNoUpstream, "no backend server of the service is available")
+}
+
 // attempt prepares the next attempt.
 func (s *sender) attempt(p *sending, upstream routing.Upstream) attempt {
 	c := p.call
@@ -253,18 +265,25 @@
 	return ok
 }
 
+// mayHaveRun reports whether an attempt with this end may have run. A node that
+// can't run the key says so without running it.
+func mayHaveRun(f *failure) bool {
+	return f.outcome == call.Unknown && f.reason != call.ReasonOwnerGone && f.reason != call.ReasonKeyExpired
+}
+
 // conclude makes the last failure true for the whole call: it is not run only
 // if no attempt may have run and nobody else may have sent its key.
 func (p *sending) conclude(end *attemptEnd) {
-	if end.failure == nil || end.failure.outcome != call.NotRun {
+	if end.failure == nil {
 		return
 	}
+	concluded := *end.failure
+	sealed := p.call.key != nil && end.sent
 	bookingElsewhere := p.call.key != nil && p.call.keyKnown && !end.sent
-	if p.call.key != nil && end.sent {
-		// The owner of the key sealed it: that decides for all attempts.
-		return
-	}
-	if p.mayHaveRun || bookingElsewhere {
-		end.failure = unknown(end.failure.reason, "an earlier attempt may have run; "+end.failure.message)
+	if concluded.outcome == call.NotRun && !sealed && (p.mayHaveRun || bookingElsewhere) {
+		concluded.outcome = call.Unknown
+		concluded.message = "an earlier attempt may have run; " + concluded.message
 	}
+	concluded.selfNotRun = concluded.outcome == call.Unknown && !p.mayHaveRun
+	end.failure = &concluded
 }
--- a/node/sender_test.go
+++ b/node/sender_test.go
@@ -136,7 +136,9 @@
 		keyKnown bool
 		ends     string
 		attempts int
-		want     string
+		// A trailing "!" means that the request itself did not run, only an
+		// earlier one with the same key may have.
+		want string
 	}{
 		"answered at once":                     {ifNotRun, 3, false, "answered", 1, "answered"},
 		"refused, then answered":               {ifNotRun, 3, false, "overloaded,answered", 2, "answered"},
@@ -156,7 +158,7 @@
 		"booking sealed":                       {never, 3, true, "overloaded", 1, "notRun overloaded"},
 		"booking followed":                     {never, 3, true, "follow overloaded,answered", 2, "answered"},
 		"booking followed and sealed":          {never, 3, true, "follow overloaded,overloaded", 2, "notRun overloaded"},
-		"booking never sent, key known":        {never, 3, true, "noConnection", 1, "unknown unreachable"},
+		"booking never sent, key known":        {never, 3, true, "noConnection", 1, "unknown unreachable!"},
 		"booking never sent, own key":          {never, 3, false, "noConnection,answered", 2, "answered"},
 		"booking never sent by all":            {never, 1, false, "noConnection", 2, "notRun unreachable"},
 		"booking lost, repeat learns outcome":  {never, 3, true, "lost,answered", 2, "answered"},
@@ -171,6 +173,9 @@
 			got := "answered"
 			if end.failure != nil {
 				got = end.failure.outcome.String() + " " + string(end.failure.reason)
+				if end.failure.selfNotRun {
+					got += "!"
+				}
 			}
 			must.EqOp(t, c.want, got)
 			must.EqOp(t, c.attempts, len(played.requests))
