Give nodes of each measuring run their own IDs

Cause: two runs at once never became quiet, and entries had up to 66 versions after five minutes. A run that restarts a zone closes ports; another run had opened one of them, and a seed address led from one system into the other. Both used the same IDs, so that two live processes took each other for an earlier incarnation and raised their starts by turns.

Ruled out by looking at the tables of 60 nodes of both processes: a failure to converge; the differing entries all had incarnations of both runs.

Conclusion: the check of the node ID at an address protects as long as IDs differ.

--- a/internal/capacity/cluster.go
+++ b/internal/capacity/cluster.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -80,7 +81,10 @@
 	region := []string{"north", "north", "north", "south", "south"}[zone]
 	c.regions.Store(address, region)
 	self := membership.Self{
-		Node: fmt.Sprintf("orders-%04d", i), Incarnation: rand.Uint64(), Started: time.Now(),
+		// Two runs at once must not use the same IDs: a port that one has closed
+		// may be opened by the other, and their nodes would take each other for
+		// earlier incarnations.
+		Node: fmt.Sprintf("o%05d-%04d", os.Getpid()%100_000, i), Incarnation: rand.Uint64(), Started: time.Now(),
 		Peer: address, Caller: "10.120.130.140:7000", Operator: "10.120.130.140:7003",
 		Region: region, Zone: fmt.Sprintf("%s-%d", region, zone),
 	}
