--- a/attempt.go
+++ b/attempt.go
@@ -45,6 +45,7 @@
 	answer, failure = d.client.read(resp)
 	if failure != nil && resent {
 		failure.outcome = call.Unknown
+		failure.attemptNotRun = false
 	}
 	return answer, failure
 }
@@ -101,7 +102,7 @@
 	case connections.Load() > 0:
 		return nil, false, &Error{outcome: call.Unknown, reason: lostReason(req.Context()), cause: err}
 	case req.Context().Err() != nil:
-		return nil, false, &Error{outcome: call.NotRun, reason: call.ReasonCanceled, cause: err}
+		return nil, false, &Error{outcome: call.NotRun, reason: call.ReasonCanceled, cause: err, notSent: true}
 	default:
 		c.nodes.avoid(address)
 		return nil, false, &Error{outcome: call.NotRun, reason: call.ReasonUnreachable, cause: err, notSent: true}
@@ -129,7 +130,7 @@
 	lost := func(err error) (Answer, *Error) {
 		return Answer{}, &Error{outcome: call.Unknown, reason: call.ReasonLost, status: resp.StatusCode, cause: err}
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed {
+	if !checkable(resp) {
 		return lost(errors.New("the end of the answer can't be checked: it has neither a length nor chunks"))
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxAnswerBytes+1))
@@ -145,6 +146,12 @@
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Retries: readRetries(resp)}, nil
 }
 
+// checkable reports whether a cut answer would be noticed.
+func checkable(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Uncompressed ||
+		resp.Request.Method == http.MethodHead || resp.StatusCode == http.StatusNotModified
+}
+
 type errorBody struct {
 	Message   string `json:"message"`
 	RequestID string `json:"requestId"`
@@ -163,6 +170,8 @@
 		requestID:  body.RequestID,
 		retryAfter: time.Duration(max(seconds, 0)) * time.Second,
 		retries:    readRetries(resp),
+
+		attemptNotRun: resp.Header.Get(call.HeaderAttempt) == call.NotRun.String(),
 	}
 	if outcome == call.NotRun && resp.StatusCode < http.StatusBadRequest {
 		failure.outcome = call.Unknown
--- a/call/context.go
+++ b/call/context.go
@@ -17,6 +17,10 @@
 	HeaderReason  = "Lacewingslip-Reason"
 	HeaderNextKey = "Lacewingslip-Next-Key"
 	HeaderRetries = "Lacewingslip-Retries"
+	// HeaderAttempt is "notRun" with an unknown outcome if this request itself
+	// certainly did not run and won't: only an earlier request with the same key
+	// may have. A caller that has not used the key before may take another one.
+	HeaderAttempt = "Lacewingslip-Attempt"
 
 	HeaderRequest    = "Lacewingslip-Request"
 	HeaderCall       = "Lacewingslip-Call"
@@ -143,10 +147,11 @@
 	return n, nil
 }
 
-// RemoveInternal deletes every header that only nodes may set.
+// RemoveInternal deletes every header that only nodes may set. Names are in
+// canonical form, as net/http reads them.
 func RemoveInternal(header http.Header) {
 	for name := range header {
-		if strings.HasPrefix(http.CanonicalHeaderKey(name), headerPrefix) {
+		if strings.HasPrefix(name, headerPrefix) {
 			delete(header, name)
 		}
 	}
--- a/client.go
+++ b/client.go
@@ -185,6 +185,8 @@
 			return answer, nil
 		}
 		d.retries += failure.retries
+		d.dropStaleKeys(failure)
+		d.judge(failure)
 		d.mayHaveRun = d.mayHaveRun || failure.outcome == call.Unknown
 		if attempt == d.client.attempts || !d.repeatable(failure) || !wait(ctx, d.backoff(attempt, failure)) {
 			return Answer{}, d.report(failure)
@@ -194,11 +196,22 @@
 	}
 }
 
-// report makes the failure of the last attempt that of the whole delivery.
+// judge uses what only the client knows: a key from its stock has not been sent
+// by anybody before this delivery. If the node says that the request itself did
+// not run, and no earlier attempt of the delivery may have, the booking did not.
+func (d *delivery) judge(failure *Error) {
+	if failure.attemptNotRun && d.request.Key == "" && !d.mayHaveRun {
+		failure.outcome = call.NotRun
+	}
+}
+
+// report makes the failure of the last attempt that of the whole delivery. A
+// booking whose key came from the caller may have run in an earlier delivery; if
+// no node was asked, nothing excludes that.
 func (d *delivery) report(failure *Error) *Error {
 	failure.key = d.key
 	failure.retries = d.retries
-	if d.mayHaveRun {
+	if d.mayHaveRun || failure.notSent && d.request.Key != "" {
 		failure.outcome = call.Unknown
 	}
 	return failure
@@ -213,20 +226,31 @@
 	case call.ReasonOverloaded, call.ReasonDisplaced, call.ReasonDraining, call.ReasonNoUpstream,
 		call.ReasonUnreachable, call.ReasonLost, call.ReasonDeadline, call.ReasonLogUnavailable, call.ReasonInternal:
 		return true
-	case call.ReasonKeyExpired:
+	case call.ReasonKeyExpired, call.ReasonOwnerGone:
 		return d.request.Key == "" && !d.mayHaveRun
 	default:
 		return false
 	}
 }
 
+// dropStaleKeys empties the stock of the service if the owner of a key has ended
+// or is about to. Other keys in stock are probably its own too, and a booking
+// with one of them would end as unknown.
+func (d *delivery) dropStaleKeys(failure *Error) {
+	if d.request.Repeat != call.Never || failure.notSent {
+		return
+	}
+	switch failure.reason {
+	case call.ReasonOwnerGone, call.ReasonUnreachable, call.ReasonDraining, call.ReasonKeyExpired:
+		d.client.keys.drop(d.request.Service)
+	default:
+	}
+}
+
 // prepareRepeat decides about the key of the next attempt. The owner of a key
 // seals it when it refuses a booking, so the booking needs a fresh one, unless
 // it may have run.
 func (d *delivery) prepareRepeat(failure *Error) {
-	if failure.reason == call.ReasonKeyExpired {
-		d.client.keys.drop(d.request.Service)
-	}
 	if d.request.Key == "" && !d.mayHaveRun && !failure.notSent {
 		d.key = ""
 	}
--- a/client_test.go
+++ b/client_test.go
@@ -79,30 +79,31 @@
 		want   call.Outcome
 		keys   []string
 	}{
-		"answered":                        {call.IfNotRun, []step{answer(200)}, call.Answered, []string{""}},
-		"answered with an error status":   {call.IfNotRun, []step{answer(500)}, call.Answered, []string{""}},
-		"redirect is an answer":           {call.IfNotRun, []step{answer(302)}, call.Answered, []string{""}},
-		"refused, then answered":          {call.IfNotRun, []step{busy, answer(200)}, call.Answered, []string{"", ""}},
-		"refused for good":                {call.IfNotRun, []step{busy, busy, busy, answer(200)}, notRun, []string{"", "", ""}},
-		"bad request is not repeated":     {call.IfNotRun, []step{refuse(notRun, call.ReasonUnknownRoute)}, notRun, []string{""}},
-		"lost lookup is not repeated":     {call.IfNotRun, []step{lost}, unknown, []string{""}},
-		"reset lookup is not repeated":    {call.IfNotRun, []step{reset}, unknown, []string{""}},
-		"truncated answer":                {call.IfNotRun, []step{cut}, unknown, []string{""}},
-		"answer without a checkable end":  {call.IfNotRun, []step{unframed}, unknown, []string{""}},
-		"answer of something else":        {call.IfNotRun, []step{foreign}, unknown, []string{""}},
-		"notRun with status 200":          {call.IfNotRun, []step{contradict}, unknown, []string{""}},
-		"always: lost, then answered":     {call.Always, []step{lost, answer(200)}, call.Answered, []string{"", ""}},
-		"always: lost, then refused":      {call.Always, []step{lost, busy, busy}, unknown, []string{"", "", ""}},
-		"booking answered":                {call.Never, []step{answer(200)}, call.Answered, []string{"k1"}},
-		"booking lost, same key":          {call.Never, []step{lost, answer(200)}, call.Answered, []string{"k1", "k1"}},
-		"booking truncated, same key":     {call.Never, []step{cut, answer(200)}, call.Answered, []string{"k1", "k1"}},
-		"booking reset, then refused":     {call.Never, []step{reset, busy, busy, busy}, unknown, []string{"k1", "k1", "k1", "k1"}},
-		"booking lost, then key expired":  {call.Never, []step{lost, refuse(notRun, call.ReasonKeyExpired)}, unknown, []string{"k1", "k1"}},
-		"booking's owner gone":            {call.Never, []step{refuse(unknown, call.ReasonOwnerGone)}, unknown, []string{"k1"}},
-		"booking refused, fresh key":      {call.Never, []step{busy, answer(200)}, call.Answered, []string{"k1", "k2"}},
-		"booking refused, lost, refused":  {call.Never, []step{busy, lost, busy}, unknown, []string{"k1", "k2", "k2"}},
-		"booking refused, key from node":  {call.Never, []step{nextKey("n1", busy), answer(200)}, call.Answered, []string{"k1", "n1"}},
-		"booking's key expired, then run": {call.Never, []step{refuse(notRun, call.ReasonKeyExpired), answer(200)}, call.Answered, []string{"k1", "k5"}},
+		"answered":                          {call.IfNotRun, []step{answer(200)}, call.Answered, []string{""}},
+		"answered with an error status":     {call.IfNotRun, []step{answer(500)}, call.Answered, []string{""}},
+		"redirect is an answer":             {call.IfNotRun, []step{answer(302)}, call.Answered, []string{""}},
+		"refused, then answered":            {call.IfNotRun, []step{busy, answer(200)}, call.Answered, []string{"", ""}},
+		"refused for good":                  {call.IfNotRun, []step{busy, busy, busy, answer(200)}, notRun, []string{"", "", ""}},
+		"bad request is not repeated":       {call.IfNotRun, []step{refuse(notRun, call.ReasonUnknownRoute)}, notRun, []string{""}},
+		"lost lookup is not repeated":       {call.IfNotRun, []step{lost}, unknown, []string{""}},
+		"reset lookup is not repeated":      {call.IfNotRun, []step{reset}, unknown, []string{""}},
+		"truncated answer":                  {call.IfNotRun, []step{cut}, unknown, []string{""}},
+		"answer without a checkable end":    {call.IfNotRun, []step{unframed}, unknown, []string{""}},
+		"answer of something else":          {call.IfNotRun, []step{foreign}, unknown, []string{""}},
+		"notRun with status 200":            {call.IfNotRun, []step{contradict}, unknown, []string{""}},
+		"always: lost, then answered":       {call.Always, []step{lost, answer(200)}, call.Answered, []string{"", ""}},
+		"always: lost, then refused":        {call.Always, []step{lost, busy, busy}, unknown, []string{"", "", ""}},
+		"booking answered":                  {call.Never, []step{answer(200)}, call.Answered, []string{"k1"}},
+		"booking lost, same key":            {call.Never, []step{lost, answer(200)}, call.Answered, []string{"k1", "k1"}},
+		"booking truncated, same key":       {call.Never, []step{cut, answer(200)}, call.Answered, []string{"k1", "k1"}},
+		"booking reset, then refused":       {call.Never, []step{reset, busy, busy, busy}, unknown, []string{"k1", "k1", "k1", "k1"}},
+		"booking lost, then key expired":    {call.Never, []step{lost, refuse(notRun, call.ReasonKeyExpired)}, unknown, []string{"k1", "k1"}},
+		"booking's owner gone":              {call.Never, []step{refuse(unknown, call.ReasonOwnerGone)}, unknown, []string{"k1"}},
+		"booking refused, fresh key":        {call.Never, []step{busy, answer(200)}, call.Answered, []string{"k1", "k2"}},
+		"booking refused, lost, refused":    {call.Never, []step{busy, lost, busy}, unknown, []string{"k1", "k2", "k2"}},
+		"booking refused by a leaving node": {call.Never, []step{refuse(notRun, call.ReasonDraining), answer(200)}, call.Answered, []string{"k1", "k5"}},
+		"booking refused, key from node":    {call.Never, []step{nextKey("n1", busy), answer(200)}, call.Answered, []string{"k1", "n1"}},
+		"booking's key expired, then run":   {call.Never, []step{refuse(notRun, call.ReasonKeyExpired), answer(200)}, call.Answered, []string{"k1", "k5"}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -120,6 +121,30 @@
 	}
 }
 
+// Guards against answers that never have a body being taken for truncated ones.
+func TestAnswersWithoutBody(t *testing.T) {
+	cases := map[string]struct {
+		method string
+		status int
+	}{
+		"head":         {http.MethodHead, 200},
+		"no content":   {http.MethodGet, 204},
+		"not modified": {http.MethodGet, 304},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				node := newFakeNode(t, func(w http.ResponseWriter) {
+					hijack(w, fmt.Sprintf("HTTP/1.1 %d X\r\nLacewingslip-Outcome: answered\r\n\r\n", tc.status))
+				})
+				got, err := node.client(t).Do(t.Context(), lacewingslip.Request{Service: "orders", Method: tc.method, Path: "/stock"})
+				must.NoError(t, err)
+				must.EqOp(t, tc.status, got.Status)
+			})
+		})
+	}
+}
+
 // Guards against a caller-chosen key that is replaced, which would book twice.
 func TestCallerChosenKeyIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -195,6 +220,10 @@
 	must.NoError(t, err)
 	_, err = client.Do(t.Context(), request)
 	must.EqOp(t, call.NotRun, lacewingslip.OutcomeOf(err))
+
+	request.Repeat, request.Key = call.Never, "1700000000-order-7" // may have been sent before
+	_, err = client.Do(t.Context(), request)
+	must.EqOp(t, call.Unknown, lacewingslip.OutcomeOf(err))
 }
 
 // Guards against requests and addresses that could only fail later, and with a
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,10 @@
 	maxInFlight    = 64
 	maxExpired     = 3
 	sampleSize     = 16
+	// After the restart of an availability zone, a node that is asked for its
+	// table may have started itself just now. When all nodes have, none has the
+	// whole table, and this many will do.
+	enoughTables = 3
 
 	// An exchange is a request, a comparison and repairs. More messages come
 	// only from a faulty node.
@@ -71,8 +76,13 @@
 	random   *rand.Rand
 	table    *Table
 	notified uint64
-	// complete says that a whole table has been received since the start.
+	// members is the table in order, as of the revision listed.
+	members []Member
+	listed  uint64
+	// complete says that a whole table has been received since the start, and
+	// fetched how many tables have been received for that.
 	complete bool
+	fetched  int
 	compared time.Time
 	// joined holds the addresses of nodes that the log says have joined.
 	joined joins
@@ -198,11 +208,16 @@
 }
 
 // Members returns all known nodes in order of their IDs, the node itself
-// included.
+// included. Callers share the slice and must not change it: with 1,100 members,
+// sorting them at each call would take a large part of the processor time that
+// a node has for control work.
 func (g *Gossip) Members() []Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Members()
+	if g.members == nil || g.listed != g.table.revision {
+		g.members, g.listed = slices.Clip(g.table.Members()), g.table.revision
+	}
+	return g.members
 }
 
 // Member returns what is known of one node.
