Tick only while calls wait, and carry members only after a change

The gate now arranges a tick only while calls wait, and members are carried into the data path after a change.

Also: the stand-in backend server answers only paths of its service. Ports are used again, and membership messages that nodes of a finished test sent to the former owner of a port were run as calls, with child calls, which let the retry bound test count calls of nobody. In the event log of a failing run those calls began before the test had sent its own.

--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -186,6 +186,12 @@
 		_ = json.NewEncoder(w).Encode(b.Runs())
 		return
 	}
+	if !strings.HasPrefix(r.URL.Path, "/"+b.service) {
+		// Systems under test use ports that others have just left, and the nodes of
+		// those may still send messages there. Such a message is not a call.
+		http.NotFound(w, r)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/node/gate.go
+++ b/node/gate.go
@@ -23,8 +23,14 @@
 	shed     uint64
 	draining bool
 	empty    chan struct{}
+	// ticking is true while a tick is due. There is one only while calls wait:
+	// on an idle node, ticks would be most of the processor time.
+	ticking bool
 }
 
+// tickInterval is how often waiting calls are looked at for passed deadlines.
+const tickInterval = 20 * time.Millisecond
+
 func newGate() *gate {
 	// Until settings arrive, one call at a time may run.
 	limits := admission.Limits{Slots: 1, Floor: 1, QueueLength: 1}
@@ -67,11 +73,21 @@
 	g.gone()
 }
 
-// tick runs the time-driven work of the controller.
-func (g *gate) tick(now time.Time) {
+// tick runs the time-driven work of the controller while calls wait.
+func (g *gate) tick() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.apply(g.controller.Tick(now, g.decisions[:0]))
+	g.ticking = false
+	g.apply(g.controller.Tick(time.Now(), g.decisions[:0]))
+}
+
+// tickLater arranges the next tick if calls wait. The caller holds the lock.
+func (g *gate) tickLater() {
+	if g.ticking || len(g.waiting) == 0 {
+		return
+	}
+	g.ticking = true
+	time.AfterFunc(tickInterval, g.tick)
 }
 
 // configure sets the limits that follow from the settings.
@@ -167,6 +183,7 @@
 		}
 		decided <- decision
 	}
+	g.tickLater()
 }
 
 // gone counts a call out. The caller holds the lock.
--- a/node/life.go
+++ b/node/life.go
@@ -17,12 +17,9 @@
 )
 
 const (
-	// tickInterval is how often time-driven work runs: expired calls leave the
-	// queue, limits adapt, news of members and settings reach the data path.
-	tickInterval = 20 * time.Millisecond
-	// syncEvery is how many ticks pass between two looks at members and
-	// settings.
-	syncEvery = 10
+	// syncInterval is how often news of members and settings reach the data
+	// path, and old entries leave the tables.
+	syncInterval = 200 * time.Millisecond
 	// leaveTimeout bounds the last message to the log service.
 	leaveTimeout = 2 * time.Second
 )
@@ -121,34 +118,45 @@
 
 // tick runs the time-driven work until the context ends.
 func (l *life) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
-	for n := 0; ; n++ {
+	for {
+		l.sync(time.Now())
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			l.gate.tick(now)
-			if n%syncEvery == 0 {
-				l.sync(now)
-			}
+		case <-ticker.C:
 		}
 	}
 }
 
-// sync carries members and settings into the data path.
+// sync carries members and settings into the data path. Members are carried
+// only after a change: with 1,100 of them that is most of the work.
 func (l *life) sync(now time.Time) {
-	members := l.gossip.Members()
-	l.directory.replace(members)
-	l.peers.replace(members)
-	l.routes.replace(members)
+	if l.directory.changed.Swap(false) {
+		l.carryMembers(l.gossip.Members())
+	}
 	l.routes.tick(now)
 	l.bookings.Tick(now)
 	l.backend.probe()
 	l.running.Tick(now)
 	l.applySettings()
 	l.attempts.forget(now)
-	l.measure(now, members)
+	l.measure(now)
+}
+
+// carryMembers takes over a changed membership table.
+func (l *life) carryMembers(members []membership.Member) {
+	l.directory.replace(members)
+	l.peers.replace(members)
+	l.routes.replace(members)
+	byHealth := make(map[membership.Health]int)
+	for _, m := range members {
+		byHealth[m.Health]++
+	}
+	for _, health := range []membership.Health{membership.Alive, membership.Suspect, membership.Unreachable, membership.Left} {
+		l.metrics.SetMembers(health.String(), byHealth[health])
+	}
 }
 
 // applySettings gives the settings of this node's service to admission.
@@ -167,14 +175,7 @@
 }
 
 // measure states the gauges.
-func (l *life) measure(now time.Time, members []membership.Member) {
-	byHealth := make(map[membership.Health]int)
-	for _, m := range members {
-		byHealth[m.Health]++
-	}
-	for _, health := range []membership.Health{membership.Alive, membership.Suspect, membership.Unreachable, membership.Left} {
-		l.metrics.SetMembers(health.String(), byHealth[health])
-	}
+func (l *life) measure(now time.Time) {
 	l.metrics.SetSettingsOffset(l.follower.Offset())
 	load := l.gate.load()
 	l.load.look(now, load, l.gate.refused(), l.backend.service())
--- a/node/node.go
+++ b/node/node.go
@@ -182,7 +182,7 @@
 }
 
 func newGossip(file File, i incarnation, l *listeners, j journal.Journal, clock *timeline.Clock,
-	follower *settings.Follower, events *timeline.Recorder,
+	follower *settings.Follower, d *directory, events *timeline.Recorder,
 ) *membership.Gossip {
 	self := membership.Self{
 		Node: file.node, Incarnation: i.number, Started: i.started,
@@ -192,7 +192,7 @@
 	return membership.New(self, membership.WithSeeds(file.seeds...), membership.WithJournal(j),
 		membership.WithRecorder(events),
 		membership.WithClock(func() string { return clock.Now().String() }, func(text string) { _ = clock.ObserveText(text) }), membership.WithSettingsOffset(follower.Offset),
-		membership.OnBehind(follower.Behind))
+		membership.OnBehind(follower.Behind), membership.OnChange(func() { d.changed.Store(true) }))
 }
 
 func newSender(r *routes, p *peers, clock *timeline.Clock, events *timeline.Recorder, watch *attemptWatch) *sender {
--- a/node/routes.go
+++ b/node/routes.go
@@ -101,10 +101,16 @@
 // directory holds the members for readers that were built before membership.
 type directory struct {
 	members atomic.Pointer[[]membership.Member]
+	// changed is true if the membership table has changed since it was read.
+	changed atomic.Bool
 	seeds   []string
 }
 
-func newDirectory(file File) *directory { return &directory{seeds: file.seeds} }
+func newDirectory(file File) *directory {
+	d := &directory{seeds: file.seeds}
+	d.changed.Store(true)
+	return d
+}
 
 func (d *directory) replace(members []membership.Member) { d.members.Store(&members) }
 
