Count only sent attempts, and let starting nodes name the right reason

A booking or lookup that met a node without settings ended with unknownService, which is not sent elsewhere; such a node now answers noUpstream. A node that takes no connection used up one of the client's three attempts although nothing was sent; it no longer does while there are others.

The statement that a request itself did not run has cases in the client's table: a fresh key is replaced, a lost, resent or caller-chosen one is not.

--- a/client.go
+++ b/client.go
@@ -175,6 +175,9 @@
 	// retries counts those of the client and, as far as they were told, of the
 	// nodes.
 	retries int
+	// skipped counts nodes that took no connection. Nothing was sent to them,
+	// so they don't count as attempts.
+	skipped int
 }
 
 func (d *delivery) run(ctx context.Context) (answer Answer, err error) {
@@ -188,7 +191,8 @@
 		d.dropStaleKeys(failure)
 		d.judge(failure)
 		d.mayHaveRun = d.mayHaveRun || failure.outcome == call.Unknown
-		if attempt == d.client.attempts || !d.repeatable(failure) || !wait(ctx, d.backoff(attempt, failure)) {
+		d.skipped += d.skips(failure)
+		if attempt-d.skipped >= d.client.attempts || !d.repeatable(failure) || !wait(ctx, d.backoff(attempt, failure)) {
 			return Answer{}, d.report(failure)
 		}
 		d.prepareRepeat(failure)
@@ -196,6 +200,15 @@
 	}
 }
 
+// skips is 1 if the next attempt goes to another node because this one took no
+// connection.
+func (d *delivery) skips(failure *Error) int {
+	if failure.notSent && d.skipped < len(d.client.nodes.addresses)-1 {
+		return 1
+	}
+	return 0
+}
+
 // judge uses what only the client knows: a key from its stock has not been sent
 // by anybody before this delivery. If the node says that the request itself did
 // not run, and no earlier attempt of the delivery may have, the booking did not.
--- a/client_test.go
+++ b/client_test.go
@@ -56,6 +56,14 @@
 	w.Header().Set(call.HeaderOutcome, call.NotRun.String())
 }
 
+// unsent is an unknown outcome that only an earlier request leaves open.
+func unsent(reason call.Reason) step {
+	return func(w http.ResponseWriter) {
+		w.Header().Set(call.HeaderAttempt, call.NotRun.String())
+		refuse(call.Unknown, reason)(w)
+	}
+}
+
 func retryAfter(seconds string, then step) step {
 	return func(w http.ResponseWriter) { w.Header().Set("Retry-After", seconds); then(w) }
 }
@@ -99,6 +107,10 @@
 		"booking reset, then refused":       {call.Never, []step{reset, busy, busy, busy}, unknown, []string{"k1", "k1", "k1", "k1"}},
 		"booking lost, then key expired":    {call.Never, []step{lost, refuse(notRun, call.ReasonKeyExpired)}, unknown, []string{"k1", "k1"}},
 		"booking's owner gone":              {call.Never, []step{refuse(unknown, call.ReasonOwnerGone)}, unknown, []string{"k1"}},
+		"fresh key's owner gone, other key": {call.Never, []step{unsent(call.ReasonOwnerGone), answer(200)}, call.Answered, []string{"k1", "k5"}},
+		"fresh key's owner gone for good":   {call.Never, []step{unsent(call.ReasonOwnerGone), unsent(call.ReasonOwnerGone), unsent(call.ReasonOwnerGone)}, notRun, []string{"k1", "k5", "k9"}},
+		"booking lost, then owner gone":     {call.Never, []step{lost, unsent(call.ReasonOwnerGone)}, unknown, []string{"k1", "k1"}},
+		"booking reset, then owner gone":    {call.Never, []step{reset, unsent(call.ReasonOwnerGone)}, unknown, []string{"k1", "k1"}},
 		"booking refused, fresh key":        {call.Never, []step{busy, answer(200)}, call.Answered, []string{"k1", "k2"}},
 		"booking refused, lost, refused":    {call.Never, []step{busy, lost, busy}, unknown, []string{"k1", "k2", "k2"}},
 		"booking refused by a leaving node": {call.Never, []step{refuse(notRun, call.ReasonDraining), answer(200)}, call.Answered, []string{"k1", "k5"}},
@@ -149,9 +161,10 @@
 func TestCallerChosenKeyIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		busy := refuse(call.NotRun, call.ReasonLogUnavailable)
-		node := newFakeNode(t, nextKey("n1", busy), refuse(call.Unknown, call.ReasonLost), busy)
+		node := newFakeNode(t, nextKey("n1", busy), unsent(call.ReasonUnreachable), busy)
 		_, err := node.client(t).Do(t.Context(), lacewingslip.Request{Service: "orders", Method: "POST", Path: "/book", Repeat: call.Never, Key: "mine"})
 		must.Eq(t, []string{"mine", "mine", "mine"}, node.keys)
+		must.EqOp(t, call.Unknown, lacewingslip.OutcomeOf(err))
 		var failure *lacewingslip.Error
 		must.True(t, errors.As(err, &failure))
 		must.EqOp(t, "mine", failure.Key())
@@ -216,6 +229,12 @@
 		_, err = client.Do(t.Context(), request)
 		must.NoError(t, err)
 	}
+	client, err = lacewingslip.New([]string{dead, live.Listener.Addr().String()}, lacewingslip.WithAttempts(1))
+	must.NoError(t, err)
+	for range 4 {
+		_, err = client.Do(t.Context(), request)
+		must.NoError(t, err)
+	}
 	client, err = lacewingslip.New([]string{dead})
 	must.NoError(t, err)
 	_, err = client.Do(t.Context(), request)
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -111,7 +111,7 @@
 	name := mux.Vars(r)["service"]
 	service, ok := tree.Service(name)
 	if !ok {
-		return nil, notRun(call.ReasonUnknownService, fmt.Sprintf("the settings have no service %q", name))
+		return nil, noService(tree, name)
 	}
 	route, ok := service.Route(r.Method, pathInService(r, name))
 	if !ok {
@@ -132,6 +132,15 @@
 	}, nil
 }
 
+// noService refuses a call to a service that is not in the settings. A node that
+// has just started has not read them yet; the call may be sent to another one.
+func noService(tree *settings.Tree, name string) *failure {
+	if len(tree.Services()) == 0 {
+		return notRun(call.ReasonNoUpstream, "this node has not read the settings yet")
+	}
+	return notRun(call.ReasonUnknownService, fmt.Sprintf("the settings have no service %q", name))
+}
+
 // pathInService is the path without the service's name.
 func pathInService(r *http.Request, service string) string {
 	path := r.URL.Path[len("/")+len(service):]
@@ -286,7 +295,7 @@
 		count = n
 	}
 	if _, ok := tree.Service(name); !ok {
-		writeFailure(w, notRun(call.ReasonUnknownService, fmt.Sprintf("the settings have no service %q", name)), "")
+		writeFailure(w, noService(tree, name), "")
 		return
 	}
 	issued := issuedKeys{ValidityMs: tree.KeyValidity().Milliseconds()}
