Keep idle connections open while a node stops, and stop issuing dead keys

Cause: TestRollingRestartUnderLoad failed in about half of its runs. Switching keep-alives off closes idle connections at once, while callers may just be sending on them; answers now carry Connection: close instead. An ingress also went on issuing keys for an incarnation that had already said that it had ended, until membership knew the next one.

--- a/node/ingress.go
+++ b/node/ingress.go
@@ -222,11 +222,17 @@
 
 // nextKey issues a key for a node that is likely to have room.
 func (i *ingress) nextKey(service string, importance call.Importance) (key booking.Key, ok bool) {
-	upstream, ok := i.routes.choose(routingQuery(service, importance))
-	if !ok {
-		return booking.Key{}, false
+	query := routingQuery(service, importance)
+	for {
+		upstream, ok := i.routes.choose(query)
+		if !ok {
+			return booking.Key{}, false
+		}
+		if key, ok = i.peers.issue(service, upstream.Node); ok {
+			return key, true
+		}
+		query.Tried = append(query.Tried, upstream.Node)
 	}
-	return i.peers.issue(service, upstream.Node)
 }
 
 // deliver passes the end of a call on to the caller.
--- a/node/routes.go
+++ b/node/routes.go
@@ -150,10 +150,13 @@
 
 	mu        sync.RWMutex
 	addresses map[string]string
+	// ended holds incarnations that are known to have ended before membership
+	// says so.
+	ended map[string]uint64
 }
 
 func newPeers(members memberTable) *peers {
-	return &peers{members: members, addresses: make(map[string]string)}
+	return &peers{members: members, addresses: make(map[string]string), ended: make(map[string]uint64)}
 }
 
 // replace takes over the peer addresses of all members, reachable or not.
@@ -165,6 +168,26 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.addresses = addresses
+	for node := range p.ended {
+		if _, known := addresses[node]; !known {
+			delete(p.ended, node)
+		}
+	}
+}
+
+// noteEnded notes that the incarnation of a node can't run its keys any more. No
+// more keys are issued for it until membership knows the next one.
+func (p *peers) noteEnded(node string, incarnation uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended[node] = incarnation
+}
+
+func (p *peers) hasEnded(node string, incarnation uint64) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	ended, ok := p.ended[node]
+	return ok && ended == incarnation
 }
 
 // find gives the peer address and the incarnation of a node.
@@ -182,7 +205,7 @@
 // issue makes a fresh key that the node alone may run.
 func (p *peers) issue(service, node string) (key booking.Key, ok bool) {
 	incarnation, epoch, ok := p.members.Epoch(node)
-	if !ok {
+	if !ok || p.hasEnded(node, incarnation) {
 		return booking.Key{}, false
 	}
 	return booking.Issue(service, node, incarnation, epoch), true
--- a/node/sender.go
+++ b/node/sender.go
@@ -99,6 +99,9 @@
 	if end.failure == nil {
 		return end, false
 	}
+	if end.failure.reason == call.ReasonOwnerGone && p.call.key != nil {
+		s.peers.noteEnded(p.call.key.Node(), p.call.key.Incarnation())
+	}
 	p.last = end.failure
 	p.mayHaveRun = p.mayHaveRun || mayHaveRun(end.failure)
 	if p.call.key != nil {
--- a/node/server.go
+++ b/node/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -71,6 +72,7 @@
 	listeners                       *listeners
 	caller, backend, peer, operator *http.Server
 	serving                         sync.WaitGroup
+	closing                         atomic.Bool
 }
 
 func newServers(l *listeners, i *ingress, e *egress, s *sidecar, b *backendServer, o *operator,
@@ -93,10 +95,10 @@
 	peer.PathPrefix(apiPrefix + "/settings/").Handler(follower.Handler())
 	routeCalls(peer, s)
 
-	return &servers{
-		listeners: l,
-		caller:    newServer(caller), backend: newServer(backend), peer: newServer(peer), operator: newServer(o.router()),
-	}
+	servers := &servers{listeners: l, backend: newServer(backend), operator: newServer(o.router())}
+	servers.caller = newServer(servers.closeAfterAnswer(caller))
+	servers.peer = newServer(servers.closeAfterAnswer(peer))
+	return servers
 }
 
 // routeCalls sends every path outside the API to the handler of calls.
@@ -131,10 +133,19 @@
 }
 
 // announceClose makes answers close their connections, so that callers move to
-// other nodes before the listener goes.
-func (s *servers) announceClose() {
-	s.caller.SetKeepAlivesEnabled(false)
-	s.peer.SetKeepAlivesEnabled(false)
+// other nodes before the listener goes. Idle connections stay open for now
+// (http.Server.SetKeepAlivesEnabled would close them): a caller may just be
+// sending on one, and would not know whether its call ran.
+func (s *servers) announceClose() { s.closing.Store(true) }
+
+// closeAfterAnswer closes connections after their answer once the node stops.
+func (s *servers) closeAfterAnswer(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
 }
 
 // shutdown ends the servers once their requests in progress have ended, the
