Close a stopping node's addresses only when nobody sends to them any more

Cause of the calls that were lost in TestRollingRestartUnderLoad: a listener that closes resets connections that wait to be accepted. Callers told to close their connections opened new ones to the same node, and other nodes went on sending bookings with its keys until the moment it closed.

The node now stops step by step: callers are asked to go elsewhere and calls end; then the node tells others that it has left; only stopDelay later the address for them closes. Members that have left get no more bookings, a refusal for draining counts as unreachable in routing, and a node that has no settings or no upstreams yet closes connections after its answers. The Go library avoids a node that closes connections.

Ruled out: holding connections open without serving them, because a caller would wait instead of using another node.

--- a/attempt.go
+++ b/attempt.go
@@ -20,7 +20,8 @@
 
 const (
 	maxErrorBytes = 64 << 10
-	// avoidFor is how long a node that refused a connection is tried last.
+	// avoidFor is how long a node that refused a connection, or closes
+	// connections after its answers, is tried last.
 	avoidFor = 5 * time.Second
 )
 
@@ -98,6 +99,10 @@
 	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	switch {
 	case err == nil:
+		if resp.Close {
+			// The node is about to stop. A call that meets the end of its listener would be lost.
+			c.nodes.avoid(address)
+		}
 		return resp, connections.Load() > 1, nil
 	case connections.Load() > 0:
 		return nil, false, &Error{outcome: call.Unknown, reason: lostReason(req.Context()), cause: err}
--- a/internal/e2e/processes.go
+++ b/internal/e2e/processes.go
@@ -258,7 +258,6 @@
 seeds: [%q]
 log: %q
 rootPublicKey: %s
-stopDelay: 100ms
 `, i+1, u.Region, u.Zone, u.Caller, u.BackendSide, u.Peer, u.Operator, s.firstPeer(u), s.LogAddress, public)
 }
 
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -157,7 +157,8 @@
 	switch {
 	case end.failure == nil:
 		return routing.Succeeded
-	case !end.sent:
+	case !end.sent, end.failure.reason == call.ReasonDraining:
+		// A node that leaves is about to stop listening.
 		return routing.Unreachable
 	case end.failure.outcome == call.NotRun:
 		return routing.Refused
--- a/node/life.go
+++ b/node/life.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -72,8 +73,11 @@
 	return nil
 }
 
-// stop ends the node: no new work for its backend server, then the calls in
-// progress end, then the node leaves.
+// stop ends the node step by step, so that nobody is sending to an address at
+// the moment at which it closes: no new work for the backend server; callers are
+// asked to go elsewhere; the calls in progress end; other nodes hear that this
+// one has left, and stop sending bookings with its keys; only then the address
+// for them closes.
 func (l *life) stop(ctx context.Context) (err error) {
 	l.events.Record(event.NodeStopping, attrNode(l.file.node))
 	l.ready.stopping.Store(true)
@@ -84,13 +88,15 @@
 	l.servers.announceClose()
 	wait(ctx, nil, l.file.stopDelay)
 	wait(ctx, empty, l.file.stopDeadline)
-	err = l.servers.shutdown(ctx)
+	err = l.servers.caller.Shutdown(ctx)
+	l.leave()
+	wait(ctx, nil, l.file.stopDelay)
+	err = errors.Join(err, l.servers.shutdown(ctx))
 	if ctx.Err() != nil {
 		l.events.Record(event.StopDeadlineExceeded, attrNode(l.file.node),
 			slog.Duration("deadline", l.file.stopDeadline), slog.Int("running", l.gate.load().Running))
 	}
 	l.servers.close()
-	l.leave()
 	l.cancel()
 	l.loops.Wait()
 	l.events.Record(event.NodeStopped, attrNode(l.file.node))
--- a/node/operator.go
+++ b/node/operator.go
@@ -58,14 +58,18 @@
 // health says that the process answers.
 func (o *operator) health(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }
 
-// readyz says whether callers should use this node: it has settings and is not
-// about to stop.
+// canCarry reports whether the node knows the settings and where to send calls.
+func (o *operator) canCarry() bool {
+	return len(o.follower.Tree().Services()) > 0 && o.routes.count() > 0
+}
+
+// readyz says whether callers should use this node.
 func (o *operator) readyz(w http.ResponseWriter, _ *http.Request) {
 	switch {
 	case o.ready.stopping.Load():
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
-	case len(o.follower.Tree().Services()) == 0:
-		http.Error(w, "no settings yet", http.StatusServiceUnavailable)
+	case !o.canCarry():
+		http.Error(w, "no settings or no backend servers known yet", http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ready\n"))
 	}
--- a/node/routes.go
+++ b/node/routes.go
@@ -159,11 +159,14 @@
 	return &peers{members: members, addresses: make(map[string]string), ended: make(map[string]uint64)}
 }
 
-// replace takes over the peer addresses of all members, reachable or not.
+// replace takes over the peer addresses of all members, reachable or not. A node
+// that has left on purpose runs no more keys.
 func (p *peers) replace(members []membership.Member) {
 	addresses := make(map[string]string, len(members))
 	for _, m := range members {
-		addresses[m.Node()] = m.Peer()
+		if m.Health != membership.Left {
+			addresses[m.Node()] = m.Peer()
+		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/server.go
+++ b/node/server.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/gorilla/mux"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/lacewingslip/lacewingslip/membership"
 	"github.com/lacewingslip/lacewingslip/settings"
@@ -96,8 +95,8 @@
 	routeCalls(peer, s)
 
 	servers := &servers{listeners: l, backend: newServer(backend), operator: newServer(o.router())}
-	servers.caller = newServer(servers.closeAfterAnswer(caller))
-	servers.peer = newServer(servers.closeAfterAnswer(peer))
+	servers.caller = newServer(servers.closeAfterAnswer(caller, o.canCarry))
+	servers.peer = newServer(servers.closeAfterAnswer(peer, func() bool { return true }))
 	return servers
 }
 
@@ -138,24 +137,23 @@
 // sending on one, and would not know whether its call ran.
 func (s *servers) announceClose() { s.closing.Store(true) }
 
-// closeAfterAnswer closes connections after their answer once the node stops.
-func (s *servers) closeAfterAnswer(handler http.Handler) http.Handler {
+// closeAfterAnswer closes connections after their answer while the node is about
+// to stop, or has just started and can't carry calls yet: callers of the library
+// take that as a sign to use other nodes for a while.
+func (s *servers) closeAfterAnswer(handler http.Handler, ready func() bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.closing.Load() {
+		if s.closing.Load() || !ready() {
 			w.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(w, r)
 	})
 }
 
-// shutdown ends the servers once their requests in progress have ended, the
-// one for the backend server last, because requests in progress need it.
+// shutdown ends the servers other than that for callers once their requests in
+// progress have ended, the one for the backend server after that for nodes,
+// because calls in progress need it.
 func (s *servers) shutdown(ctx context.Context) (err error) {
-	var group errgroup.Group
-	group.Go(func() error { return s.caller.Shutdown(ctx) })
-	group.Go(func() error { return s.peer.Shutdown(ctx) })
-	err = group.Wait()
-	return errors.Join(err, s.backend.Shutdown(ctx), s.operator.Shutdown(ctx))
+	return errors.Join(s.peer.Shutdown(ctx), s.backend.Shutdown(ctx), s.operator.Shutdown(ctx))
 }
 
 // close cuts off whatever is still in progress.
