Refuse membership messages of other systems, and use settings at once

Cause: addresses are used again. A node of another organisation, or of a test that has ended, that still sends messages to an address would merge its table with that of the new owner. Messages now carry the system, a hash of the root key, and others are refused; the test fails without the check (a second member is known).

Also: a new backend server waited up to 200 ms for the limits of its settings, with one slot until then; they are taken over with the announcement. A child booking under a repeated attempt was called notRun although the first attempt may have made it; it is unknown now.

Found by the check: readiness that waits for backend servers keeps the first node of a system from ever being ready (the operator pages' test), so it asks for the settings only; a test read a log buffer while calls that were cut off still wrote to it.

--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -28,6 +28,9 @@
 		if err = g.post(ctx, exchangeTimeout, address, exchangePath, request, &answer); err != nil {
 			return err
 		}
+		if err = g.checkSystem(answer.header); err != nil {
+			return err
+		}
 		if node != "" && answer.From != node {
 			return fmt.Errorf("node %q answers at %s, expected node %q", answer.From, address, node)
 		}
@@ -54,11 +57,18 @@
 
 func (g *Gossip) newHeader() header {
 	return header{
-		From: g.self.Node, Incarnation: g.self.Incarnation, Age: g.ownAge(),
+		From: g.self.Node, Incarnation: g.self.Incarnation, System: g.self.System, Age: g.ownAge(),
 		Clock: g.readClock(), Settings: g.settingsOffset(),
 	}
 }
 
+func (g *Gossip) checkSystem(h header) (err error) {
+	if h.System != g.self.System {
+		return fmt.Errorf("node %q belongs to system %q, not to %q", h.From, h.System, g.self.System)
+	}
+	return nil
+}
+
 // observe passes on what a message carries besides entries.
 func (g *Gossip) observe(h header, address string) {
 	if h.Clock != "" {
@@ -142,6 +152,10 @@
 		refuse(w, err)
 		return
 	}
+	if err := g.checkSystem(request.header); err != nil {
+		refuse(w, err)
+		return
+	}
 	if request.To != "" && request.To != g.self.Node {
 		refuse(w, fmt.Errorf("node %q answers at this address, not node %q", g.self.Node, request.To))
 		return
--- a/membership/failure_test.go
+++ b/membership/failure_test.go
@@ -1,9 +1,13 @@
 package membership
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -278,6 +282,31 @@
 	}
 }
 
+// An address may pass to a VM of another organisation. Its nodes must not merge
+// with those that still send messages there.
+func TestOtherSystemIsRefused(t *testing.T) {
+	for name, tc := range map[string]struct {
+		system string
+		status int
+		known  int
+	}{
+		"same system":    {"one", http.StatusOK, 2},
+		"another system": {"two", http.StatusBadRequest, 1},
+		"no system":      {"", http.StatusBadRequest, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := New(Self{Node: "a", Incarnation: 1, Started: start, Peer: "a:1", System: "one"})
+			entry := update{fields: fields{Node: "b", Incarnation: 2, StartedMS: start.UnixMilli(), Version: 1, Peer: "b:1", Region: "r", Zone: "z"}}
+			body, err := json.Marshal(exchangeRequest{header: header{From: "b", Incarnation: 2, System: tc.system, Entries: []update{entry}}})
+			must.NoError(t, err)
+			answer := httptest.NewRecorder()
+			g.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodPost, exchangePath, bytes.NewReader(body)))
+			must.EqOp(t, tc.status, answer.Code, must.Sprint(answer.Body.String()))
+			must.SliceLen(t, tc.known, g.Members())
+		})
+	}
+}
+
 // fakeLog is a log service in memory.
 type fakeLog struct {
 	mu      sync.Mutex
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -175,6 +175,10 @@
 	Peer, Caller, Operator string
 	// Region and Zone say where the node runs.
 	Region, Zone string
+	// System is the same for all nodes that belong together. Messages of other
+	// systems are refused: an address may pass to a VM of another one while its
+	// former peers still send messages there.
+	System string
 }
 
 // Backend is what a backend server announces to its node.
--- a/membership/wire.go
+++ b/membership/wire.go
@@ -19,11 +19,12 @@
 	probePath    = "/lacewingslip/v1/membership/probe"
 
 	// A full table of 1,100 entries takes about 0.3 MB.
-	maxBodyBytes  = 1 << 20
-	maxNameBytes  = 64
-	maxClockBytes = 64
-	maxSlots      = 1 << 20
-	maxStartedMS  = 1 << 52
+	maxBodyBytes   = 1 << 20
+	maxNameBytes   = 64
+	maxClockBytes  = 64
+	maxSystemBytes = 64
+	maxSlots       = 1 << 20
+	maxStartedMS   = 1 << 52
 )
 
 // ask is what a node wants in addition to recent changes.
@@ -42,6 +43,8 @@
 type header struct {
 	From        string `json:"from"`
 	Incarnation uint64 `json:"incarnation,string"`
+	// System is that of [Self].
+	System string `json:"system,omitempty"`
 	// Age is the age of the incarnation in seconds.
 	Age uint32 `json:"age"`
 	// Clock is the hybrid clock's value, which membership only carries.
@@ -143,6 +146,9 @@
 	if err := checkName("from", h.From, true); err != nil {
 		return err
 	}
+	if len(h.System) > maxSystemBytes {
+		return fmt.Errorf("system has %d bytes, expected at most %d", len(h.System), maxSystemBytes)
+	}
 	if len(h.Clock) > maxClockBytes {
 		return fmt.Errorf("clock has %d bytes, expected at most %d", len(h.Clock), maxClockBytes)
 	}
--- a/node/backend.go
+++ b/node/backend.go
@@ -40,6 +40,9 @@
 	// gone is true once the backend server has left.
 	gone bool
 
+	// applySettings takes over the limits of the announced service.
+	applySettings func()
+
 	// stopping is true once the node itself stops.
 	stopping atomic.Bool
 }
@@ -144,6 +147,7 @@
 	if fresh {
 		b.members.Announce(membership.Backend{Service: a.Service, Slots: a.Slots})
 		b.members.SetState(membership.Ready)
+		b.applySettings()
 		b.events.Record(event.BackendAnnounced, attrService(a.Service), slog.String("address", a.Address))
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/node/egress.go
+++ b/node/egress.go
@@ -109,7 +109,9 @@
 	case c.context.Depth > call.MaxDepth:
 		return c, child, notRun(call.ReasonTooDeep, "the chain of calls is too long")
 	case c.context.Repeated && c.route.Repeat == call.Never:
-		return c, child, notRun(call.ReasonRepeated, "an earlier attempt of the calling request may have made this booking")
+		f = unknown(call.ReasonRepeated, "an earlier attempt of the calling request may have made this booking")
+		f.selfNotRun = true
+		return c, child, f
 	}
 	if c.body, f = readBody(w, r, c.route.MaxBody); f != nil {
 		return c, child, f
--- a/node/life.go
+++ b/node/life.go
@@ -64,6 +64,7 @@
 func (l *life) start(context.Context) (err error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
+	l.backend.applySettings = l.applySettings
 	l.servers.start()
 	// Run ends with the context; what went wrong before is in its events.
 	l.loops.Go(func() { _ = l.follower.Run(ctx) })
--- a/node/node.go
+++ b/node/node.go
@@ -23,8 +23,11 @@
 
 import (
 	"context"
+	"crypto/ed25519"
 	"crypto/rand"
+	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"log/slog"
 	"time"
 
@@ -187,7 +190,7 @@
 	self := membership.Self{
 		Node: file.node, Incarnation: i.number, Started: i.started,
 		Peer: l.peer.Addr().String(), Caller: l.caller.Addr().String(), Operator: l.operator.Addr().String(),
-		Region: file.region, Zone: file.zone,
+		Region: file.region, Zone: file.zone, System: systemOf(file.rootPublicKey),
 	}
 	return membership.New(self, membership.WithSeeds(file.seeds...), membership.WithJournal(j),
 		membership.WithRecorder(events),
@@ -195,6 +198,13 @@
 		membership.OnBehind(follower.Behind), membership.OnChange(func() { d.changed.Store(true) }))
 }
 
+// systemOf tells the nodes of one organisation from those of another by the
+// root key that they trust.
+func systemOf(key ed25519.PublicKey) (system string) {
+	sum := sha256.Sum256(key)
+	return hex.EncodeToString(sum[:4])
+}
+
 func newSender(r *routes, p *peers, clock *timeline.Clock, events *timeline.Recorder, watch *attemptWatch) *sender {
 	return &sender{transport: newTransport(0, peerIdle), routes: r, peers: p, clock: clock, events: events, watch: watch}
 }
@@ -224,5 +234,5 @@
 }
 
 func newBackendServer(g *gate, gossip *membership.Gossip, events *timeline.Recorder) *backendServer {
-	return &backendServer{gate: g, members: gossip, events: events}
+	return &backendServer{gate: g, members: gossip, events: events, applySettings: func() {}}
 }
--- a/node/operator.go
+++ b/node/operator.go
@@ -58,18 +58,20 @@
 // health says that the process answers.
 func (o *operator) health(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }
 
+func (o *operator) hasSettings() bool { return len(o.follower.Tree().Services()) > 0 }
+
 // canCarry reports whether the node knows the settings and where to send calls.
-func (o *operator) canCarry() bool {
-	return len(o.follower.Tree().Services()) > 0 && o.routes.count() > 0
-}
+func (o *operator) canCarry() bool { return o.hasSettings() && o.routes.count() > 0 }
 
-// readyz says whether callers should use this node.
+// readyz says whether callers should use this node: it has settings and is not
+// about to stop. It does not wait for backend servers, since the first node of a
+// system has none to know.
 func (o *operator) readyz(w http.ResponseWriter, _ *http.Request) {
 	switch {
 	case o.ready.stopping.Load():
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
-	case !o.canCarry():
-		http.Error(w, "no settings or no backend servers known yet", http.StatusServiceUnavailable)
+	case !o.hasSettings():
+		http.Error(w, "no settings yet", http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ready\n"))
 	}
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -86,11 +86,30 @@
 	return ""
 }
 
+// lockedBuffer keeps a log that is read while calls that were cut off still
+// write to it.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (n int, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
 // A planned stop must not wait for ever, and must say so when it cuts calls off.
 func TestStopDeadlineIsReported(t *testing.T) {
 	orders, started, release := held("orders")
 	defer release()
-	var log bytes.Buffer
+	var log lockedBuffer
 	system := startTesfaye(t, loopback.WithUpstream("addis", "addis-a", orders),
 		loopback.WithLogger(slog.New(slog.NewJSONHandler(&log, nil))), loopback.WithStopDeadline(100*time.Millisecond))
 	cut := make(chan error, 1)
