--- a/node/input_test.go
+++ b/node/input_test.go
@@ -130,6 +130,16 @@
 	}
 }
 
+// The sample node files must be accepted as they are.
+func TestSampleNodeFiles(t *testing.T) {
+	for _, name := range []string{"tesfaye", "association"} {
+		t.Run(name, func(t *testing.T) {
+			_, err := node.ReadFile("../examples/nodes/" + name + ".yaml")
+			must.NoError(t, err)
+		})
+	}
+}
+
 // A node whose address is taken must say which one, and must not hold the
 // others.
 func TestAddressTaken(t *testing.T) {
