Check and fuzz the announcements of backend servers

Cause: the announcement was the one decoder of outside data without a fuzz target, and its errors had no test.

Ruled out: taking unknown keys, because a misspelt key would go unnoticed. No change for callers.

--- a/node/backend.go
+++ b/node/backend.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/membership"
 )
@@ -66,6 +69,18 @@
 	Instance string `json:"instance,omitempty"`
 }
 
+// readAnnouncement reads and checks an announcement. Unknown keys are errors, so
+// that a misspelt one does not go unnoticed.
+func readAnnouncement(body io.Reader) (a announcement, err error) {
+	defer func() { err = eris.Wrap(err, "announcement") }()
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	if err = decoder.Decode(&a); err != nil {
+		return announcement{}, err
+	}
+	return a, a.check()
+}
+
 func (a announcement) check() (err error) {
 	if a.Service == "" {
 		return fmt.Errorf("service is missing")
@@ -124,15 +139,9 @@
 // announce serves POST /lacewingslip/v1/announcement. A backend server repeats
 // its announcement, so that a node that was restarted hears of it.
 func (b *backendServer) announce(w http.ResponseWriter, r *http.Request) {
-	var a announcement
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(&a)
-	if err == nil {
-		err = a.check()
-	}
+	a, err := readAnnouncement(http.MaxBytesReader(w, r.Body, maxAnnouncement))
 	if err != nil {
-		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	if b.stopping.Load() {
--- /dev/null
+++ b/node/backend_test.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// A backend server whose announcement is wrong must hear what is wrong, and get
+// no calls at an address that can't be one.
+func TestReadAnnouncement(t *testing.T) {
+	cases := map[string]struct{ body, want string }{
+		"good":           {`{"service":"orders","address":"127.0.0.1:1","slots":1}`, ""},
+		"truncated":      {`{"service":"ord`, "unexpected EOF"},
+		"misspelt key":   {`{"servcie":"orders"}`, `unknown field "servcie"`},
+		"no service":     {`{"address":"127.0.0.1:1"}`, "service is missing"},
+		"no port":        {`{"service":"orders","address":"127.0.0.1"}`, "is not host:port"},
+		"negative slots": {`{"service":"orders","address":"127.0.0.1:1","slots":-1}`, "must not be negative"},
+		"wrong type":     {`{"service":1}`, "cannot unmarshal number"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := readAnnouncement(strings.NewReader(c.body))
+			if c.want == "" {
+				must.NoError(t, err)
+				return
+			}
+			must.ErrorContains(t, err, c.want)
+		})
+	}
+}
+
+func FuzzReadAnnouncement(f *testing.F) {
+	f.Add([]byte(`{"service":"orders","address":"127.0.0.1:1","slots":1,"connections":2,"instance":"a"}`))
+	f.Add([]byte(`{"service":{}}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if a, err := readAnnouncement(bytes.NewReader(body)); err == nil {
+			must.NoError(t, a.check())
+		}
+	})
+}
