--- a/journal/journal.go
+++ b/appendlog/appendlog.go
@@ -1,15 +1,15 @@
-// Package journal is the client of the platform's append-only log service,
+// Package appendlog is the client of the platform's append-only log service,
 // which keeps everything that has to outlive the nodes.
 //
 // # Usage
 //
-//	log := journal.New("127.0.0.1:7000")
+//	log := appendlog.New("127.0.0.1:7000")
 //	offset, err := log.Append(ctx, "settings", record)
 //	page, err := log.Read(ctx, "settings", offset, 100, 0)
 //
 // An append whose answer is lost may have taken effect. Callers give their
 // records an ID and find it by reading back.
-package journal
+package appendlog
 
 import (
 	"context"
--- a/journal/client.go
+++ b/appendlog/client.go
@@ -1,4 +1,4 @@
-package journal
+package appendlog
 
 import (
 	"bytes"
--- a/journal/client_test.go
+++ b/appendlog/client_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package appendlog_test
 
 import (
 	"net/http/httptest"
@@ -9,24 +9,24 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lacewingslip/lacewingslip/internal/standin/logservice"
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
-func startLog(t *testing.T, opts ...logservice.Option) (*logservice.Service, *journal.Client) {
+func startLog(t *testing.T, opts ...logservice.Option) (*logservice.Service, *appendlog.Client) {
 	service := logservice.New(opts...)
 	server := httptest.NewServer(service)
 	t.Cleanup(server.Close)
-	return service, journal.New(server.Listener.Addr().String())
+	return service, appendlog.New(server.Listener.Addr().String())
 }
 
-func appendAll(t *testing.T, log journal.Journal, records ...string) {
+func appendAll(t *testing.T, log appendlog.Journal, records ...string) {
 	for _, record := range records {
 		_, err := log.Append(t.Context(), "s", []byte(record))
 		must.NoError(t, err)
 	}
 }
 
-func contents(page journal.Page) (records []string) {
+func contents(page appendlog.Page) (records []string) {
 	for _, record := range page.Records {
 		records = append(records, string(record.Data))
 	}
@@ -83,7 +83,7 @@
 			service, _ := startLog(t)
 			server := httptest.NewServer(service)
 			defer server.Close()
-			log := journal.New(server.Listener.Addr().String(), journal.WithTimeout(50*time.Millisecond))
+			log := appendlog.New(server.Listener.Addr().String(), appendlog.WithTimeout(50*time.Millisecond))
 			service.SetFaults(c.faults)
 			_, err := log.Append(t.Context(), "s", []byte("a"))
 			must.Error(t, err)
--- a/booking/claims.go
+++ b/booking/claims.go
@@ -15,7 +15,7 @@
 
 	"github.com/lacewingslip/lacewingslip/call"
 	"github.com/lacewingslip/lacewingslip/event"
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 const (
@@ -50,7 +50,7 @@
 // Claims maps caller-chosen keys to issued keys through the log: the first
 // claim of a key in log order decides. It is safe for concurrent use.
 type Claims struct {
-	journal    journal.Journal
+	journal    appendlog.Journal
 	recorder   Recorder
 	logTimeout time.Duration
 	shards     [Shards]*shard
@@ -61,7 +61,7 @@
 
 // NewClaims takes [WithValidity], [WithLogTimeout], [WithMaxEntries],
 // [WithRecorder] and [WithRandom]. It reads nothing from the log until the first claim.
-func NewClaims(j journal.Journal, opts ...Option) *Claims {
+func NewClaims(j appendlog.Journal, opts ...Option) *Claims {
 	o := options{validity: defaultCallerValidity, logTimeout: defaultLogTimeout, maxEntries: defaultMaxClaims, recorder: noRecorder{}}
 	o.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	o.apply(opts)
@@ -285,7 +285,7 @@
 }
 
 // apply skips records that another reader of the same shard has applied.
-func (s *shard) apply(page journal.Page) {
+func (s *shard) apply(page appendlog.Page) {
 	for _, record := range page.Records {
 		if record.Offset < s.view.next {
 			continue
--- a/internal/candidates/candidates.go
+++ b/internal/candidates/candidates.go
@@ -23,7 +23,7 @@
 
 	"github.com/lacewingslip/lacewingslip/booking"
 	"github.com/lacewingslip/lacewingslip/call"
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 // Candidate decides whether a booking may run. A booking that Book accepts has
@@ -60,7 +60,7 @@
 
 // NewClaimed returns nodes that claim each key in the log, and take turns in
 // receiving bookings.
-func NewClaimed(j journal.Journal, nodes int) *Claimed {
+func NewClaimed(j appendlog.Journal, nodes int) *Claimed {
 	c := &Claimed{ledger: booking.New(incarnation, time.Now())}
 	for range nodes {
 		c.nodes = append(c.nodes, booking.NewClaims(j))
@@ -84,7 +84,7 @@
 // Leased is the design of key ranges owned by lease: the holder decides alone
 // while its lease lasts, and renews it in the log.
 type Leased struct {
-	journal journal.Journal
+	journal appendlog.Journal
 	holder  string
 	ttl     time.Duration
 	fenced  bool
@@ -112,7 +112,7 @@
 // NewLeased returns a node that takes the lease on the one key range when it is
 // free. If it is fenced, it reads the stream before each booking. The pause
 // function, which may be nil, is called between the last check and the run.
-func NewLeased(j journal.Journal, holder string, ttl time.Duration, fenced bool, pause func()) *Leased {
+func NewLeased(j appendlog.Journal, holder string, ttl time.Duration, fenced bool, pause func()) *Leased {
 	if pause == nil {
 		pause = func() {}
 	}
--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -15,7 +15,7 @@
 	"github.com/rogpeppe/go-internal/diff"
 	"github.com/urfave/cli/v3"
 
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 	"github.com/lacewingslip/lacewingslip/settings"
 )
 
@@ -170,7 +170,7 @@
 
 // session is the settings in effect as a command reads them.
 type session struct {
-	log     journal.Journal
+	log     appendlog.Journal
 	nodes   settings.Nodes
 	history *settings.History
 }
@@ -181,7 +181,7 @@
 		return nil, usageError(c, "--root-key: "+err.Error())
 	}
 	s = &session{
-		log:     journal.New(c.String("log")),
+		log:     appendlog.New(c.String("log")),
 		nodes:   settings.Nodes{Client: &http.Client{}},
 		history: settings.NewHistory(key),
 	}
@@ -585,7 +585,7 @@
 	if err != nil {
 		return err
 	}
-	log := journal.New(c.String("log"))
+	log := appendlog.New(c.String("log"))
 	page, err := log.Read(ctx, settings.Stream, from, 1, 0)
 	if err != nil {
 		return err
--- a/internal/command/settings_test.go
+++ b/internal/command/settings_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/lacewingslip/lacewingslip/internal/command"
 	"github.com/lacewingslip/lacewingslip/internal/standin/logservice"
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 	"github.com/lacewingslip/lacewingslip/settings"
 )
 
@@ -35,7 +35,7 @@
 	rootKey, teamKey := o.keygen("root.key"), o.keygen("orders.key")
 	public, err := settings.ParsePublicKey(rootKey)
 	must.NoError(t, err)
-	follower := settings.NewFollower(journal.New(logServer.Listener.Addr().String()), settings.NewHistory(public))
+	follower := settings.NewFollower(appendlog.New(logServer.Listener.Addr().String()), settings.NewHistory(public))
 	go func() { _ = follower.Run(t.Context()) }()
 	mux := http.NewServeMux()
 	node := httptest.NewServer(mux)
--- a/internal/e2e/processes.go
+++ b/internal/e2e/processes.go
@@ -30,7 +30,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lacewingslip/lacewingslip/internal/loopback"
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 	"github.com/lacewingslip/lacewingslip/settings"
 )
 
@@ -217,7 +217,7 @@
 	if err != nil {
 		return err
 	}
-	log := journal.New(s.LogAddress)
+	log := appendlog.New(s.LogAddress)
 	for {
 		if _, err = log.Read(ctx, settings.Stream, 0, 1, 0); err == nil {
 			break
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -26,7 +26,7 @@
 
 	"github.com/lacewingslip/lacewingslip/internal/standin/backend"
 	"github.com/lacewingslip/lacewingslip/internal/standin/logservice"
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 	"github.com/lacewingslip/lacewingslip/node"
 	"github.com/lacewingslip/lacewingslip/settings"
 )
@@ -149,14 +149,14 @@
 }
 
 func (s *System) publish(ctx context.Context) (err error) {
-	s.rootKey, s.published, err = Publish(ctx, journal.New(s.logAt), s.root, s.branches...)
+	s.rootKey, s.published, err = Publish(ctx, appendlog.New(s.logAt), s.root, s.branches...)
 	return err
 }
 
 // Publish signs a settings tree with fresh keys, writes their public halves
 // into the root branch, and appends every branch to the log. The tree is covered
 // by the returned settings offset.
-func Publish(ctx context.Context, log journal.Journal, root settings.File, branches ...settings.File) (
+func Publish(ctx context.Context, log appendlog.Journal, root settings.File, branches ...settings.File) (
 	rootKey ed25519.PrivateKey, offset int64, err error,
 ) {
 	tree, err := settings.Parse(root, branches...)
@@ -184,7 +184,7 @@
 }
 
 // publishBranch signs the first revision of a branch and appends it to the log.
-func publishBranch(ctx context.Context, log journal.Journal, history *settings.History, branch settings.File,
+func publishBranch(ctx context.Context, log appendlog.Journal, history *settings.History, branch settings.File,
 	key ed25519.PrivateKey,
 ) (err error) {
 	defer func() { err = eris.Wrapf(err, "publish branch %q", branch.Branch()) }()
--- a/internal/matrix/log.go
+++ b/internal/matrix/log.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 // LogFault is what happens to one request to the log.
@@ -61,7 +61,7 @@
 	return &Log{streams: map[string][][]byte{}, oldest: map[string]int64{}, delay: delay, fault: fault}
 }
 
-// Append implements [journal.Journal].
+// Append implements [appendlog.Journal].
 func (l *Log) Append(ctx context.Context, stream string, data []byte) (offset int64, err error) {
 	if err := l.wait(ctx); err != nil {
 		return 0, err
@@ -81,25 +81,25 @@
 	}
 }
 
-// Read implements [journal.Journal]. It never waits for records to come.
-func (l *Log) Read(ctx context.Context, stream string, from int64, limit int, _ time.Duration) (page journal.Page, err error) {
+// Read implements [appendlog.Journal]. It never waits for records to come.
+func (l *Log) Read(ctx context.Context, stream string, from int64, limit int, _ time.Duration) (page appendlog.Page, err error) {
 	if err := l.wait(ctx); err != nil {
-		return journal.Page{}, err
+		return appendlog.Page{}, err
 	}
 	f := l.fault(LogRequest{Stream: stream})
 	if f == LogDown {
-		return journal.Page{}, errLogDown
+		return appendlog.Page{}, errLogDown
 	}
 	if err := l.answer(ctx, f); err != nil {
-		return journal.Page{}, err
+		return appendlog.Page{}, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
 	records := l.streams[stream]
-	page = journal.Page{Oldest: l.oldest[stream], Next: int64(len(records))}
+	page = appendlog.Page{Oldest: l.oldest[stream], Next: int64(len(records))}
 	for o := max(from, page.Oldest); o < page.Next && len(page.Records) < limit; o++ {
-		page.Records = append(page.Records, journal.Record{Offset: o, Data: records[o]})
+		page.Records = append(page.Records, appendlog.Record{Offset: o, Data: records[o]})
 	}
 	return page, nil
 }
--- a/internal/matrix/nodelog.go
+++ b/internal/matrix/nodelog.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 // nodeLog is the log as one instance of a node sees it, with the faults on the
@@ -34,11 +34,11 @@
 // logAnswer is the log's answer to either request.
 type logAnswer struct {
 	offset int64
-	page   journal.Page
+	page   appendlog.Page
 	err    error
 }
 
-// Append implements [journal.Journal].
+// Append implements [appendlog.Journal].
 func (l *nodeLog) Append(ctx context.Context, stream string, data []byte) (offset int64, err error) {
 	m := l.message("append", bytes.Contains(data, []byte(mainBooking)))
 	a := l.exchange(ctx, m, ClaimAppendRequest, ClaimAppendAnswer, func() (a logAnswer) {
@@ -51,10 +51,10 @@
 	return a.offset, a.err
 }
 
-// Read implements [journal.Journal].
-func (l *nodeLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (page journal.Page, err error) {
+// Read implements [appendlog.Journal].
+func (l *nodeLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (page appendlog.Page, err error) {
 	if l.setBlind(false) {
-		return journal.Page{}, errLost
+		return appendlog.Page{}, errLost
 	}
 	cold := l.coldAt[stream]
 	a := l.exchange(ctx, l.message("read", true), ClaimReadRequest, ClaimReadAnswer, func() (a logAnswer) {
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -7,7 +7,7 @@
 //	server := httptest.NewServer(service)
 //	service.SetFaults(logservice.Faults{Down: true})
 //
-// A Service is also a [journal.Journal] by itself, which tests use where HTTP
+// A Service is also a [appendlog.Journal] by itself, which tests use where HTTP
 // does not matter.
 package logservice
 
@@ -18,7 +18,7 @@
 	"sync"
 	"time"
 
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 // ErrFault is the error of a request that failed because of [Faults].
@@ -46,7 +46,7 @@
 	faults  Faults
 }
 
-var _ journal.Journal = (*Service)(nil)
+var _ appendlog.Journal = (*Service)(nil)
 
 type stream struct {
 	oldest   int64
@@ -92,7 +92,7 @@
 	return s.faults
 }
 
-// Append implements [journal.Journal].
+// Append implements [appendlog.Journal].
 func (s *Service) Append(ctx context.Context, stream string, data []byte) (offset int64, err error) {
 	if err := s.admit(ctx); err != nil {
 		return 0, err
@@ -112,10 +112,10 @@
 	return offset, nil
 }
 
-// Read implements [journal.Journal].
-func (s *Service) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (page journal.Page, err error) {
+// Read implements [appendlog.Journal].
+func (s *Service) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (page appendlog.Page, err error) {
 	if err := s.admit(ctx); err != nil {
-		return journal.Page{}, err
+		return appendlog.Page{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -129,7 +129,7 @@
 		case <-timer.C:
 			return page, nil
 		case <-ctx.Done():
-			return journal.Page{}, ctx.Err()
+			return appendlog.Page{}, ctx.Err()
 		}
 	}
 }
@@ -152,14 +152,14 @@
 	return nil
 }
 
-func (s *Service) page(name string, from int64, limit int) (page journal.Page, appended <-chan struct{}) {
+func (s *Service) page(name string, from int64, limit int) (page appendlog.Page, appended <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(name)
 	s.expire(st)
-	page = journal.Page{Oldest: st.oldest, Next: st.next()}
+	page = appendlog.Page{Oldest: st.oldest, Next: st.next()}
 	for offset := max(from, st.oldest); offset < st.next() && len(page.Records) < limit; offset++ {
-		page.Records = append(page.Records, journal.Record{Offset: offset, Data: st.records[offset-st.oldest].data})
+		page.Records = append(page.Records, appendlog.Record{Offset: offset, Data: st.records[offset-st.oldest].data})
 	}
 	return page, st.appended
 }
--- a/membership/failure_test.go
+++ b/membership/failure_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 // Guards against nodes that never find each other, or find only their seeds.
@@ -310,7 +310,7 @@
 // fakeLog is a log service in memory.
 type fakeLog struct {
 	mu      sync.Mutex
-	records []journal.Record
+	records []appendlog.Record
 	times   []time.Time
 	down    bool
 }
@@ -351,17 +351,17 @@
 	if l.down {
 		return 0, errors.New("log is down")
 	}
-	l.records = append(l.records, journal.Record{Offset: int64(len(l.records)), Data: data})
+	l.records = append(l.records, appendlog.Record{Offset: int64(len(l.records)), Data: data})
 	l.times = append(l.times, time.Now())
 	return int64(len(l.records)) - 1, nil
 }
 
-func (l *fakeLog) Read(_ context.Context, _ string, from int64, limit int, _ time.Duration) (page journal.Page, err error) {
+func (l *fakeLog) Read(_ context.Context, _ string, from int64, limit int, _ time.Duration) (page appendlog.Page, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
 		return page, errors.New("log is down")
 	}
 	end := min(from+int64(limit), int64(len(l.records)))
-	return journal.Page{Records: l.records[min(from, end):end], Next: int64(len(l.records))}, nil
+	return appendlog.Page{Records: l.records[min(from, end):end], Next: int64(len(l.records))}, nil
 }
--- a/membership/fuzz_test.go
+++ b/membership/fuzz_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 // Messages that each decoder must refuse, with a part of the error.
@@ -97,7 +97,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		g := New(Self{Node: "b", Incarnation: 7, Started: start, Peer: "b:1"})
-		g.takeJoins(journal.Page{Records: []journal.Record{{Data: data}}})
+		g.takeJoins(appendlog.Page{Records: []appendlog.Record{{Data: data}}})
 		for _, address := range g.joined.addresses() {
 			must.NoError(t, checkAddress("peer", address, true))
 		}
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lacewingslip/lacewingslip/event"
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 const (
@@ -59,7 +59,7 @@
 type Gossip struct {
 	self    Self
 	seeds   []string
-	journal journal.Journal
+	journal appendlog.Journal
 	client  *http.Client
 
 	settingsOffset func() int64
@@ -97,7 +97,7 @@
 
 // WithJournal lets the node write its joins and leaves to the log, and find
 // other nodes there.
-func WithJournal(j journal.Journal) Option { return func(g *Gossip) { g.journal = j } }
+func WithJournal(j appendlog.Journal) Option { return func(g *Gossip) { g.journal = j } }
 
 // WithSettingsOffset carries the offset of the node's settings on exchanges.
 func WithSettingsOffset(offset func() int64) Option {
--- a/membership/joins.go
+++ b/membership/joins.go
@@ -12,7 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lacewingslip/lacewingslip/event"
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 const (
@@ -165,7 +165,7 @@
 	return start + int64(len(page.Records))
 }
 
-func (g *Gossip) takeJoins(page journal.Page) {
+func (g *Gossip) takeJoins(page appendlog.Page) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range page.Records {
--- a/node/node.go
+++ b/node/node.go
@@ -37,7 +37,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/lacewingslip/lacewingslip/booking"
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 	"github.com/lacewingslip/lacewingslip/membership"
 	"github.com/lacewingslip/lacewingslip/metrics"
 	"github.com/lacewingslip/lacewingslip/retry"
@@ -55,14 +55,14 @@
 
 type options struct {
 	logger  *slog.Logger
-	journal journal.Journal
+	journal appendlog.Journal
 }
 
 // WithLogger sets the logger for numbered events. By default nothing is logged.
 func WithLogger(logger *slog.Logger) Option { return func(o *options) { o.logger = logger } }
 
 // WithJournal replaces the client of the log service.
-func WithJournal(j journal.Journal) Option { return func(o *options) { o.journal = j } }
+func WithJournal(j appendlog.Journal) Option { return func(o *options) { o.journal = j } }
 
 // Node is one process of the system, built and run by fx.
 type Node struct {
@@ -129,14 +129,14 @@
 
 // Module provides a node to an fx application.
 func Module(file File, opts ...Option) fx.Option {
-	o := options{logger: slog.New(slog.DiscardHandler), journal: journal.New(file.log)}
+	o := options{logger: slog.New(slog.DiscardHandler), journal: appendlog.New(file.log)}
 	for _, opt := range opts {
 		opt(&o)
 	}
 	return fx.Module("node",
 		fx.Supply(file, o.logger),
 		fx.Provide(
-			func() journal.Journal { return o.journal },
+			func() appendlog.Journal { return o.journal },
 			newIncarnation, newClock, newRecorder, metrics.New, newListeners,
 			newFollower, newGossip, newGate, newBookings, newLedger, newClaims,
 			newTable, newPeersOf, newDirectory, newAttemptWatch, newSender, newIngress, newEgress, newSidecar, newBackendServer, newOperator,
@@ -171,7 +171,7 @@
 
 func newLedger() *retry.Ledger { return retry.New() }
 
-func newClaims(j journal.Journal, events *timeline.Recorder) *booking.Claims {
+func newClaims(j appendlog.Journal, events *timeline.Recorder) *booking.Claims {
 	return booking.NewClaims(j, booking.WithRecorder(events))
 }
 
@@ -179,12 +179,12 @@
 
 func newPeersOf(gossip *membership.Gossip) *peers { return newPeers(gossip) }
 
-func newFollower(file File, j journal.Journal, d *directory, events *timeline.Recorder) *settings.Follower {
+func newFollower(file File, j appendlog.Journal, d *directory, events *timeline.Recorder) *settings.Follower {
 	return settings.NewFollower(j, settings.NewHistory(file.rootPublicKey), settings.WithRecorder(events),
 		settings.WithPeers(d.peers), settings.WithMembers(d.count))
 }
 
-func newGossip(file File, i incarnation, l *listeners, j journal.Journal, clock *timeline.Clock,
+func newGossip(file File, i incarnation, l *listeners, j appendlog.Journal, clock *timeline.Clock,
 	follower *settings.Follower, d *directory, events *timeline.Recorder,
 ) *membership.Gossip {
 	self := membership.Self{
--- a/settings/follower.go
+++ b/settings/follower.go
@@ -15,7 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lacewingslip/lacewingslip/event"
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 const (
@@ -41,7 +41,7 @@
 // Follower keeps a history up to date with the log and with other nodes. All
 // methods are safe for concurrent use.
 type Follower struct {
-	log       journal.Journal
+	log       appendlog.Journal
 	recorder  Recorder
 	client    *http.Client
 	peers     func() []string
@@ -101,7 +101,7 @@
 func OnChange(changed func(*Tree)) Option { return func(f *Follower) { f.changed = changed } }
 
 // NewFollower returns a follower that starts from the history.
-func NewFollower(log journal.Journal, h *History, opts ...Option) *Follower {
+func NewFollower(log appendlog.Journal, h *History, opts ...Option) *Follower {
 	f := &Follower{
 		log:       log,
 		recorder:  discard{},
--- a/settings/follower_test.go
+++ b/settings/follower_test.go
@@ -20,7 +20,7 @@
 
 	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/internal/standin/logservice"
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 var (
@@ -157,9 +157,9 @@
 	return n.fleet.log.Append(ctx, stream, data)
 }
 
-func (n *testNode) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (journal.Page, error) {
+func (n *testNode) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (appendlog.Page, error) {
 	if n.noLog.Load() {
-		return journal.Page{}, logservice.ErrFault
+		return appendlog.Page{}, logservice.ErrFault
 	}
 	return n.fleet.log.Read(ctx, stream, from, limit, wait)
 }
--- a/settings/history.go
+++ b/settings/history.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 const (
@@ -73,10 +73,10 @@
 	state   state
 
 	// tail ends at next. Other nodes that are behind get it.
-	tail []journal.Record
+	tail []appendlog.Record
 	// held is a run of records after a gap. It ends when a snapshot covers the
 	// records before it.
-	held []journal.Record
+	held []appendlog.Record
 
 	snapshotNext int64
 	snapshotAt   time.Time
@@ -269,7 +269,7 @@
 
 // keep adds a record to the tail and drops the oldest ones beyond its bounds.
 func (h *History) keep(offset int64, data []byte) {
-	h.tail = append(h.tail, journal.Record{Offset: offset, Data: data})
+	h.tail = append(h.tail, appendlog.Record{Offset: offset, Data: data})
 	h.tail = trim(h.tail, maxTailRecords, maxTailBytes)
 }
 
@@ -281,7 +281,7 @@
 	if offset != h.wanted() {
 		h.held = nil
 	}
-	h.held = trim(append(h.held, journal.Record{Offset: offset, Data: data}), len(h.held)+1, maxHeldBytes)
+	h.held = trim(append(h.held, appendlog.Record{Offset: offset, Data: data}), len(h.held)+1, maxHeldBytes)
 	r, err := decodeRecord(data)
 	switch {
 	case err != nil || len(h.held) == 0:
@@ -324,7 +324,7 @@
 }
 
 // trim drops records from the front until count and bytes are within bounds.
-func trim(records []journal.Record, maxCount, maxBytes int) []journal.Record {
+func trim(records []appendlog.Record, maxCount, maxBytes int) []appendlog.Record {
 	bytes := 0
 	for i := len(records) - 1; i >= 0; i-- {
 		bytes += len(records[i].Data)
--- a/settings/history_test.go
+++ b/settings/history_test.go
@@ -12,7 +12,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 var otherPrivate = ed25519.NewKeyFromSeed([]byte("seed of a second key of the team"))
@@ -130,10 +130,10 @@
 	return int64(len(l.records)) - 1, nil
 }
 
-func (l *memoryLog) Read(_ context.Context, _ string, from int64, limit int, _ time.Duration) (journal.Page, error) {
-	page := journal.Page{Oldest: l.oldest, Next: int64(len(l.records))}
+func (l *memoryLog) Read(_ context.Context, _ string, from int64, limit int, _ time.Duration) (appendlog.Page, error) {
+	page := appendlog.Page{Oldest: l.oldest, Next: int64(len(l.records))}
 	for offset := max(from, l.oldest); offset < page.Next && len(page.Records) < limit; offset++ {
-		page.Records = append(page.Records, journal.Record{Offset: offset, Data: l.records[offset]})
+		page.Records = append(page.Records, appendlog.Record{Offset: offset, Data: l.records[offset]})
 	}
 	return page, nil
 }
--- a/settings/peer.go
+++ b/settings/peer.go
@@ -12,7 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 // PathRecords is the path under which a node serves what it has read.
@@ -125,7 +125,7 @@
 
 // CatchUp reads the log up to its end and replays it. It returns the verdicts of
 // all records, and whether records are missing that the log no longer keeps.
-func (h *History) CatchUp(ctx context.Context, log journal.Journal) (verdicts []Verdict, gap bool, err error) {
+func (h *History) CatchUp(ctx context.Context, log appendlog.Journal) (verdicts []Verdict, gap bool, err error) {
 	with := func(do func(h *History)) { do(h) }
 	verdicts, gap, err = catchUp(ctx, log, maxPageRecords, with)
 	if err != nil && ctx.Err() == nil {
@@ -138,7 +138,7 @@
 
 // catchUp reads pages of at most limit records up to the end of the log. The
 // history is used only through with, and never while the log is being read.
-func catchUp(ctx context.Context, log journal.Journal, limit int, with func(func(h *History))) (verdicts []Verdict, gap bool, err error) {
+func catchUp(ctx context.Context, log appendlog.Journal, limit int, with func(func(h *History))) (verdicts []Verdict, gap bool, err error) {
 	for {
 		var from, next int64
 		with(func(h *History) { from, next = h.wanted(), h.next })
--- a/settings/publish.go
+++ b/settings/publish.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/lacewingslip/lacewingslip/journal"
+	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 const readBackInterval = 200 * time.Millisecond
@@ -36,7 +36,7 @@
 // The history must have been read to the end of the log, or to the offset from
 // which the change was made. The nodes are asked for records that expired before
 // they were read back.
-func Publish(ctx context.Context, log journal.Journal, h *History, c Change, nodes Nodes) (v Verdict, err error) {
+func Publish(ctx context.Context, log appendlog.Journal, h *History, c Change, nodes Nodes) (v Verdict, err error) {
 	defer func() { err = eris.Wrapf(err, "publish change %s of branch %q", c.ID(), c.Branch()) }()
 	data, err := c.Encode()
 	if err != nil {
@@ -122,7 +122,7 @@
 
 // Load reads the history up to the end of the log, with the help of the nodes if
 // the log no longer keeps all records.
-func Load(ctx context.Context, log journal.Journal, h *History, nodes Nodes) (err error) {
+func Load(ctx context.Context, log appendlog.Journal, h *History, nodes Nodes) (err error) {
 	defer func() { err = eris.Wrap(err, "read settings") }()
 	_, gap, err := h.CatchUp(ctx, log)
 	if err != nil || !gap {
