Run on the users' platform: the full path through an adapter

The present daemon speaks its own interface and reads its own log format.

Ruled out: using the IDs of child calls as links to their parents.

Open: admission for the whole call tree, the end of a planned stop, tests of the new packages.

--- a/appendlog/client_test.go
+++ b/appendlog/client_test.go
@@ -8,8 +8,8 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
-	"github.com/lacewingslip/lacewingslip/internal/standin/logservice"
 	"github.com/lacewingslip/lacewingslip/appendlog"
+	"github.com/lacewingslip/lacewingslip/internal/standin/logservice"
 )
 
 func startLog(t *testing.T, opts ...logservice.Option) (*logservice.Service, *appendlog.Client) {
--- a/booking/claims.go
+++ b/booking/claims.go
@@ -13,9 +13,9 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lacewingslip/lacewingslip/appendlog"
 	"github.com/lacewingslip/lacewingslip/call"
 	"github.com/lacewingslip/lacewingslip/event"
-	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 const (
--- a/call/reason.go
+++ b/call/reason.go
@@ -9,6 +9,9 @@
 	// ReasonOverloaded means that the sidecar had neither a slot nor room in
 	// its queue.
 	ReasonOverloaded Reason = "overloaded"
+	// ReasonShed means that the backend server itself stated that it did not
+	// run the call.
+	ReasonShed Reason = "shed"
 	// ReasonDisplaced means that a more important call took the place in the
 	// queue.
 	ReasonDisplaced Reason = "displaced"
--- a/cmd/lacewingslipd/main.go
+++ b/cmd/lacewingslipd/main.go
@@ -3,6 +3,10 @@
 // # Usage
 //
 //	lacewingslipd --file node.yaml
+//	lacewingslipd platform
+//
+// The second form runs on the users' platform with the settings file that it
+// provides.
 //
 // It runs until it gets SIGTERM or SIGINT, and then stops after the calls in
 // progress. Exit codes: 0 after a planned stop, 1 for an error, 2 for a node
@@ -36,10 +40,15 @@
 		Name:  "lacewingslipd",
 		Usage: "carry calls between callers and the backend server beside this process",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: flagFile, Aliases: []string{"f"}, Usage: "path of the node file", Required: true},
+			&cli.StringFlag{Name: flagFile, Aliases: []string{"f"}, Usage: "path of the node file"},
 			&cli.StringFlag{Name: flagLogLevel, Usage: usageLogLevel, Value: defaultLevel},
 		},
 		Action: run,
+		Commands: []*cli.Command{{
+			Name:   "platform",
+			Usage:  "run on the users' platform, with the settings file that it provides",
+			Action: runOnPlatform,
+		}},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
 		slog.Error(err.Error())
@@ -48,9 +57,12 @@
 }
 
 func run(ctx context.Context, command *cli.Command) (err error) {
-	var level slog.Level
-	if err = level.UnmarshalText([]byte(command.String(flagLogLevel))); err != nil {
-		return cli.Exit(err, exitBadFile)
+	level, err := logLevel(command)
+	if err != nil {
+		return err
+	}
+	if command.String(flagFile) == "" {
+		return cli.Exit(`required flag "file" not set`, exitBadFile)
 	}
 	file, err := node.ReadFile(command.String(flagFile))
 	if err != nil {
@@ -72,3 +84,10 @@
 	}
 	return nil
 }
+
+func logLevel(command *cli.Command) (level slog.Level, err error) {
+	if err = level.UnmarshalText([]byte(command.String(flagLogLevel))); err != nil {
+		return 0, cli.Exit(err, exitBadFile)
+	}
+	return level, nil
+}
--- /dev/null
+++ b/cmd/lacewingslipd/platform.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/lacewingslip/lacewingslip/logs"
+	"github.com/lacewingslip/lacewingslip/mesh"
+	"github.com/lacewingslip/lacewingslip/platform"
+)
+
+// runOnPlatform runs the node with the settings that the users' platform gives.
+func runOnPlatform(ctx context.Context, command *cli.Command) (err error) {
+	level, err := logLevel(command)
+	if err != nil {
+		return err
+	}
+	place, err := platform.ReadSettings()
+	if err != nil {
+		return cli.Exit(err, exitBadFile)
+	}
+	output := logs.New(os.Stdout)
+	defer output.Close()
+	logger := slog.New(logs.Limit(slog.NewJSONHandler(output, &slog.HandlerOptions{Level: level}))).With("node", place.Node)
+	n, err := mesh.New(place, mesh.WithLogger(logger))
+	if err != nil {
+		return err
+	}
+	signals, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	if err = n.Start(ctx); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-reload:
+			checkSettings(logger, n)
+		case <-signals.Done():
+			if err = n.Stop(context.Background()); err != nil {
+				return cli.Exit(err, exitCutOff)
+			}
+			return nil
+		}
+	}
+}
+
+// checkSettings reads the settings again. Addresses and the place of a process
+// do not change while it runs; bounds do.
+func checkSettings(logger *slog.Logger, n *mesh.Node) {
+	place, err := platform.ReadSettings()
+	if err != nil {
+		logger.Error("settings rejected", "error", err.Error())
+		return
+	}
+	n.Reload(place)
+}
--- a/event/node.go
+++ b/event/node.go
@@ -8,11 +8,14 @@
 	NodeStopping         ID = 1002
 	NodeStopped          ID = 1003
 	StopDeadlineExceeded ID = 1004
+	NodeReloaded         ID = 1005
 	BackendAnnounced     ID = 1101
 	BackendDraining      ID = 1102
 	BackendDrained       ID = 1103
 	BackendUnreachable   ID = 1104
 	BackendReachable     ID = 1105
+	AnnouncementTaken    ID = 1106
+	AnnouncementRejected ID = 1107
 )
 
 var nodeEvents = []Entry{
@@ -25,4 +28,7 @@
 	{ID: BackendUnreachable, Name: "backendUnreachable", Level: slog.LevelWarn, Meaning: "The backend server refuses connections, so other nodes send it no calls until it accepts them again."},
 	{ID: BackendReachable, Name: "backendReachable", Level: slog.LevelInfo, Meaning: "The backend server accepts connections again and receives work."},
 	{ID: BackendDrained, Name: "backendDrained", Level: slog.LevelInfo, Meaning: "The last call in progress at the leaving backend server ended. It may exit."},
+	{ID: AnnouncementTaken, Name: "announcementTaken", Level: slog.LevelInfo, Meaning: "The backend server beside this node said something new, or something outdated, as the attribute change says."},
+	{ID: AnnouncementRejected, Name: "announcementRejected", Level: slog.LevelWarn, Meaning: "A message that should be an announcement can't be read. It changes nothing."},
+	{ID: NodeReloaded, Name: "nodeReloaded", Level: slog.LevelInfo, Meaning: "The node read its settings again. Bounds of time and retries are taken over; addresses stay."},
 }
--- /dev/null
+++ b/fleet/directory.go
@@ -0,0 +1,320 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/platform"
+)
+
+const (
+	// Topic holds the newest record of each node under its name.
+	Topic = "keyed.nodes"
+
+	// followWait is how long one read waits for a record. The log allows 30 s;
+	// each read is paid for, and a silent connection shows by its probes.
+	followWait = 20 * time.Second
+	// gatherTime is the pause after a read with records. In a start of all nodes
+	// each record would otherwise wake each node once.
+	gatherTime = 400 * time.Millisecond
+	// minRetryTime and maxRetryTime bound the pause after a failed call. The
+	// rates of the log are shared by all nodes.
+	minRetryTime = 150 * time.Millisecond
+	maxRetryTime = 1200 * time.Millisecond
+	// fencedStep is added to an epoch that the log has seen exceeded, which
+	// happens after the time of day has jumped back.
+	fencedStep = int64(time.Minute / time.Millisecond)
+)
+
+// store is what the directory needs of the platform's log.
+type store interface {
+	Newest(ctx context.Context, topic string) (records []platform.Record, next int64, err error)
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (records []platform.Record, next int64, err error)
+	Put(ctx context.Context, topic, producer string, epoch int64, key string, value []byte) error
+}
+
+// recorder takes events for the log.
+type recorder interface {
+	Record(id event.ID, attrs ...slog.Attr)
+}
+
+// Directory keeps a table up to date and publishes the record of its own node.
+type Directory struct {
+	table  *Table
+	store  store
+	events recorder
+	// changed is called after records have been taken in.
+	changed func()
+	// unpublished is called when the log has not taken the own record.
+	unpublished func()
+
+	mu sync.Mutex
+	// own is the record of this node. Its epoch is 0 until the first one.
+	own       Member
+	published int64
+	wake      chan struct{}
+	// loaded is closed after the first complete read of the log.
+	loaded   chan struct{}
+	loadOnce sync.Once
+	// reachable says whether the last read of the log succeeded.
+	reachable bool
+}
+
+// NewDirectory returns the directory of the node that own describes.
+func NewDirectory(own Member, table *Table, s store, events recorder, changed func()) *Directory {
+	return &Directory{
+		table: table, store: s, events: events, changed: changed, unpublished: func() {},
+		own: own, wake: make(chan struct{}, 1), loaded: make(chan struct{}), reachable: true,
+	}
+}
+
+// Table returns the table that the directory keeps.
+func (d *Directory) Table() *Table { return d.table }
+
+// Loaded is closed once the log has been read for the first time.
+func (d *Directory) Loaded() <-chan struct{} { return d.loaded }
+
+// OnUnpublished sets what is called when the log has not taken the own record,
+// so that other nodes can hear of it in another way.
+func (d *Directory) OnUnpublished(call func()) { d.unpublished = call }
+
+// Own returns the record of this node.
+func (d *Directory) Own() Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.own
+}
+
+// Reachable reports whether the last read of the log succeeded.
+func (d *Directory) Reachable() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.reachable
+}
+
+// Update changes the record of this node; the new one is published soon.
+func (d *Directory) Update(change func(m *Member)) {
+	d.mu.Lock()
+	before := d.own
+	change(&d.own)
+	same := d.own == before
+	if !same {
+		d.raise()
+	}
+	own := d.own
+	d.mu.Unlock()
+	if same {
+		return
+	}
+	d.table.Apply(own)
+	d.changed()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// raise gives the own record a higher epoch than any known one of this node.
+func (d *Directory) raise() {
+	floor := d.own.Epoch
+	if known, ok := d.table.Get(d.own.Node); ok {
+		floor = max(floor, known.Epoch)
+	}
+	d.own.Epoch = max(floor+1, time.Now().UnixMilli())
+}
+
+// Merge takes records of another node in.
+func (d *Directory) Merge(members ...Member) {
+	changed := false
+	for _, m := range members {
+		if m.Check() != nil {
+			continue
+		}
+		changed = d.take(m) || changed
+	}
+	if changed {
+		d.changed()
+	}
+}
+
+// take applies a record. A newer record of this node itself comes from an
+// earlier process, and is replaced.
+func (d *Directory) take(m Member) (changed bool) {
+	d.mu.Lock()
+	self := d.own.Node
+	outdated := m.Node == self && d.own.Epoch > 0 && m.Epoch >= d.own.Epoch && m != d.own
+	d.mu.Unlock()
+	if m.Node != self {
+		return d.table.Apply(m)
+	}
+	if outdated {
+		d.mu.Lock()
+		d.own.Epoch = max(m.Epoch, d.own.Epoch) + 1
+		own := d.own
+		d.mu.Unlock()
+		changed = d.table.Apply(own)
+		select {
+		case d.wake <- struct{}{}:
+		default:
+		}
+		return changed
+	}
+	return d.table.Apply(m)
+}
+
+// Run follows the log and publishes the own record until the context ends.
+func (d *Directory) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { d.follow(ctx) })
+	loops.Go(func() { d.publishChanges(ctx) })
+	loops.Wait()
+}
+
+func (d *Directory) follow(ctx context.Context) {
+	next, known := int64(0), false
+	pause := minRetryTime
+	for ctx.Err() == nil {
+		var records []platform.Record
+		var err error
+		if known {
+			records, next, err = d.read(ctx, next)
+		} else if records, next, err = d.store.Newest(ctx, Topic); err == nil {
+			known = true
+		}
+		d.note(err)
+		switch {
+		case errors.Is(err, platform.ErrTrimmed):
+			known = false
+		case err != nil:
+			sleep(ctx, jitter(pause))
+			pause = min(2*pause, maxRetryTime)
+			continue
+		}
+		pause = minRetryTime
+		d.takeRecords(records)
+		d.loadOnce.Do(func() { close(d.loaded) })
+		if len(records) > 0 {
+			sleep(ctx, gatherTime)
+		}
+	}
+}
+
+func (d *Directory) read(ctx context.Context, from int64) (records []platform.Record, next int64, err error) {
+	records, next, err = d.store.Read(ctx, Topic, from, followWait)
+	if err != nil {
+		return nil, from, err
+	}
+	return records, next, nil
+}
+
+func (d *Directory) takeRecords(records []platform.Record) {
+	changed := false
+	for _, record := range records {
+		if record.Value == nil {
+			changed = d.table.Drop(record.Key) || changed
+			continue
+		}
+		m, err := DecodeMember(record.Value)
+		if err != nil {
+			d.events.Record(event.MemberUnreadable, slog.String("key", record.Key),
+				slog.Int64("offset", record.Offset), slog.String("error", err.Error()))
+			continue
+		}
+		if d.take(m) {
+			changed = true
+			d.events.Record(event.MemberChanged, slog.String("node", m.Node), slog.String("service", m.Service),
+				slog.String("instance", m.Instance), slog.Bool("takesWork", m.TakesWork),
+				slog.Int64("epoch", m.Epoch), slog.Int64("offset", record.Offset))
+		}
+	}
+	if changed {
+		d.changed()
+	}
+}
+
+// note logs when the log service is lost and regained.
+func (d *Directory) note(err error) {
+	reachable := err == nil || errors.Is(err, platform.ErrTrimmed) || errors.Is(err, context.Canceled)
+	d.mu.Lock()
+	before := d.reachable
+	d.reachable = reachable
+	d.mu.Unlock()
+	switch {
+	case before && !reachable:
+		d.events.Record(event.LogUnavailable, slog.String("topic", Topic), slog.String("error", err.Error()))
+	case !before && reachable:
+		d.events.Record(event.LogAvailable, slog.String("topic", Topic))
+	}
+}
+
+func (d *Directory) publishChanges(ctx context.Context) {
+	pause, told := minRetryTime, int64(0)
+	for ctx.Err() == nil {
+		own, due := d.duePublication()
+		if !due {
+			select {
+			case <-ctx.Done():
+			case <-d.wake:
+			}
+			continue
+		}
+		if err := d.publish(ctx, own); err != nil {
+			if told != own.Epoch {
+				told = own.Epoch
+				d.unpublished()
+			}
+			sleep(ctx, jitter(pause))
+			pause = min(2*pause, maxRetryTime)
+			continue
+		}
+		pause = minRetryTime
+	}
+}
+
+func (d *Directory) duePublication() (own Member, due bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.own, d.own.Epoch > d.published
+}
+
+func (d *Directory) publish(ctx context.Context, own Member) (err error) {
+	value, err := json.Marshal(own)
+	if err != nil {
+		return err
+	}
+	err = d.store.Put(ctx, Topic, own.Node, own.Epoch, own.Node, value)
+	d.events.Record(event.MemberPublished, slog.Int64("epoch", own.Epoch), slog.String("instance", own.Instance),
+		slog.Bool("takesWork", own.TakesWork), slog.Any("error", err))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case err == nil:
+		d.published = max(d.published, own.Epoch)
+	case errors.Is(err, platform.ErrFenced) && d.own.Epoch == own.Epoch:
+		// An earlier process of this node wrote under a higher epoch, before the
+		// time of day jumped back.
+		d.own.Epoch += fencedStep
+		d.table.Apply(d.own)
+	}
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// jitter spreads the calls of many nodes that failed together.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
--- a/internal/candidates/candidates.go
+++ b/internal/candidates/candidates.go
@@ -21,9 +21,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lacewingslip/lacewingslip/appendlog"
 	"github.com/lacewingslip/lacewingslip/booking"
 	"github.com/lacewingslip/lacewingslip/call"
-	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 // Candidate decides whether a booking may run. A booking that Book accepts has
--- a/internal/command/settings_test.go
+++ b/internal/command/settings_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingslip/lacewingslip/appendlog"
 	"github.com/lacewingslip/lacewingslip/internal/command"
 	"github.com/lacewingslip/lacewingslip/internal/standin/logservice"
-	"github.com/lacewingslip/lacewingslip/appendlog"
 	"github.com/lacewingslip/lacewingslip/settings"
 )
 
--- a/internal/e2e/processes.go
+++ b/internal/e2e/processes.go
@@ -29,8 +29,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/lacewingslip/lacewingslip/internal/loopback"
 	"github.com/lacewingslip/lacewingslip/appendlog"
+	"github.com/lacewingslip/lacewingslip/internal/loopback"
 	"github.com/lacewingslip/lacewingslip/settings"
 )
 
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -24,9 +24,9 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lacewingslip/lacewingslip/appendlog"
 	"github.com/lacewingslip/lacewingslip/internal/standin/backend"
 	"github.com/lacewingslip/lacewingslip/internal/standin/logservice"
-	"github.com/lacewingslip/lacewingslip/appendlog"
 	"github.com/lacewingslip/lacewingslip/node"
 	"github.com/lacewingslip/lacewingslip/settings"
 )
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -12,8 +12,8 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/appendlog"
+	"github.com/lacewingslip/lacewingslip/event"
 )
 
 const (
--- a/membership/joins.go
+++ b/membership/joins.go
@@ -11,8 +11,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/appendlog"
+	"github.com/lacewingslip/lacewingslip/event"
 )
 
 const (
--- /dev/null
+++ b/mesh/sidecar.go
@@ -0,0 +1,180 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/hop"
+	"github.com/lacewingslip/lacewingslip/metrics"
+	"github.com/lacewingslip/lacewingslip/platform"
+	"github.com/lacewingslip/lacewingslip/site"
+	"github.com/lacewingslip/lacewingslip/slot"
+	"github.com/lacewingslip/lacewingslip/upstream"
+)
+
+const (
+	// usableShare of the slots is used at once. Backend servers slow down when
+	// they are nearly full: from 95% on, each request takes 1.3 times as long.
+	usableShare = 0.94
+	// minWorkTime is the shortest time left with which a request is started.
+	minWorkTime = 5 * time.Millisecond
+	// backendIdle is how long a connection to the backend server is kept without
+	// use. Backend servers close them after 10 s.
+	backendIdle = 8 * time.Second
+)
+
+// sidecar takes requests to the backend server beside this node. It is the only
+// way there, so its count of running requests is exact.
+type sidecar struct {
+	place   site.Site
+	tracker *upstream.Tracker
+	slots   *slot.Queue
+	backend *hop.Pool
+	events  recorder
+	// stopping refuses requests of other nodes before a planned stop.
+	stopping atomic.Bool
+}
+
+func newSidecar(place site.Site, tracker *upstream.Tracker, events recorder) *sidecar {
+	return &sidecar{
+		place: place, tracker: tracker, slots: slot.New(), events: events,
+		backend: hop.New(place.Backend, hop.WithMaxIdle(backendIdle)),
+	}
+}
+
+// usable returns how many requests run at once at a server with the slots.
+func usable(slots int) int { return max(int(usableShare*float64(slots)), 1) }
+
+// follow adapts the queue to the state of the backend server.
+func (s *sidecar) follow(server upstream.Server) {
+	if server.TakesWork() {
+		s.slots.Resize(usable(server.Slots()))
+		return
+	}
+	s.slots.Close()
+}
+
+// run takes a request to the backend server and returns how it ended. A reply
+// that is not run is a promise.
+func (s *sidecar) run(ctx context.Context, r *request) *reply {
+	reply := s.attempt(ctx, r)
+	reply.upstream = s.place.Node
+	reply.report = loadReport{Load: s.slots.Load(), known: true}
+	if reply.outcome != call.Answered {
+		s.events.Record(endEvent(reply.outcome), attrRequest(r.id), attrRoute(r.route),
+			attrHop(metrics.Sidecar), attrReason(reply.reason), attrDetail(reply.detail),
+			slog.Int("running", reply.report.Running), slog.Int("waiting", reply.report.Waiting),
+			slog.Int("limit", reply.report.Limit), attrLeft(r))
+	}
+	return reply
+}
+
+func (s *sidecar) attempt(ctx context.Context, r *request) *reply {
+	switch {
+	case r.service != s.place.Service:
+		return notRun(call.ReasonNoUpstream, "the request is for another service")
+	case s.stopping.Load():
+		return notRun(call.ReasonDraining, "the node is stopping")
+	}
+	giveUp := time.Now().Add(r.patience)
+	if latest := r.deadline.Add(-minWorkTime); giveUp.After(latest) {
+		giveUp = latest
+	}
+	release, err := s.slots.Acquire(ctx, slot.Request{Rank: r.rank, WaitUntil: giveUp})
+	switch {
+	case errors.Is(err, slot.ErrClosed):
+		return notRun(call.ReasonDraining, "the backend server is "+s.tracker.Server().State().String())
+	case err != nil && ctx.Err() != nil:
+		return notRun(call.ReasonCanceled, "the caller has gone while the request waited")
+	case err != nil:
+		return notRun(call.ReasonOverloaded, err.Error())
+	}
+	started := time.Now()
+	reply := s.exchange(ctx, r)
+	ran := time.Since(started)
+	if reply.outcome != call.Answered {
+		ran = 0
+	}
+	// A long answer is still being read, but the backend server has made it.
+	release(ran)
+	return reply
+}
+
+// exchange sends the request to the backend server, which has a slot for it.
+func (s *sidecar) exchange(ctx context.Context, r *request) *reply {
+	server := s.tracker.Server()
+	left := time.Until(r.deadline)
+	if left < minWorkTime {
+		return notRun(call.ReasonTooLate, "no time is left")
+	}
+	out := r.outgoing(func(h http.Header) {
+		platform.SetTimeLeft(h, left)
+		platform.SetCaller(h, r.caller)
+		if server.Instance() != "" {
+			platform.Expect(h, server.Instance())
+		}
+	})
+	answer, err := s.backend.Do(ctx, out, belongsTo(r.id))
+	if err != nil {
+		return lost(ctx, err)
+	}
+	return judge(answer)
+}
+
+// belongsTo accepts the answers that bear the request's ID. Statements that
+// nothing was run bear none.
+func belongsTo(id string) func(*http.Response) bool {
+	return func(response *http.Response) bool {
+		answered := platform.RequestID(response.Header)
+		return answered == id || answered == "" && platform.NotRun(response.StatusCode, response.Header)
+	}
+}
+
+// lost is the reply for an attempt without an answer.
+func lost(ctx context.Context, err error) *reply {
+	if !hop.MayHaveRun(err) {
+		return notRun(call.ReasonUnreachable, err.Error())
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return unknown(call.ReasonDeadline, "the time limit passed while the request ran")
+	case ctx.Err() != nil:
+		return unknown(call.ReasonCanceled, "the caller has gone while the request ran")
+	default:
+		return unknown(call.ReasonLost, err.Error())
+	}
+}
+
+// judge decides whether an answer is the backend server's whole answer.
+func judge(answer *hop.Answer) *reply {
+	r := &reply{status: answer.StatusCode, header: relayHeader(answer.Header)}
+	if platform.NotRun(answer.StatusCode, answer.Header) {
+		// Without its body the connection can't be used again, which is all that
+		// an error here means.
+		_, _, _ = answer.ReadAll(bufferedBody)
+		answer.Close()
+		return notRun(call.ReasonShed, fmt.Sprintf("the backend server did not run it: status %d", r.status))
+	}
+	if err := readReply(answer, r); err != nil {
+		return unknown(call.ReasonLost, "the answer broke off: "+err.Error())
+	}
+	delete(r.header, "Content-Length")
+	if answer.StatusCode < http.StatusMultipleChoices {
+		switch {
+		case !platform.Signed(answer.Header):
+			r.close()
+			return unknown(call.ReasonLost, "the answer bears no signature")
+		case answer.Header.Get("Content-Encoding") != "":
+			r.close()
+			return unknown(call.ReasonLost, "the answer is encoded, which nobody asked for")
+		}
+	}
+	r.outcome = call.Answered
+	return r
+}
--- a/node/node.go
+++ b/node/node.go
@@ -36,8 +36,8 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
-	"github.com/lacewingslip/lacewingslip/booking"
 	"github.com/lacewingslip/lacewingslip/appendlog"
+	"github.com/lacewingslip/lacewingslip/booking"
 	"github.com/lacewingslip/lacewingslip/membership"
 	"github.com/lacewingslip/lacewingslip/metrics"
 	"github.com/lacewingslip/lacewingslip/retry"
--- a/node/relay.go
+++ b/node/relay.go
@@ -7,37 +7,22 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/hop"
 )
 
 // errTruncated marks an answer whose end can't be told from a broken
 // connection.
 var errTruncated = errors.New("answer body has neither a length nor chunked coding")
 
-// hopHeaders belong to one connection and are never relayed (RFC 9110, section
-// 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // relayHeader returns the headers of a request or answer that go on to the next
 // hop: neither those of the connection nor those that only nodes may set.
 func relayHeader(header http.Header) http.Header {
-	relayed := header.Clone()
-	for _, field := range header.Values("Connection") {
-		for name := range strings.SplitSeq(field, ",") {
-			relayed.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		relayed.Del(name)
-	}
+	relayed := hop.EndToEnd(header)
 	call.RemoveInternal(relayed)
 	return relayed
 }
--- a/settings/follower.go
+++ b/settings/follower.go
@@ -14,8 +14,8 @@
 	"github.com/gorilla/mux"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/appendlog"
+	"github.com/lacewingslip/lacewingslip/event"
 )
 
 const (
--- a/settings/follower_test.go
+++ b/settings/follower_test.go
@@ -18,9 +18,9 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingslip/lacewingslip/appendlog"
 	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/internal/standin/logservice"
-	"github.com/lacewingslip/lacewingslip/appendlog"
 )
 
 var (
