Refuse customer requests at their first node, by the scarcest service they need

Cause: the deepest service takes the whole of a burst.

Change: each sidecar measures how short its backend server is (pressure.Gauge) and states that on answers; the highest level along a route's calls travels up the tree. Which routes call which is learned from deadlines that agree, since a call expires with its parent (calltree.Links); which routes customers call from the services beside which they begin (calltree.Callers). The first node refuses by rank and level (pressure.Door). What nodes tell each other is one short header, because bytes between regions are paid for. The share of the retry budget is cut: calls of repeated requests count as repeats too.

--- a/hop/hop.go
+++ b/hop/hop.go
@@ -117,7 +117,7 @@
 // Do sends a request and returns the answer for which belongs is true. Answers
 // to earlier requests that come first are skipped. When ctx ends, the
 // connection is reset, so that bytes still under way do not arrive later.
-func (p *Pool) Do(ctx context.Context, request *http.Request, belongs func(*http.Response) bool) (answer *Answer, err error) {
+func (p *Pool) Do(ctx context.Context, request *http.Request, belongs func(status int, h http.Header) bool) (answer *Answer, err error) {
 	c, err := p.take(ctx)
 	if err != nil {
 		return nil, &ExchangeError{cause: eris.Wrapf(err, "connect to %s", p.address)}
@@ -197,13 +197,13 @@
 	return c.writer.Flush()
 }
 
-func (c *conn) read(request *http.Request, belongs func(*http.Response) bool) (response *http.Response, err error) {
+func (c *conn) read(request *http.Request, belongs func(status int, h http.Header) bool) (response *http.Response, err error) {
 	for range maxSkippedAnswers {
 		response, err = http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK && belongs(response) {
+		if response.StatusCode >= http.StatusOK && belongs(response.StatusCode, response.Header) {
 			return response, nil
 		}
 		if response.StatusCode >= http.StatusOK {
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	probe := &request{method: http.MethodGet, host: a.place.Backend, target: path, header: http.Header{}}
-	answer, err := a.sidecar.backend.Do(ctx, probe.outgoing(func(http.Header) {}), func(*http.Response) bool { return true })
+	answer, err := a.sidecar.backend.Do(ctx, probe.outgoing(func(http.Header) {}), func(int, http.Header) bool { return true })
 	if err != nil {
 		return false
 	}
--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -40,6 +41,9 @@
 	mu    sync.Mutex
 	table *routing.Table
 	peers map[string]*peer
+	byIP  map[string]*peer
+	// serviceCount is the number of services that have nodes.
+	serviceCount int
 }
 
 // peer is another node, or this one.
@@ -86,6 +90,12 @@
 			delete(b.peers, node)
 		}
 	}
+	b.byIP = make(map[string]*peer, len(b.peers))
+	for _, p := range b.peers {
+		if ip, _, err := net.SplitHostPort(p.member.Address); err == nil {
+			b.byIP[ip] = p
+		}
+	}
 	b.publish()
 }
 
@@ -104,6 +114,7 @@
 			Node: m.Node, Address: m.Address, Region: m.Region, Zone: m.Zone, Slots: usable(m.Slots),
 		})
 	}
+	b.serviceCount = len(byService)
 	now := time.Now()
 	for service, upstreams := range byService {
 		b.table.Replace(now, service, upstreams)
@@ -218,6 +229,21 @@
 	return peers
 }
 
+// services returns the number of services that have nodes.
+func (b *balancer) services() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.serviceCount
+}
+
+// at returns the node whose address has the IP.
+func (b *balancer) at(ip string) (p *peer, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, ok = b.byIP[ip]
+	return p, ok
+}
+
 // tick does the time-driven work.
 func (b *balancer) tick(now time.Time) {
 	b.mu.Lock()
@@ -234,8 +260,8 @@
 
 // send sends a request to another node.
 func (b *balancer) send(ctx context.Context, p *peer, r *request, version int64) (end *reply, peerVersion int64) {
-	out := r.outgoing(func(h http.Header) { writeRequest(h, r, b.place.Node, version) })
-	answer, err := p.pool.Do(ctx, out, belongsToPeer(r.id))
+	out := r.outgoing(func(h http.Header) { writeRequest(h, r, version) })
+	answer, err := p.pool.Do(ctx, out, func(_ int, h http.Header) bool { return answersTo(h, r.id) })
 	if err != nil {
 		return lost(ctx, err), 0
 	}
--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	// budgetShare is the part of the deployment's retry budget that nodes use.
-	// The rest covers arrivals that repeat for other reasons, such as child calls
-	// of a request that runs again.
-	budgetShare = 0.5
+	// budgetShare is the part of the deployment's retry budget that nodes use. The
+	// calls of a request that runs again count as repeats too: in chains of three
+	// hops, each with its own retries, they used three times what the nodes had
+	// granted.
+	budgetShare = 0.2
 )
 
 // retryBudget bounds the attempts beyond the first of each request, per service.
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -92,7 +93,11 @@
 	w.Header().Set("Content-Type", "application/json")
 	// An error means that the node has gone; it asks again.
 	_ = json.NewEncoder(w).Encode(sent)
-	e.heard(received.Self.Node, received.Version)
+	if host, _, err := net.SplitHostPort(received.Self.Address); err == nil {
+		if p, ok := e.balancer.at(host); ok {
+			e.heard(p, received.Version)
+		}
+	}
 }
 
 // with exchanges news with a node.
@@ -135,29 +140,25 @@
 
 // heard takes in which version of the desired state another node has, and asks
 // for it if it is newer.
-func (e *exchange) heard(node string, version int64) {
+func (e *exchange) heard(p *peer, version int64) {
 	if version <= e.desired.version() {
 		return
 	}
+	node := p.member.Node
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.asking[node] {
 		return
 	}
-	for _, p := range e.balancer.others() {
-		if p.member.Node != node {
-			continue
+	e.asking[node] = true
+	go func() {
+		if err := e.with(context.Background(), p, false); err != nil {
+			e.events.Record(event.ExchangeFailed, attrNode(node), slog.String("error", err.Error()))
 		}
-		e.asking[node] = true
-		go func() {
-			if err := e.with(context.Background(), p, false); err != nil {
-				e.events.Record(event.ExchangeFailed, attrNode(node), slog.String("error", err.Error()))
-			}
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			delete(e.asking, node)
-		}()
-	}
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.asking, node)
+	}()
 }
 
 // probe asks the nodes that could not be reached whether they are back.
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -49,6 +50,7 @@
 	events    recorder
 	metrics   *metrics.Metrics
 	life      *life
+	entrance  *entrance
 }
 
 // ServeHTTP carries one request.
@@ -71,6 +73,16 @@
 	if !ok {
 		return
 	}
+	i.sidecar.links.Child(route.Name(), arrived.Add(timeLeft(r.Header)))
+	if i.life.closed.Load() && i.entrance.fromCustomers(route) {
+		i.deliver(w, out, notRun(call.ReasonDraining, "the node is stopping"), arrived, state.Version())
+		return
+	}
+	if ok, level := i.entrance.admit(route); !ok {
+		end := notRun(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is short: level %.2f", level))
+		i.deliver(w, out, end, arrived, state.Version())
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), out.deadline.Add(answerGrace))
 	defer cancel()
 	end := i.carry(ctx, out, route, state.Version())
@@ -127,6 +139,7 @@
 		r.patience = i.patience(r, offer)
 		end = i.offer(ctx, p, r, version)
 		i.balancer.done(r, node, end)
+		i.entrance.heard(r, end)
 		switch {
 		case end.outcome == call.Answered:
 			return end
@@ -160,16 +173,16 @@
 		return i.sidecar.run(ctx, r)
 	}
 	end, heard := i.balancer.send(ctx, p, r, version)
-	i.exchange.heard(p.member.Node, heard)
+	i.exchange.heard(p, heard)
 	return end
 }
 
 // learn takes in what a refusal says about its node.
 func (i *ingress) learn(p *peer, end *reply) {
-	switch {
-	case end.reason == call.ReasonDraining:
+	if end.reason == call.ReasonDraining {
 		i.balancer.refuses(p)
-	case end.reason == call.ReasonUnreachable:
+	}
+	if end.reason == call.ReasonUnreachable {
 		i.balancer.lose(p, end.detail)
 	}
 }
--- a/mesh/life.go
+++ b/mesh/life.go
@@ -14,9 +14,12 @@
 const (
 	// tickInterval is how often the time-driven work is done.
 	tickInterval = 100 * time.Millisecond
-	// carryOnTime is how long a stopping node takes new requests: the platform
-	// needs two failed probes, one a second, to send callers elsewhere.
-	carryOnTime = 2200 * time.Millisecond
+	// A stopping node takes requests of other nodes for peerTime, and of customers
+	// for carryOnTime: the platform needs two failed probes, one a second, to send
+	// callers elsewhere, and goes on to send some where many nodes stop. After
+	// that it carries only the calls of its own backend server.
+	peerTime    = 2200 * time.Millisecond
+	carryOnTime = 2700 * time.Millisecond
 	// graceMargin of the time until SIGKILL is left for the end of the process.
 	graceMargin = 700 * time.Millisecond
 	// defaultGrace applies where the settings do not say.
@@ -36,6 +39,8 @@
 	parts    parts
 	bounds   atomic.Pointer[site.Bounds]
 	stopping atomic.Bool
+	// closed refuses requests of customers shortly before the end.
+	closed atomic.Bool
 	// active counts the requests of callers in progress, and lastActive is when
 	// the last one began or ended, in Unix nanoseconds.
 	active     atomic.Int64
@@ -100,8 +105,10 @@
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	waitFor(context.Background(), min(carryOnTime, grace/2))
+	waitFor(context.Background(), min(peerTime, grace/3))
 	l.parts.sidecar.stopping.Store(true)
+	waitFor(context.Background(), min(carryOnTime-peerTime, grace/6))
+	l.closed.Store(true)
 	for time.Since(started) < grace-graceMargin && !l.quiet() {
 		waitFor(context.Background(), settleInterval)
 	}
@@ -147,7 +154,7 @@
 			return
 		case now := <-ticker.C:
 			l.parts.balancer.tick(now)
-			l.parts.sidecar.backend.Sweep(now)
+			l.parts.sidecar.tick(now, l.parts.balancer.services())
 			l.parts.servers.idle.sweep(now)
 			l.parts.exchange.probe(ctx, now)
 		}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -105,7 +105,7 @@
 			func(s *platform.Store, events recorder) *desired { return newDesired(s, events) },
 			func() *upstream.Tracker { return upstream.New(place.Service, place.Backend) },
 			metrics.New, newListeners, newBalancer, newSidecar, newDirectory, newExchange, newLife,
-			newAnnouncements, newIngress, newPeerHandler, newServers,
+			newAnnouncements, newEntrance, newIngress, newPeerHandler, newServers,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, l *life, s *servers, b *balancer, e *exchange, a *announcements, sc *sidecar, d *desired, dir *fleet.Directory) {
 			l.parts = parts{servers: s, balancer: b, exchange: e, announcements: a, sidecar: sc, desired: d, directory: dir}
@@ -128,10 +128,10 @@
 	return &announcements{place: place, tracker: t, sidecar: s, directory: dir, desired: d, events: events}
 }
 
-func newIngress(place site.Site, d *desired, b *balancer, s *sidecar, e *exchange, dir *fleet.Directory, events recorder, m *metrics.Metrics, l *life) *ingress {
+func newIngress(place site.Site, d *desired, b *balancer, s *sidecar, e *exchange, dir *fleet.Directory, events recorder, m *metrics.Metrics, l *life, entrance *entrance) *ingress {
 	nodes := func() int { return len(dir.Table().Members()) }
 	return &ingress{
 		place: place, desired: d, splitter: config.NewSplitter(), balancer: b, sidecar: s, exchange: e,
-		directory: dir, budget: newRetryBudget(place.Bounds, nodes), events: events, metrics: m, life: l,
+		directory: dir, budget: newRetryBudget(place.Bounds, nodes), events: events, metrics: m, life: l, entrance: entrance,
 	}
 }
--- a/mesh/servers.go
+++ b/mesh/servers.go
@@ -181,11 +181,11 @@
 // ServeHTTP tells requests to carry from messages between nodes by the headers:
 // their paths are the callers' own.
 func (p *peerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Header.Get(headerService) == "" {
+	if r.Header.Get(headerHop) == "" {
 		p.router.ServeHTTP(w, r)
 		return
 	}
-	in, err := readRequest(r, time.Now())
+	in, version, err := readRequest(r, time.Now())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -195,12 +195,15 @@
 		// The sender broke off; it does not wait for an answer.
 		panic(http.ErrAbortHandler)
 	}
-	version, _ := strconv.ParseInt(r.Header.Get(headerVersion), 10, 64)
-	p.exchange.heard(r.Header.Get(headerNode), version)
+	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		if sender, ok := p.exchange.balancer.at(host); ok {
+			p.exchange.heard(sender, version)
+		}
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), in.deadline.Add(answerGrace/2))
 	defer cancel()
 	end := p.sidecar.run(ctx, in)
-	if err = writeReply(w, end, end.report.Load, p.desired.version()); err != nil && !errors.Is(r.Context().Err(), context.Canceled) {
+	if err = writeReply(w, in.id, end, p.desired.version()); err != nil && !errors.Is(r.Context().Err(), context.Canceled) {
 		p.events.Record(event.AnswerCut, attrRequest(in.id), attrHop(metrics.Sidecar), attrDetail(err.Error()))
 	}
 	if err != nil {
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/calltree"
 	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/metrics"
 	"github.com/lacewingslip/lacewingslip/platform"
+	"github.com/lacewingslip/lacewingslip/pressure"
 	"github.com/lacewingslip/lacewingslip/site"
 	"github.com/lacewingslip/lacewingslip/slot"
 	"github.com/lacewingslip/lacewingslip/upstream"
@@ -37,12 +39,18 @@
 	slots   *slot.Queue
 	backend *hop.Pool
 	events  recorder
+	gauge   *pressure.Gauge
+	links   *calltree.Links
+	callers *calltree.Callers
+	// child has the level of the routes that the backend server calls.
+	child *pressure.Door
 	// stopping refuses requests of other nodes before a planned stop.
 	stopping atomic.Bool
 }
 
-func newSidecar(place site.Site, tracker *upstream.Tracker, events recorder) *sidecar {
+func newSidecar(place site.Site, tracker *upstream.Tracker, e *entrance, events recorder) *sidecar {
 	return &sidecar{
+		gauge: &pressure.Gauge{}, links: calltree.NewLinks(), callers: calltree.NewCallers(), child: e.door,
 		place: place, tracker: tracker, slots: slot.New(), events: events,
 		backend: hop.New(place.Backend, hop.WithMaxIdle(backendIdle)),
 	}
@@ -63,9 +71,12 @@
 // run takes a request to the backend server and returns how it ended. A reply
 // that is not run is a promise.
 func (s *sidecar) run(ctx context.Context, r *request) *reply {
+	s.callers.Called(r.route, r.caller)
 	reply := s.attempt(ctx, r)
 	reply.upstream = s.place.Node
-	reply.report = loadReport{Load: s.slots.Load(), known: true}
+	reply.report = loadReport{
+		Load: s.slots.Load(), known: true, level: s.level(r.route), fromCustomers: s.callers.FromCustomers(r.route),
+	}
 	if reply.outcome != call.Answered {
 		s.events.Record(endEvent(reply.outcome), attrRequest(r.id), attrRoute(r.route),
 			attrHop(metrics.Sidecar), attrReason(reply.reason), attrDetail(reply.detail),
@@ -82,6 +93,7 @@
 	case s.stopping.Load():
 		return notRun(call.ReasonDraining, "the node is stopping")
 	}
+	s.gauge.Arrived()
 	giveUp := time.Now().Add(r.patience)
 	if latest := r.deadline.Add(-minWorkTime); giveUp.After(latest) {
 		giveUp = latest
@@ -93,6 +105,7 @@
 	case err != nil && ctx.Err() != nil:
 		return notRun(call.ReasonCanceled, "the caller has gone while the request waited")
 	case err != nil:
+		s.gauge.Refused()
 		return notRun(call.ReasonOverloaded, err.Error())
 	}
 	started := time.Now()
@@ -120,6 +133,8 @@
 			platform.Expect(h, server.Instance())
 		}
 	})
+	run := s.links.Start(r.route, r.deadline)
+	defer s.links.End(run)
 	answer, err := s.backend.Do(ctx, out, belongsTo(r.id))
 	if err != nil {
 		return lost(ctx, err)
@@ -127,12 +142,31 @@
 	return judge(answer)
 }
 
+// level is that of the scarcest service that requests of the route need: this
+// one, or one that they call.
+func (s *sidecar) level(route string) float64 {
+	level := s.gauge.Level()
+	now := time.Now()
+	for _, child := range s.links.Children(route) {
+		level = max(level, s.child.Level(now, child))
+	}
+	return level
+}
+
+// tick does the time-driven work.
+func (s *sidecar) tick(now time.Time, services int) {
+	s.gauge.Tick(now, s.slots.Load())
+	s.links.Tick(now)
+	s.callers.Tick(now, services)
+	s.backend.Sweep(now)
+}
+
 // belongsTo accepts the answers that bear the request's ID. Statements that
 // nothing was run bear none.
-func belongsTo(id string) func(*http.Response) bool {
-	return func(response *http.Response) bool {
-		answered := platform.RequestID(response.Header)
-		return answered == id || answered == "" && platform.NotRun(response.StatusCode, response.Header)
+func belongsTo(id string) func(status int, h http.Header) bool {
+	return func(status int, h http.Header) bool {
+		answered := platform.RequestID(h)
+		return answered == id || answered == "" && platform.NotRun(status, h)
 	}
 }
 
@@ -165,6 +199,8 @@
 		return unknown(call.ReasonLost, "the answer broke off: "+err.Error())
 	}
 	delete(r.header, "Content-Length")
+	delete(r.header, "Date")
+	platform.DropServerNews(r.header)
 	if answer.StatusCode < http.StatusMultipleChoices {
 		switch {
 		case !platform.Signed(answer.Header):
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -16,30 +18,19 @@
 	"github.com/lacewingslip/lacewingslip/slot"
 )
 
-// Headers between nodes. Those that callers or backend servers send are removed.
 const (
+	// internalPrefix begins the headers between nodes. Those that callers or
+	// backend servers send are removed.
 	internalPrefix = "Lacewingslip-"
-
-	headerService  = "Lacewingslip-Service"
-	headerCaller   = "Lacewingslip-Caller"
-	headerRoute    = "Lacewingslip-Route"
-	headerKind     = "Lacewingslip-Kind"
-	headerRank     = "Lacewingslip-Rank"
-	headerPatience = "Lacewingslip-Patience-Ms"
-	headerNode     = "Lacewingslip-Node"
-	headerVersion  = "Lacewingslip-Version"
-	// headerLoad holds running and waiting requests, the limit, and the mean run
-	// time in microseconds.
-	headerLoad    = "Lacewingslip-Load"
-	headerOutcome = call.HeaderOutcome
-	headerReason  = call.HeaderReason
-	headerTime    = call.HeaderTimeout
-)
-
-// kinds on the wire between nodes.
-const (
-	kindIdempotent = "idempotent"
-	kindOnce       = "once"
+	// headerHop holds all that a node tells the next one about a request, or the
+	// one before about an answer. One header with short fields, since bytes
+	// between zones and regions are paid for.
+	headerHop = internalPrefix + "Hop"
+
+	kindOnce, kindIdempotent = "o", "i"
+	// noReason stands for an empty reason, which would be cut off at the end of
+	// the header.
+	noReason = "-"
 )
 
 // relayHeader returns the headers that go on from a caller, a backend server or
@@ -55,89 +46,84 @@
 }
 
 // writeRequest adds what another node needs to know about a request.
-func writeRequest(h http.Header, r *request, node string, version int64) {
-	h.Set(headerService, r.service)
-	h.Set(headerCaller, r.caller)
-	h.Set(headerRoute, r.route)
-	h.Set(headerKind, kindOnce)
+func writeRequest(h http.Header, r *request, version int64) {
+	kind := kindOnce
 	if r.kind == config.Idempotent {
-		h.Set(headerKind, kindIdempotent)
-	}
-	h.Set(headerRank, strconv.Itoa(r.rank))
-	h.Set(headerPatience, strconv.FormatInt(r.patience.Milliseconds(), 10))
-	h.Set(headerTime, strconv.FormatInt(time.Until(r.deadline).Milliseconds(), 10))
-	h.Set(headerNode, node)
-	h.Set(headerVersion, strconv.FormatInt(version, 10))
+		kind = kindIdempotent
+	}
+	platform.DropTimeLeft(h)
+	h.Set(headerHop, strings.Join([]string{
+		url.QueryEscape(r.service), url.QueryEscape(r.caller), url.QueryEscape(r.route), kind,
+		strconv.Itoa(r.rank),
+		strconv.FormatInt(r.patience.Milliseconds(), 10),
+		strconv.FormatInt(time.Until(r.deadline).Milliseconds(), 10),
+		strconv.FormatInt(version, 10),
+	}, " "))
 }
 
-// readRequest decodes a request of another node. The body is not read.
-func readRequest(r *http.Request, arrived time.Time) (in *request, err error) {
-	h := r.Header
-	rank, err1 := strconv.Atoi(h.Get(headerRank))
-	patience, err2 := strconv.ParseInt(h.Get(headerPatience), 10, 64)
-	left, err3 := strconv.ParseInt(h.Get(headerTime), 10, 64)
-	for _, err = range []error{err1, err2, err3} {
-		if err != nil {
-			return nil, eris.Wrap(err, "headers of another node")
-		}
+// readRequest decodes a request of another node and the version of the desired
+// state there. The body is not read.
+func readRequest(r *http.Request, arrived time.Time) (in *request, version int64, err error) {
+	defer func() { err = eris.Wrapf(err, "header %s", headerHop) }()
+	fields := strings.Split(r.Header.Get(headerHop), " ")
+	if len(fields) != 8 {
+		return nil, 0, eris.Errorf("it has %d fields, expected 8", len(fields))
 	}
 	in = &request{
-		id: platform.RequestID(h), method: r.Method, host: r.Host, target: r.RequestURI,
-		service: h.Get(headerService), caller: h.Get(headerCaller), route: h.Get(headerRoute),
-		rank: rank, patience: time.Duration(patience) * time.Millisecond,
-		deadline: arrived.Add(time.Duration(left) * time.Millisecond),
+		id: platform.RequestID(r.Header), method: r.Method, host: r.Host, target: r.RequestURI,
+		header: relayHeader(r.Header),
+	}
+	for n, into := range []*string{&in.service, &in.caller, &in.route} {
+		if *into, err = url.QueryUnescape(fields[n]); err != nil {
+			return nil, 0, err
+		}
 	}
-	if h.Get(headerKind) == kindIdempotent {
+	if fields[3] == kindIdempotent {
 		in.kind = config.Idempotent
 	}
-	in.header = relayHeader(h)
-	return in, nil
+	numbers, err := parseNumbers(fields[4:])
+	if err != nil {
+		return nil, 0, err
+	}
+	in.rank = int(numbers[0])
+	in.patience = time.Duration(numbers[1]) * time.Millisecond
+	in.deadline = arrived.Add(time.Duration(numbers[2]) * time.Millisecond)
+	return in, numbers[3], nil
 }
 
 // loadReport is what a node says about its backend server on an answer.
 type loadReport struct {
 	slot.Load
-	known bool
-}
-
-func writeLoad(h http.Header, l slot.Load) {
-	h.Set(headerLoad, fmt.Sprintf("%d,%d,%d,%d", l.Running, l.Waiting, l.Limit, l.MeanRun.Microseconds()))
+	// level is the pressure on the route of the request.
+	level float64
+	// fromCustomers is true if customers call the route.
+	fromCustomers bool
+	known         bool
 }
 
-func readLoad(h http.Header) (report loadReport) {
-	parts := strings.Split(h.Get(headerLoad), ",")
-	if len(parts) != 4 {
-		return loadReport{}
-	}
-	numbers := [4]int{}
-	for i, part := range parts {
-		n, err := strconv.Atoi(part)
-		if err != nil {
-			return loadReport{}
-		}
-		numbers[i] = n
-	}
-	return loadReport{known: true, Load: slot.Load{
-		Running: numbers[0], Waiting: numbers[1], Limit: numbers[2],
-		MeanRun: time.Duration(numbers[3]) * time.Microsecond,
-	}}
-}
+// levelUnits is the resolution of a level between nodes.
+const levelUnits = 100
 
 // writeReply passes the end of an attempt on to the node that sent it.
-func writeReply(w http.ResponseWriter, r *reply, load slot.Load, version int64) (err error) {
+func writeReply(w http.ResponseWriter, id string, r *reply, version int64) (err error) {
 	h := w.Header()
 	for name, values := range r.header {
 		h[name] = values
 	}
-	h.Set(headerOutcome, r.outcome.String())
-	h.Set(headerVersion, strconv.FormatInt(version, 10))
-	writeLoad(h, load)
-	if r.outcome != call.Answered {
-		h.Set(headerReason, string(r.reason))
+	// The receiver knows the time and the request's ID.
+	h["Date"] = nil
+	platform.DropRequestID(h)
+	entry := 0
+	if r.report.fromCustomers {
+		entry = 1
 	}
-	if r.retryAfter > 0 {
-		platform.SetRetryAfter(h, r.retryAfter)
+	reason := r.reason
+	if reason == "" {
+		reason = noReason
 	}
+	h.Set(headerHop, fmt.Sprintf("%x %s %d %d %d %d %d %d %d %s", idHash(id), r.outcome, version,
+		r.report.Running, r.report.Waiting, r.report.Limit, r.report.MeanRun.Milliseconds(),
+		int(r.report.level*levelUnits), entry, reason))
 	status := r.status
 	if status == 0 {
 		status = call.Status(r.outcome, r.reason)
@@ -165,42 +151,80 @@
 	return copyStream(w, r.stream)
 }
 
-// belongsToPeer accepts the answers of a node to the request. Those that are
-// not of a backend server need not bear the request's ID.
-func belongsToPeer(id string) func(*http.Response) bool {
-	return func(response *http.Response) bool {
-		answered := platform.RequestID(response.Header)
-		return answered == id || answered == "" && response.Header.Get(headerOutcome) != call.Answered.String()
-	}
+// answersTo reports whether a node's answer is one to the request.
+func answersTo(h http.Header, id string) bool {
+	hash, _, _ := strings.Cut(h.Get(headerHop), " ")
+	return hash == strconv.FormatUint(uint64(idHash(id)), 16)
 }
 
-// readPeerReply decodes the answer of another node.
+// idHash stands for a request's ID on answers between nodes.
+func idHash(id string) uint32 {
+	h := fnv.New32a()
+	// Writing to a hash never fails.
+	_, _ = h.Write([]byte(id))
+	return h.Sum32()
+}
+
+// readPeerReply decodes the answer of another node, and the version of the
+// desired state there.
 func readPeerReply(answer *hop.Answer, node string) (end *reply, version int64) {
-	version, _ = strconv.ParseInt(answer.Header.Get(headerVersion), 10, 64)
-	end = &reply{upstream: node, report: readLoad(answer.Header)}
-	outcome, err := call.ParseOutcome(answer.Header.Get(headerOutcome))
+	end, version, err := readHop(answer.Header.Get(headerHop))
 	if err != nil {
-		// Not a node's answer: the address may belong to something else by now.
 		answer.Close()
-		end.outcome, end.reason, end.detail = call.Unknown, call.ReasonLost, "the answer states no outcome"
-		return end, 0
+		return unknown(call.ReasonLost, err.Error()), 0
 	}
-	end.outcome, end.status = outcome, answer.StatusCode
-	if outcome != call.Answered {
-		end.reason = call.Reason(answer.Header.Get(headerReason))
+	end.upstream = node
+	if end.outcome != call.Answered {
 		end.detail = "so says the node"
 		// What the body says is in the node's own log.
 		_, _, _ = answer.ReadAll(bufferedBody)
 		answer.Close()
 		return end, version
 	}
-	end.header = relayHeader(answer.Header)
+	end.status, end.header = answer.StatusCode, relayHeader(answer.Header)
+	delete(end.header, "Content-Length")
 	if err = readReply(answer, end); err != nil {
-		return &reply{
-			outcome: call.Unknown, reason: call.ReasonLost, upstream: node, report: end.report,
-			detail: "the answer broke off between nodes: " + err.Error(),
-		}, version
+		broken := unknown(call.ReasonLost, "the answer broke off between nodes: "+err.Error())
+		broken.upstream, broken.report = node, end.report
+		return broken, version
 	}
-	delete(end.header, "Content-Length")
 	return end, version
 }
+
+// readHop decodes what a node says on an answer.
+func readHop(text string) (end *reply, version int64, err error) {
+	defer func() { err = eris.Wrapf(err, "header %s of an answer", headerHop) }()
+	fields := strings.Split(text, " ")
+	if len(fields) != 10 {
+		return nil, 0, eris.Errorf("it has %d fields, expected 10", len(fields))
+	}
+	end = &reply{}
+	if fields[9] != noReason {
+		end.reason = call.Reason(fields[9])
+	}
+	if end.outcome, err = call.ParseOutcome(fields[1]); err != nil {
+		return nil, 0, err
+	}
+	numbers, err := parseNumbers(fields[2:9])
+	if err != nil {
+		return nil, 0, err
+	}
+	end.report = loadReport{
+		known: true, level: float64(numbers[5]) / levelUnits, fromCustomers: numbers[6] == 1,
+		Load: slot.Load{
+			Running: int(numbers[1]), Waiting: int(numbers[2]), Limit: int(numbers[3]),
+			MeanRun: time.Duration(numbers[4]) * time.Millisecond,
+		},
+	}
+	return end, numbers[0], nil
+}
+
+func parseNumbers(fields []string) (numbers []int64, err error) {
+	numbers = make([]int64, len(fields))
+	for i, field := range fields {
+		if numbers[i], err = strconv.ParseInt(field, 10, 64); err != nil {
+			return nil, err
+		}
+	}
+	return numbers, nil
+}
--- /dev/null
+++ b/pressure/door.go
@@ -0,0 +1,103 @@
+package pressure
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// heardWeight is the weight of one answer in the level of its route.
+	heardWeight = 0.2
+	// heardMemory is how long a level stays without news. When few requests are
+	// admitted, few answers bring news.
+	heardMemory = 2 * time.Second
+	// minShare of the requests of each rank is always admitted, so that answers
+	// show when the pressure has gone.
+	minShare = 0.1
+)
+
+// Door keeps the level of each route and decides on its requests. It is safe for
+// concurrent use.
+type Door struct {
+	mu     sync.Mutex
+	routes map[string]*doorway
+}
+
+type doorway struct {
+	level float64
+	heard time.Time
+	// credit is what is left of the share of admitted requests.
+	credit float64
+}
+
+// NewDoor returns a door that admits everything.
+func NewDoor() *Door { return &Door{routes: make(map[string]*doorway)} }
+
+// maxDoorways bounds the routes that are kept; those without pressure are not.
+const maxDoorways = 4096
+
+// Heard takes in the level that an answer to a request of the route states.
+func (d *Door) Heard(now time.Time, route string, level float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w := d.routes[route]
+	if w == nil {
+		if level == 0 || len(d.routes) >= maxDoorways {
+			return
+		}
+		w = &doorway{heard: now, credit: 0.5}
+		d.routes[route] = w
+	}
+	w.level = w.at(now)
+	w.level += heardWeight * (level - w.level)
+	w.heard = now
+	if w.level < 0.001 {
+		delete(d.routes, route)
+	}
+}
+
+// Level returns the level of the route.
+func (d *Door) Level(now time.Time, route string) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w := d.routes[route]; w != nil {
+		return w.at(now)
+	}
+	return 0
+}
+
+// Admit decides on a request of a route. Place is that of its rank among the
+// places of all ranks of customer requests, 0 for the most important one.
+func (d *Door) Admit(now time.Time, route string, place, places int) (ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w := d.routes[route]
+	if w == nil {
+		return true
+	}
+	share := Share(w.at(now), place, places)
+	// Spreading the refusals evenly keeps the number of admitted requests
+	// steadier than chance would.
+	w.credit += share
+	if w.credit < 1 {
+		return false
+	}
+	w.credit--
+	return true
+}
+
+// Share returns the part of the requests of a rank that is admitted at a level.
+func Share(level float64, place, places int) float64 {
+	below := float64(places - 1 - place)
+	return min(max(1-(level-below), minShare), 1)
+}
+
+// at returns the level after it has faded without news.
+func (w *doorway) at(now time.Time) float64 {
+	silent := now.Sub(w.heard) - heardMemory/4
+	if silent <= 0 {
+		return w.level
+	}
+	return w.level * math.Exp(-float64(silent)/float64(heardMemory))
+}
