Learn call trees within a second, and send what a region can't run elsewhere

The region's surplus was refused although other regions had room, since calls between regions had been made a last resort.

Change: links are judged five times a second and callers from six calls on; levels stop at 2 and fall faster when use is low; a customer request that its region has no room for goes to another region as a whole, if that has room, which costs one way and not one a call.

--- a/calltree/callers.go
+++ b/calltree/callers.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// minCalls is the number of calls from which on callers are judged.
-	minCalls = 30.0
+	// minCalls is the number of calls from which on callers are judged. Few are
+	// enough: calls from many services can't come from one.
+	minCalls = 6.0
 	// minCallerShare is the least share of a service among a route's callers.
 	minCallerShare = 0.03
 	// entryShare is the share of all services from whose VMs a route must be
@@ -23,7 +24,7 @@
 	mu     sync.Mutex
 	counts map[string]map[string]float64
 	entry  map[string]bool
-	forgot time.Time
+	judged time.Time
 }
 
 // NewCallers returns an empty table.
@@ -59,10 +60,10 @@
 func (c *Callers) Tick(now time.Time, services int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.forgot) < forgetInterval {
+	if now.Sub(c.judged) < judgeInterval {
 		return
 	}
-	c.forgot = now
+	c.judged = now
 	for route, counts := range c.counts {
 		total, wide := 0.0, 0
 		for _, n := range counts {
--- a/calltree/calltree.go
+++ b/calltree/calltree.go
@@ -39,10 +39,11 @@
 	// certainty is the number of standard deviations by which matches must
 	// exceed chance.
 	certainty = 3.0
-	// forgetInterval and keepShare let counts fade, with a mean age of 20 s, so
-	// that links follow changes of the services.
-	forgetInterval = time.Second
-	keepShare      = 0.95
+	// judgeInterval is how often links are decided on, and keepShare lets counts
+	// fade each time, with a mean age of 20 s, so that links follow changes of the
+	// services.
+	judgeInterval = 200 * time.Millisecond
+	keepShare     = 0.99
 	// maxRoutes bounds the routes that are kept. The largest desired states have
 	// some thousand routes, few of which call others.
 	maxRoutes = 4096
@@ -67,7 +68,7 @@
 	runs     map[string]float64
 	counts   map[pair]*matches
 	children map[string][]string
-	forgot   time.Time
+	judged   time.Time
 }
 
 // NewLinks returns an empty table.
@@ -136,10 +137,10 @@
 func (l *Links) Tick(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.forgot) < forgetInterval {
+	if now.Sub(l.judged) < judgeInterval {
 		return
 	}
-	l.forgot = now
+	l.judged = now
 	children := make(map[string][]string)
 	for key, m := range l.counts {
 		if l.linked(key, m) {
--- a/mesh/entrance.go
+++ b/mesh/entrance.go
@@ -1,18 +1,26 @@
 package mesh
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/config"
 	"github.com/lacewingslip/lacewingslip/pressure"
+	"github.com/lacewingslip/lacewingslip/site"
 )
 
 // entrance admits customer requests to the call tree, by what answers have said
 // of their routes.
 type entrance struct {
 	door *pressure.Door
+	// calls has the levels of the routes that only backend servers call,
+	// whichever region answered.
+	calls *pressure.Door
+	// home is the own region, and others are the other ones.
+	home   string
+	others []string
 
 	mu sync.Mutex
 	// ranks has the rank of each route that customers call.
@@ -21,16 +29,26 @@
 	order []int
 }
 
-func newEntrance() *entrance {
-	return &entrance{door: pressure.NewDoor(), ranks: make(map[string]int)}
+func newEntrance(place site.Site) *entrance {
+	e := &entrance{
+		door: pressure.NewDoor(), calls: pressure.NewDoor(), home: place.Region, ranks: make(map[string]int),
+	}
+	for _, region := range place.RegionOf {
+		if region != e.home && !slices.Contains(e.others, region) {
+			e.others = append(e.others, region)
+		}
+	}
+	return e
 }
 
 // heard takes in what an answer says of its route.
-func (e *entrance) heard(r *request, end *reply) {
+func (e *entrance) heard(r *request, region string, end *reply) {
 	if !end.report.known {
 		return
 	}
-	e.door.Heard(time.Now(), r.route, end.report.level)
+	now := time.Now()
+	e.door.Heard(now, pressure.Way{Route: r.route, Region: region}, end.report.level)
+	e.calls.Heard(now, pressure.Way{Route: r.route}, end.report.level)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	rank, known := e.ranks[r.route]
@@ -59,17 +77,41 @@
 	return known
 }
 
+// entry is what the entrance decided on a request, with what decided it.
+type entry struct {
+	// region is where the request is to run, or "" if that is open.
+	region string
+	// level is that of the own region.
+	level float64
+	ok    bool
+}
+
 // admit decides on a request. Calls of backend servers are always admitted: the
-// work done for their customer request would be lost.
-func (e *entrance) admit(route *config.Route) (ok bool, level float64) {
+// work done for their customer request would be lost. What the own region has no
+// room for goes to another one as a whole, which costs one way between regions
+// and not one for each call.
+func (e *entrance) admit(route *config.Route) (a entry) {
 	e.mu.Lock()
 	_, known := e.ranks[route.Name()]
 	place, places := slices.Index(e.order, route.Priority()), len(e.order)
 	e.mu.Unlock()
 	now := time.Now()
-	level = e.door.Level(now, route.Name())
-	if !known || place < 0 {
-		return true, level
+	home := pressure.Way{Route: route.Name(), Region: e.home}
+	a.level = e.door.Level(now, home)
+	if !known || place < 0 || e.door.Admit(now, home, place, places) {
+		a.ok = true
+		return a
+	}
+	first := 0
+	if len(e.others) > 1 {
+		first = rand.IntN(len(e.others))
+	}
+	for n := range e.others {
+		region := e.others[(first+n)%len(e.others)]
+		if e.door.AdmitRemote(now, pressure.Way{Route: route.Name(), Region: region}) {
+			a.region, a.ok = region, true
+			return a
+		}
 	}
-	return e.door.Admit(now, route.Name(), place, places), level
+	return a
 }
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -18,9 +18,11 @@
 )
 
 const (
-	// maxOffers is the number of nodes that a request is offered to until one
-	// takes it. Refusals by nodes cost no work at a backend server.
-	maxOffers = 5
+	// A request is offered to nearOffers nodes of its region, and then to others,
+	// up to maxOffers until one takes it. Refusals by nodes cost no work at a
+	// backend server, but each offer to another region takes 40 ms.
+	nearOffers = 3
+	maxOffers  = 5
 	// answerGrace is how much longer this node waits than the nodes and backend
 	// servers further on, so that their own end of the request arrives first.
 	answerGrace = 30 * time.Millisecond
@@ -31,6 +33,9 @@
 	// firstPatience is how long a request waits for a slot at a node while
 	// others may have one: the way to the next zone and back takes 1 ms.
 	firstPatience = 10 * time.Millisecond
+	// nearPatience is how long it waits in its region before it goes to another
+	// one, about twice the way there and back.
+	nearPatience = 80 * time.Millisecond
 	// lastPatienceShare of the time left is what a request waits at the last
 	// node that it is offered to.
 	lastPatienceShare = 0.25
@@ -78,8 +83,10 @@
 		i.deliver(w, out, notRun(call.ReasonDraining, "the node is stopping"), arrived, state.Version())
 		return
 	}
-	if ok, level := i.entrance.admit(route); !ok {
-		end := notRun(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is short: level %.2f", level))
+	admitted := i.entrance.admit(route)
+	out.region = admitted.region
+	if !admitted.ok {
+		end := notRun(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is short: level %.2f", admitted.level))
 		i.deliver(w, out, end, arrived, state.Version())
 		return
 	}
@@ -130,7 +137,7 @@
 	attempts := 0
 	end = notRun(call.ReasonNoUpstream, "no node has a backend server of the service that takes work")
 	for offer := 1; offer <= maxOffers; offer++ {
-		p, ok := i.balancer.choose(r, tried)
+		p, ok := i.balancer.choose(r, tried, offer <= nearOffers)
 		if !ok {
 			return end
 		}
@@ -139,7 +146,7 @@
 		r.patience = i.patience(r, offer)
 		end = i.offer(ctx, p, r, version)
 		i.balancer.done(r, node, end)
-		i.entrance.heard(r, end)
+		i.entrance.heard(r, p.member.Region, end)
 		switch {
 		case end.outcome == call.Answered:
 			return end
@@ -161,10 +168,15 @@
 }
 
 func (i *ingress) patience(r *request, offer int) time.Duration {
-	if offer < maxOffers-2 {
-		return firstPatience
+	last := time.Duration(lastPatienceShare * float64(time.Until(r.deadline)))
+	switch {
+	case offer == 1:
+		return min(firstPatience, last)
+	case offer < maxOffers:
+		return min(nearPatience, last)
+	default:
+		return last
 	}
-	return time.Duration(lastPatienceShare * float64(time.Until(r.deadline)))
 }
 
 // offer sends a request to a node, or runs it here.
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -43,6 +43,8 @@
 	rank int
 	// deadline is when the caller stops waiting.
 	deadline time.Time
+	// region is where the request is to run, or "" if that is open.
+	region string
 	// patience is how long the request may wait for a slot at the next node.
 	patience time.Duration
 }
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/call"
 	"github.com/lacewingslip/lacewingslip/calltree"
+	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/metrics"
 	"github.com/lacewingslip/lacewingslip/platform"
@@ -29,6 +31,8 @@
 	// backendIdle is how long a connection to the backend server is kept without
 	// use. Backend servers close them after 10 s.
 	backendIdle = 8 * time.Second
+	// reportedStep is the change of the pressure that makes an event.
+	reportedStep = 0.1
 )
 
 // sidecar takes requests to the backend server beside this node. It is the only
@@ -44,13 +48,15 @@
 	callers *calltree.Callers
 	// child has the level of the routes that the backend server calls.
 	child *pressure.Door
+	// reported is the level of the last event. Only tick uses it.
+	reported float64
 	// stopping refuses requests of other nodes before a planned stop.
 	stopping atomic.Bool
 }
 
 func newSidecar(place site.Site, tracker *upstream.Tracker, e *entrance, events recorder) *sidecar {
 	return &sidecar{
-		gauge: &pressure.Gauge{}, links: calltree.NewLinks(), callers: calltree.NewCallers(), child: e.door,
+		gauge: &pressure.Gauge{}, links: calltree.NewLinks(), callers: calltree.NewCallers(), child: e.calls,
 		place: place, tracker: tracker, slots: slot.New(), events: events,
 		backend: hop.New(place.Backend, hop.WithMaxIdle(backendIdle)),
 	}
@@ -148,14 +154,21 @@
 	level := s.gauge.Level()
 	now := time.Now()
 	for _, child := range s.links.Children(route) {
-		level = max(level, s.child.Level(now, child))
+		level = max(level, s.child.Level(now, pressure.Way{Route: child}))
 	}
 	return level
 }
 
 // tick does the time-driven work.
 func (s *sidecar) tick(now time.Time, services int) {
-	s.gauge.Tick(now, s.slots.Load())
+	load := s.slots.Load()
+	level := s.gauge.Tick(now, load)
+	if math.Abs(level-s.reported) >= reportedStep || level == 0 && s.reported > 0 {
+		s.reported = level
+		s.events.Record(event.PressureChanged, slog.Float64("level", level), slog.Float64("use", s.gauge.Use()),
+			slog.Int("running", load.Running), slog.Int("waiting", load.Waiting), slog.Int("limit", load.Limit),
+			attrMs("meanRunMs", load.MeanRun))
+	}
 	s.links.Tick(now)
 	s.callers.Tick(now, services)
 	s.backend.Sweep(now)
--- a/pressure/door.go
+++ b/pressure/door.go
@@ -12,16 +12,25 @@
 	// heardMemory is how long a level stays without news. When few requests are
 	// admitted, few answers bring news.
 	heardMemory = 2 * time.Second
-	// minShare of the requests of each rank is always admitted, so that answers
+	// minShare of the requests of each rank is always admitted to the own region, so that answers
 	// show when the pressure has gone.
 	minShare = 0.1
+
+	// remoteLevel is the level of another region from which on it takes no
+	// requests from here: they would take the place of its own ones.
+	remoteLevel = 0.3
 )
 
-// Door keeps the level of each route and decides on its requests. It is safe for
+// Way is a route's requests to the nodes of a region.
+type Way struct {
+	Route, Region string
+}
+
+// Door keeps the level of each way and decides on its requests. It is safe for
 // concurrent use.
 type Door struct {
-	mu     sync.Mutex
-	routes map[string]*doorway
+	mu   sync.Mutex
+	ways map[Way]*doorway
 }
 
 type doorway struct {
@@ -32,51 +41,60 @@
 }
 
 // NewDoor returns a door that admits everything.
-func NewDoor() *Door { return &Door{routes: make(map[string]*doorway)} }
+func NewDoor() *Door { return &Door{ways: make(map[Way]*doorway)} }
 
-// maxDoorways bounds the routes that are kept; those without pressure are not.
+// maxDoorways bounds the ways that are kept; those without pressure are not.
 const maxDoorways = 4096
 
-// Heard takes in the level that an answer to a request of the route states.
-func (d *Door) Heard(now time.Time, route string, level float64) {
+// Heard takes in the level that an answer to a request states.
+func (d *Door) Heard(now time.Time, way Way, level float64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	w := d.routes[route]
+	w := d.ways[way]
 	if w == nil {
-		if level == 0 || len(d.routes) >= maxDoorways {
+		if level == 0 || len(d.ways) >= maxDoorways {
 			return
 		}
 		w = &doorway{heard: now, credit: 0.5}
-		d.routes[route] = w
+		d.ways[way] = w
 	}
 	w.level = w.at(now)
 	w.level += heardWeight * (level - w.level)
 	w.heard = now
 	if w.level < 0.001 {
-		delete(d.routes, route)
+		delete(d.ways, way)
 	}
 }
 
-// Level returns the level of the route.
-func (d *Door) Level(now time.Time, route string) float64 {
+// Level returns the level of a way.
+func (d *Door) Level(now time.Time, way Way) float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if w := d.routes[route]; w != nil {
+	if w := d.ways[way]; w != nil {
 		return w.at(now)
 	}
 	return 0
 }
 
-// Admit decides on a request of a route. Place is that of its rank among the
-// places of all ranks of customer requests, 0 for the most important one.
-func (d *Door) Admit(now time.Time, route string, place, places int) (ok bool) {
+// Admit decides on a request to the own region. Place is that of its rank among
+// the places of all ranks of customer requests, 0 for the most important one.
+func (d *Door) Admit(now time.Time, way Way, place, places int) (ok bool) {
+	return d.pass(now, way, func(level float64) float64 { return Share(level, place, places) })
+}
+
+// AdmitRemote decides on a request that the own region has no room for.
+func (d *Door) AdmitRemote(now time.Time, way Way) (ok bool) {
+	return d.pass(now, way, func(level float64) float64 { return max(1-level/remoteLevel, 0) })
+}
+
+func (d *Door) pass(now time.Time, way Way, shareAt func(level float64) float64) (ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	w := d.routes[route]
+	w := d.ways[way]
 	if w == nil {
 		return true
 	}
-	share := Share(w.at(now), place, places)
+	share := shareAt(w.at(now))
 	// Spreading the refusals evenly keeps the number of admitted requests
 	// steadier than chance would.
 	w.credit += share
--- a/pressure/pressure.go
+++ b/pressure/pressure.go
@@ -11,8 +11,9 @@
 // Answers carry the highest level of the services that a route's requests need.
 // The node where requests enter keeps it in a [Door]:
 //
-//	door.Heard(now, "order-book", level)
-//	if !door.Admit(now, "order-book", place, places) { refuse }
+//	way := pressure.Way{Route: "order-book", Region: "addis"}
+//	door.Heard(now, way, level)
+//	if !door.Admit(now, way, place, places) { refuse, or try another region }
 //
 // A level of 0 admits all requests. From 0 to 1 the least important requests are
 // refused in that proportion, from 1 to 2 those of the next rank as well, and so
@@ -34,18 +35,21 @@
 	targetUse = 0.88
 	// useMemory is the time over which use is averaged.
 	useMemory = 300 * time.Millisecond
-	// riseRate and fallRate are the change of the level per second for an excess
-	// of 1. A refused customer request takes its calls away within about half a
-	// second, so faster changes would overshoot.
-	riseRate = 2.0
-	fallRate = 1.0
+	// changeRate is the change of the level per second for an excess of 1. A
+	// refused customer request takes its calls away within about half a second,
+	// so faster changes would overshoot.
+	changeRate = 2.0
+	// Use below lowUse counts twice more, so that the level is back at 0 within
+	// about a second after a surge.
+	lowUse     = 0.75
+	lowUseRate = 2.0
 	// maxWaiting bounds what waiting requests add to the excess.
 	maxWaiting = 0.6
 	// refusedWeight is what a refusal of all arrivals adds to the excess.
-	refusedWeight = 0.6
-	// maxLevel bounds the level. No deployment has more ranks of customer
-	// requests than three.
-	maxLevel = 3.0
+	refusedWeight = 0.3
+	// maxLevel bounds the level: all but a few requests of the two lowest ranks
+	// are refused.
+	maxLevel = 2.0
 )
 
 // Gauge turns the load of one backend server into a level. It is safe for
@@ -80,6 +84,13 @@
 	return g.level
 }
 
+// Use returns the share of slots that was in use of late.
+func (g *Gauge) Use() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.use
+}
+
 // Tick adapts the level to the load and returns it.
 func (g *Gauge) Tick(now time.Time, load slot.Load) (level float64) {
 	g.mu.Lock()
@@ -97,10 +108,9 @@
 		excess += refusedWeight * g.refused / g.arrived
 	}
 	g.arrived, g.refused = 0, 0
-	rate := riseRate
-	if excess < 0 {
-		rate = fallRate
+	if g.use < lowUse {
+		excess += lowUseRate * (g.use - lowUse)
 	}
-	g.level = min(max(g.level+rate*excess*passed.Seconds(), 0), maxLevel)
+	g.level = min(max(g.level+changeRate*excess*passed.Seconds(), 0), maxLevel)
 	return g.level
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -49,6 +49,9 @@
 	Tried []string
 	// Cost is the size of the call in bytes, as far as it is known.
 	Cost int64
+	// Region restricts the choice to upstreams of a region, with spare capacity
+	// or without. It is empty for no restriction.
+	Region string
 }
 
 // End is how an attempt ended.
@@ -209,6 +212,9 @@
 	if s == nil {
 		return Upstream{}, false
 	}
+	if q.Region != "" {
+		return t.chooseIn(s, now, q)
+	}
 	for at := 0; at < len(s.rows); {
 		end := s.tierEnd(at)
 		if s.rows[at].tier == remoteTier && !t.remoteAllowed(s, q.Cost) {
@@ -223,6 +229,19 @@
 	return t.chooseFull(s, now, q)
 }
 
+// chooseIn chooses among the upstreams of a region: the nearest with spare
+// capacity, or else the least loaded.
+func (t *Table) chooseIn(s *service, now time.Time, q Query) (u Upstream, ok bool) {
+	for at := 0; at < len(s.rows); at = s.tierEnd(at) {
+		t.collect(s, at, s.tierEnd(at), q, now, true)
+		if u, ok = t.pick(s, now, q.Cost); ok {
+			return u, true
+		}
+	}
+	t.collect(s, 0, len(s.rows), q, now, false)
+	return t.pick(s, now, q.Cost)
+}
+
 // chooseFull chooses when no upstream has spare capacity: calls wait in the
 // queues of the local region rather than cross regions.
 func (t *Table) chooseFull(s *service, now time.Time, q Query) (u Upstream, ok bool) {
@@ -328,7 +347,7 @@
 	t.candidates = t.candidates[:0]
 	for i := from; i < to; i++ {
 		r := &s.rows[i]
-		if slices.Contains(q.Tried, r.Node) || spare && !r.spare(now) {
+		if slices.Contains(q.Tried, r.Node) || q.Region != "" && r.Region != q.Region || spare && !r.spare(now) {
 			continue
 		}
 		t.candidates = append(t.candidates, i)
