--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,59 @@
+package config_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/config"
+)
+
+func route(name, host, prefix string) *config.Route {
+	return config.NewRoute(name, host, prefix, []config.Target{{Service: name, Weight: 1}})
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	state := config.New(1, []*config.Route{
+		route("short", "a.example", "/x/"), route("long", "A.example", "/x/y/"), route("other", "b.example", "/"),
+	}, nil, config.Limits{})
+	for name, c := range map[string]struct{ host, path, want string }{
+		"short":         {"a.example", "/x/1", "short"},
+		"long":          {"a.example", "/x/y/1", "long"},
+		"port ignored":  {"a.example:8080", "/x/y/1", "long"},
+		"no prefix":     {"a.example", "/xy/1", ""},
+		"root":          {"b.example", "/anything", "other"},
+		"unknown host":  {"c.example", "/x/1", ""},
+		"without slash": {"a.example", "/x", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			found, ok := state.Match(c.host, c.path)
+			must.Eq(t, c.want != "", ok)
+			if ok {
+				must.Eq(t, c.want, found.Name())
+			}
+		})
+	}
+}
+
+// The shares must hold over few requests: a release that moves a tenth of the
+// traffic is judged after some hundred.
+func TestSplitterKeepsShares(t *testing.T) {
+	split := config.NewRoute("r", "a", "/", []config.Target{{"x", 90}, {"y", 10}, {"none", 0}})
+	splitter := config.NewSplitter()
+	counts := make(map[string]int)
+	for range 100 {
+		counts[splitter.Next(split)]++
+	}
+	must.Between(t, 89, counts["x"], 91)
+	must.Between(t, 9, counts["y"], 11)
+	must.Eq(t, 0, counts["none"])
+}
+
+func TestSplitterFollowsNewWeights(t *testing.T) {
+	splitter := config.NewSplitter()
+	splitter.Next(config.NewRoute("r", "a", "/", []config.Target{{"x", 90}, {"y", 10}}))
+	moved := config.NewRoute("r", "a", "/", []config.Target{{"x", 0}, {"y", 10}, {"z", 0}})
+	for range 10 {
+		must.Eq(t, "y", splitter.Next(moved))
+	}
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,174 @@
+package fleet_test
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/fleet"
+	"github.com/lacewingslip/lacewingslip/internal/standin/keyedlog"
+	"github.com/lacewingslip/lacewingslip/platform"
+)
+
+func member(node string, epoch int64) fleet.Member {
+	return fleet.Member{Node: node, Epoch: epoch, Address: node + ":1", Service: "orders", TakesWork: true}
+}
+
+func TestNewestRecordStands(t *testing.T) {
+	table := fleet.NewTable()
+	must.True(t, table.Apply(member("a", 5)))
+	must.False(t, table.Apply(member("a", 4)))
+	must.False(t, table.Apply(member("a", 5)))
+	must.True(t, table.Apply(member("a", 6)))
+	must.True(t, table.Drop("a"))
+	// A record that comes back through another node must not revive it.
+	must.False(t, table.Apply(member("a", 6)))
+	must.True(t, table.Apply(member("a", 7)))
+}
+
+func TestDigest(t *testing.T) {
+	one, two := fleet.NewTable(), fleet.NewTable()
+	for _, m := range []fleet.Member{member("a", 1), member("b", 2)} {
+		one.Apply(m)
+	}
+	for _, m := range []fleet.Member{member("b", 1), member("b", 2), member("c", 9), member("a", 1)} {
+		two.Apply(m)
+	}
+	must.NotEq(t, one.Digest(), two.Digest())
+	two.Drop("c")
+	must.Eq(t, one.Digest(), two.Digest())
+}
+
+func TestDecodeMember(t *testing.T) {
+	for name, text := range map[string]string{
+		"not JSON":   "\x01",
+		"no address": `{"node":"a","epoch":1,"service":"orders"}`,
+		"no epoch":   `{"node":"a","address":"a:1","service":"orders"}`,
+		"wrong type": `{"node":"a","address":"a:1","service":"orders","epoch":"1"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := fleet.DecodeMember([]byte(text))
+			must.Error(t, err)
+		})
+	}
+}
+
+func FuzzDecodeMember(f *testing.F) {
+	f.Add([]byte(`{"node":"a","epoch":1,"address":"a:1","service":"orders","slots":5,"takesWork":true}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if m, err := fleet.DecodeMember(data); err == nil {
+			must.NoError(t, m.Check())
+		}
+	})
+}
+
+type silent struct{}
+
+func (silent) Record(event.ID, ...slog.Attr) {}
+
+func startLog(t *testing.T) (log *keyedlog.Log, store *platform.Store) {
+	t.Helper()
+	log = keyedlog.New()
+	server := httptest.NewServer(log)
+	t.Cleanup(server.Close)
+	return log, platform.NewStore(server.Listener.Addr().String())
+}
+
+// startDirectory runs the directory of a node until the test ends.
+func startDirectory(t *testing.T, store *platform.Store, node string) (d *fleet.Directory, unpublished *atomic.Int64) {
+	t.Helper()
+	unpublished = &atomic.Int64{}
+	own := member(node, 0)
+	own.TakesWork = false
+	d = fleet.NewDirectory(own, fleet.NewTable(), store, silent{}, func() {})
+	d.OnUnpublished(func() { unpublished.Add(1) })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return d, unpublished
+}
+
+func eventually(t *testing.T, what func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(what), wait.Timeout(10*time.Second), wait.Gap(5*time.Millisecond)))
+}
+
+func takesWork(d *fleet.Directory, node string) func() bool {
+	return func() bool {
+		m, ok := d.Table().Get(node)
+		return ok && m.TakesWork
+	}
+}
+
+func TestNodesFindEachOther(t *testing.T) {
+	_, store := startLog(t)
+	a, _ := startDirectory(t, store, "a")
+	b, _ := startDirectory(t, store, "b")
+	a.Update(func(m *fleet.Member) { m.TakesWork = true })
+	eventually(t, takesWork(b, "a"))
+	b.Update(func(m *fleet.Member) { m.TakesWork = true })
+	eventually(t, takesWork(a, "b"))
+}
+
+// A node whose earlier process wrote under a later time of day must not be
+// taken for the old one.
+func TestRestartedNodeReplacesItsRecord(t *testing.T) {
+	_, store := startLog(t)
+	ahead := member("a", time.Now().Add(time.Hour).UnixMilli())
+	value := []byte(`{"node":"a","epoch":` + time.Now().Add(time.Hour).Format("20060102") + `000000,"address":"old:1","service":"orders"}`)
+	must.NoError(t, store.Put(context.Background(), fleet.Topic, "a", ahead.Epoch, "a", value))
+	b, _ := startDirectory(t, store, "b")
+	a, _ := startDirectory(t, store, "a")
+	a.Update(func(m *fleet.Member) { m.TakesWork = true })
+	eventually(t, takesWork(b, "a"))
+}
+
+func TestOutageOfTheLog(t *testing.T) {
+	log, store := startLog(t)
+	a, unpublished := startDirectory(t, store, "a")
+	b, _ := startDirectory(t, store, "b")
+	<-a.Loaded()
+	<-b.Loaded()
+	log.Set(keyedlog.Troubles{Down: true})
+	eventually(t, func() bool { return !a.Reachable() && !b.Reachable() })
+	a.Update(func(m *fleet.Member) { m.TakesWork = true })
+	eventually(t, func() bool { return unpublished.Load() > 0 })
+	// Meanwhile news comes from the node itself.
+	b.Merge(a.Own())
+	must.True(t, takesWork(b, "a")())
+	log.Set(keyedlog.Troubles{})
+	c, _ := startDirectory(t, store, "c")
+	eventually(t, takesWork(c, "a"))
+}
+
+func TestForgottenHistory(t *testing.T) {
+	log, store := startLog(t)
+	a, _ := startDirectory(t, store, "a")
+	<-a.Loaded()
+	log.Put(fleet.Topic, "b", []byte(`{"node":"b","epoch":5,"address":"b:1","service":"orders","takesWork":true}`))
+	log.Trim(fleet.Topic)
+	eventually(t, takesWork(a, "b"))
+}
+
+func TestForeignRecordsAreIgnored(t *testing.T) {
+	log, store := startLog(t)
+	log.Put(fleet.Topic, "x", []byte("\x00\x01 not ours"))
+	log.Put(fleet.Topic, "b", []byte(`{"node":"b","epoch":5,"address":"b:1","service":"orders","takesWork":true}`))
+	a, _ := startDirectory(t, store, "a")
+	eventually(t, takesWork(a, "b"))
+	must.Len(t, 1, a.Table().Members())
+}
--- /dev/null
+++ b/hop/hop_test.go
@@ -0,0 +1,139 @@
+package hop_test
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/hop"
+	"github.com/lacewingslip/lacewingslip/internal/standin/server"
+)
+
+const idHeader = "X-Request-Id"
+
+func start(t *testing.T, behaviours ...server.Behaviour) (s *server.Server, pool *hop.Pool) {
+	t.Helper()
+	s, err := server.Start("127.0.0.1:0", "i-1")
+	must.NoError(t, err)
+	t.Cleanup(s.Close)
+	n := 0
+	s.Behave(func(*http.Request) server.Behaviour {
+		if n++; n <= len(behaviours) {
+			return behaviours[n-1]
+		}
+		return server.Answer
+	})
+	return s, hop.New(s.Address())
+}
+
+// send makes a request with the ID and returns its body.
+func send(ctx context.Context, pool *hop.Pool, method, id string) (body string, err error) {
+	request := &http.Request{
+		Method: method, URL: &url.URL{Opaque: "/x"}, Host: "example", Header: http.Header{idHeader: {id}},
+	}
+	answer, err := pool.Do(ctx, request, func(_ int, h http.Header) bool { return h.Get(idHeader) == id })
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	data, _, err := answer.ReadAll(1 << 20)
+	return string(data), err
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	s, pool := start(t)
+	for _, id := range []string{"a", "b", "c"} {
+		body, err := send(context.Background(), pool, http.MethodGet, id)
+		must.NoError(t, err)
+		must.Eq(t, "answer of "+id, body)
+	}
+	must.Eq(t, 1, s.Connections())
+}
+
+// net/http's transport repeats a GET by itself when a kept connection breaks.
+// Such a request may have run.
+func TestNothingIsSentTwice(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPut, http.MethodDelete, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			s, pool := start(t, server.Answer, server.LoseAnswer)
+			_, err := send(context.Background(), pool, method, "a")
+			must.NoError(t, err)
+			_, err = send(context.Background(), pool, method, "b")
+			must.Error(t, err)
+			must.True(t, hop.MayHaveRun(err))
+			must.Eq(t, 1, s.Runs("b"))
+		})
+	}
+}
+
+func TestNoConnectionMeansNotRun(t *testing.T) {
+	s, pool := start(t)
+	s.Close()
+	_, err := send(context.Background(), pool, http.MethodPost, "a")
+	must.Error(t, err)
+	must.False(t, hop.MayHaveRun(err))
+}
+
+// A second answer to an earlier request must not be taken for that to the next
+// one, whether it comes before that request or after it.
+func TestExtraAnswers(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": 0, "while idle": 20 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			_, pool := start(t, server.ExtraAnswer, server.ExtraAnswer)
+			for _, id := range []string{"a", "b", "c"} {
+				body, err := send(context.Background(), pool, http.MethodGet, id)
+				must.NoError(t, err)
+				must.Eq(t, "answer of "+id, body)
+				time.Sleep(pause)
+			}
+		})
+	}
+}
+
+func TestIncompleteAnswers(t *testing.T) {
+	_, pool := start(t, server.CutAnswer)
+	_, err := send(context.Background(), pool, http.MethodGet, "a")
+	must.Error(t, err)
+}
+
+func TestAnswerToAnotherRequest(t *testing.T) {
+	s, pool := start(t, server.OtherAnswer)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := send(ctx, pool, http.MethodGet, "a")
+	must.Error(t, err)
+	body, err := send(context.Background(), pool, http.MethodGet, "b")
+	must.NoError(t, err)
+	must.Eq(t, "answer of b", body)
+	must.Eq(t, 2, s.Connections())
+}
+
+func TestEndOfContextEndsTheRequest(t *testing.T) {
+	_, pool := start(t, server.Hang)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	_, err := send(ctx, pool, http.MethodGet, "a")
+	must.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
+func TestSweepClosesUnusedConnections(t *testing.T) {
+	s, _ := start(t)
+	pool := hop.New(s.Address(), hop.WithMaxIdle(time.Millisecond))
+	_, err := send(context.Background(), pool, http.MethodGet, "a")
+	must.NoError(t, err)
+	pool.Sweep(time.Now().Add(time.Second))
+	_, err = send(context.Background(), pool, http.MethodGet, "b")
+	must.NoError(t, err)
+	must.Eq(t, 2, s.Connections())
+}
+
+func TestEndToEnd(t *testing.T) {
+	h := http.Header{"Connection": {"X-Private, close"}, "X-Private": {"1"}, "Keep-Alive": {"timeout=5"}, "X-Kept": {"1"}}
+	must.Eq(t, http.Header{"X-Kept": {"1"}}, hop.EndToEnd(h))
+	must.True(t, strings.HasPrefix(h.Get("Connection"), "X-Private"))
+}
--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -48,8 +48,11 @@
 
 // peer is another node, or this one.
 type peer struct {
+	// node, address and region never change.
+	node, address, region string
+	pool                  *hop.Pool
+	// member and what follows are guarded by the balancer's lock.
 	member fleet.Member
-	pool   *hop.Pool
 	// lost is true while the node can't be reached.
 	lost bool
 	// probeAt and pause say when it is asked again.
@@ -75,11 +78,11 @@
 	for _, m := range members {
 		known[m.Node] = true
 		p := b.peers[m.Node]
-		if p == nil || p.member.Address != m.Address {
+		if p == nil || p.address != m.Address || p.region != m.Region {
 			if p != nil {
 				p.pool.Close()
 			}
-			p = &peer{pool: hop.New(m.Address, hop.WithMaxIdle(peerIdle))}
+			p = &peer{node: m.Node, address: m.Address, region: m.Region, pool: hop.New(m.Address, hop.WithMaxIdle(peerIdle))}
 			b.peers[m.Node] = p
 		}
 		p.member = m
@@ -92,7 +95,7 @@
 	}
 	b.byIP = make(map[string]*peer, len(b.peers))
 	for _, p := range b.peers {
-		if ip, _, err := net.SplitHostPort(p.member.Address); err == nil {
+		if ip, _, err := net.SplitHostPort(p.address); err == nil {
 			b.byIP[ip] = p
 		}
 	}
@@ -182,7 +185,7 @@
 	}
 	p.refusedEpoch = p.member.Epoch
 	b.publish()
-	b.events.Record(event.PeerRefuses, attrNode(p.member.Node), attrService(p.member.Service),
+	b.events.Record(event.PeerRefuses, attrNode(p.node), attrService(p.member.Service),
 		slog.Int64("epoch", p.member.Epoch))
 }
 
@@ -190,13 +193,13 @@
 func (b *balancer) lose(p *peer, detail string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if p.lost || b.peers[p.member.Node] != p {
+	if p.lost || b.peers[p.node] != p {
 		return
 	}
 	p.lost, p.pause = true, b.probePause(probeFirst)
 	p.probeAt = time.Now().Add(p.pause)
 	b.publish()
-	b.events.Record(event.PeerLost, attrNode(p.member.Node), slog.Int64("epoch", p.member.Epoch), attrDetail(detail))
+	b.events.Record(event.PeerLost, attrNode(p.node), slog.Int64("epoch", p.member.Epoch), attrDetail(detail))
 }
 
 // regain takes in that a node answers.
@@ -278,5 +281,5 @@
 	if err != nil {
 		return lost(ctx, err), 0
 	}
-	return readPeerReply(answer, p.member.Node)
+	return readPeerReply(answer, p.node)
 }
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -102,7 +102,7 @@
 
 // with exchanges news with a node.
 func (e *exchange) with(ctx context.Context, p *peer, wantMembers bool) (err error) {
-	defer func() { err = eris.Wrapf(err, "exchange with node %s", p.member.Node) }()
+	defer func() { err = eris.Wrapf(err, "exchange with node %s", p.node) }()
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	message := e.message()
@@ -111,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.member.Address+exchangePath, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.address+exchangePath, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -127,7 +127,7 @@
 	if err = json.NewDecoder(io.LimitReader(response.Body, maxExchangeBytes)).Decode(&received); err != nil {
 		return err
 	}
-	if received.Self.Node != p.member.Node {
+	if received.Self.Node != p.node {
 		return eris.Errorf("the address belongs to node %q", received.Self.Node)
 	}
 	if len(received.State) > 0 {
@@ -144,7 +144,7 @@
 	if version <= e.desired.version() {
 		return
 	}
-	node := p.member.Node
+	node := p.node
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.asking[node] {
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -141,12 +141,12 @@
 		if !ok {
 			return end
 		}
-		node := p.member.Node
+		node := p.node
 		tried = append(tried, node)
 		r.patience = i.patience(r, offer)
 		end = i.offer(ctx, p, r, version)
 		i.balancer.done(r, node, end)
-		i.entrance.heard(r, p.member.Region, end)
+		i.entrance.heard(r, p.region, end)
 		switch {
 		case end.outcome == call.Answered:
 			return end
@@ -181,7 +181,7 @@
 
 // offer sends a request to a node, or runs it here.
 func (i *ingress) offer(ctx context.Context, p *peer, r *request, version int64) (end *reply) {
-	if p.member.Node == i.place.Node {
+	if p.node == i.place.Node {
 		return i.sidecar.run(ctx, r)
 	}
 	end, heard := i.balancer.send(ctx, p, r, version)
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,78 @@
+package upstream_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/upstream"
+)
+
+func said(instance string, born, sequence int64, state upstream.State) upstream.Announcement {
+	return upstream.Announcement{
+		Instance: instance, Born: born, Sequence: sequence, State: state, Service: "orders", Address: "10.1.0.8:1", Slots: 8,
+	}
+}
+
+// Announcements arrive late and out of order. Whatever comes last, the newest
+// one must stand.
+func TestAnnouncementsOutOfOrder(t *testing.T) {
+	for name, c := range map[string]struct {
+		before []upstream.Announcement
+		last   upstream.Announcement
+		change upstream.Change
+		state  upstream.State
+	}{
+		"first":                 {nil, said("a", 1, 1, upstream.Ready), upstream.Changed, upstream.Ready},
+		"repeated":              {[]upstream.Announcement{said("a", 1, 1, upstream.Ready)}, said("a", 1, 2, upstream.Ready), upstream.Unchanged, upstream.Ready},
+		"draining":              {[]upstream.Announcement{said("a", 1, 1, upstream.Ready)}, said("a", 1, 2, upstream.Draining), upstream.Changed, upstream.Draining},
+		"late ready":            {[]upstream.Announcement{said("a", 1, 2, upstream.Draining)}, said("a", 1, 1, upstream.Ready), upstream.Stale, upstream.Draining},
+		"earlier lifetime":      {[]upstream.Announcement{said("b", 2, 1, upstream.Ready)}, said("a", 1, 9, upstream.Draining), upstream.Stale, upstream.Ready},
+		"next lifetime":         {[]upstream.Announcement{said("a", 1, 9, upstream.Draining)}, said("b", 2, 1, upstream.Ready), upstream.Changed, upstream.Ready},
+		"restart under same ID": {[]upstream.Announcement{said("a", 1, 9, upstream.Draining)}, said("a", 2, 1, upstream.Ready), upstream.Changed, upstream.Ready},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := upstream.New("orders", "10.1.0.8:1")
+			for _, a := range c.before {
+				tracker.Announce(time.Now(), a)
+			}
+			must.Eq(t, c.change, tracker.Announce(time.Now(), c.last))
+			must.Eq(t, c.state, tracker.Server().State())
+		})
+	}
+}
+
+func TestForeignAnnouncementNamesNoServer(t *testing.T) {
+	tracker := upstream.New("orders", "10.1.0.8:1")
+	other := said("a", 1, 1, upstream.Ready)
+	other.Service = "dispatch"
+	must.Eq(t, upstream.Foreign, tracker.Announce(time.Now(), other))
+	must.False(t, tracker.Server().TakesWork())
+}
+
+// A server that has signed off goes on to run for a while, and its last
+// announcements may arrive after that.
+func TestSignedOffServerStaysGone(t *testing.T) {
+	tracker := upstream.New("orders", "10.1.0.8:1")
+	tracker.Announce(time.Now(), said("a", 5, 1, upstream.Ready))
+	must.Eq(t, upstream.Changed, tracker.Leave("a", 0))
+	must.Eq(t, upstream.Stale, tracker.Announce(time.Now(), said("a", 5, 7, upstream.Ready)))
+	must.Eq(t, upstream.Gone, tracker.Server().State())
+	must.Eq(t, upstream.Changed, tracker.Announce(time.Now(), said("a", 6, 1, upstream.Ready)))
+}
+
+func TestLeaveOfEarlierLifetime(t *testing.T) {
+	tracker := upstream.New("orders", "10.1.0.8:1")
+	tracker.Announce(time.Now(), said("a", 5, 1, upstream.Ready))
+	must.Eq(t, upstream.Stale, tracker.Leave("a", 4))
+	must.True(t, tracker.Server().TakesWork())
+}
+
+func TestRestoreNeverReplacesAnAnnouncement(t *testing.T) {
+	tracker := upstream.New("orders", "10.1.0.8:1")
+	must.Eq(t, upstream.Changed, tracker.Restore("a", 0, 8, upstream.Ready))
+	tracker.Announce(time.Now(), said("a", 5, 1, upstream.Draining))
+	must.Eq(t, upstream.Stale, tracker.Restore("a", 0, 8, upstream.Ready))
+	must.Eq(t, upstream.Draining, tracker.Server().State())
+}
