Set levels by demand and by the level that caused it; keep calls in their region

A level needs about 1.2 s to show in the demand, because answers carry it up the tree and admitted requests go on to make calls, but it was raised all the while.

Change: the gauge estimates the demand from first offers and run times, and computes the wanted level from the one in force 1.2 s before. A call waits in its region unless another is known to have room, and goes anywhere only as a last resort.

--- a/event/load.go
+++ b/event/load.go
@@ -16,5 +16,5 @@
 	{ID: SheddingStarted, Name: "sheddingStarted", Level: slog.LevelWarn, Meaning: "The sidecar began to refuse calls because its queue was full."},
 	{ID: SheddingStopped, Name: "sheddingStopped", Level: slog.LevelInfo, Meaning: "The sidecar refuses no more calls."},
 	{ID: UpstreamAvoided, Name: "upstreamAvoided", Level: slog.LevelInfo, Meaning: "An upstream refused or failed and gets less work for a short time."},
-	{ID: PressureChanged, Name: "pressureChanged", Level: slog.LevelInfo, Meaning: "The level at which customer requests for this backend server's service are refused changed by a tenth or more. Use and waiting requests say why."},
+	{ID: PressureChanged, Name: "pressureChanged", Level: slog.LevelInfo, Meaning: "The level at which customer requests for this backend server's service are refused changed by a tenth or more. The demand, as a share of the slots, says why."},
 }
--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -124,27 +124,14 @@
 	}
 }
 
-// choose returns the node for the next attempt of a request: one of the region
-// where it is to run if near is true and one is left there, or else any.
-func (b *balancer) choose(r *request, tried []string, near bool) (p *peer, ok bool) {
+// choose returns a node of the region, or of any if it is empty.
+func (b *balancer) choose(r *request, tried []string, region string) (p *peer, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	query := routing.Query{
-		Service: r.service, Importance: importanceOf(r.rank), Tried: tried, Cost: int64(len(r.body)),
-	}
-	var u routing.Upstream
-	if near {
-		query.Region = r.region
-		if query.Region == "" {
-			query.Region = b.place.Region
-		}
-		u, ok = b.table.Choose(now, query)
-	}
-	if !ok {
-		query.Region = ""
-		u, ok = b.table.Choose(now, query)
-	}
+	u, ok := b.table.Choose(now, routing.Query{
+		Service: r.service, Importance: importanceOf(r.rank), Tried: tried, Cost: int64(len(r.body)), Region: region,
+	})
 	if !ok {
 		return nil, false
 	}
--- a/mesh/entrance.go
+++ b/mesh/entrance.go
@@ -18,9 +18,9 @@
 	// calls has the levels of the routes that only backend servers call,
 	// whichever region answered.
 	calls *pressure.Door
-	// home is the own region, and others are the other ones.
-	home   string
-	others []string
+	// home is the own region, one of all regions.
+	home    string
+	regions []string
 
 	mu sync.Mutex
 	// ranks has the rank of each route that customers call.
@@ -34,8 +34,8 @@
 		door: pressure.NewDoor(), calls: pressure.NewDoor(), home: place.Region, ranks: make(map[string]int),
 	}
 	for _, region := range place.RegionOf {
-		if region != e.home && !slices.Contains(e.others, region) {
-			e.others = append(e.others, region)
+		if !slices.Contains(e.regions, region) {
+			e.regions = append(e.regions, region)
 		}
 	}
 	return e
@@ -102,16 +102,23 @@
 		a.ok = true
 		return a
 	}
-	first := 0
-	if len(e.others) > 1 {
-		first = rand.IntN(len(e.others))
+	a.region, a.ok = e.regionWithRoom(route.Name(), e.home)
+	return a
+}
+
+// regionWithRoom returns a region other than home that has room for a request of
+// the route.
+func (e *entrance) regionWithRoom(route, home string) (region string, ok bool) {
+	if len(e.regions) == 0 {
+		return "", false
 	}
-	for n := range e.others {
-		region := e.others[(first+n)%len(e.others)]
-		if e.door.AdmitRemote(now, pressure.Way{Route: route.Name(), Region: region}) {
-			a.region, a.ok = region, true
-			return a
+	now := time.Now()
+	first := rand.IntN(len(e.regions))
+	for n := range e.regions {
+		region = e.regions[(first+n)%len(e.regions)]
+		if region != home && e.door.AdmitRemote(now, pressure.Way{Route: route, Region: region}) {
+			return region, true
 		}
 	}
-	return a
+	return "", false
 }
--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -51,7 +51,7 @@
 	logServer := httptest.NewServer(d.log)
 	t.Cleanup(logServer.Close)
 	d.logAddr = logServer.Listener.Addr().String()
-	d.publish(routeText("once", "unsafe", "orders"), routeText("safe", "safe", "orders"))
+	d.publish(routeText("once", "unsafe"), routeText("safe", "safe"))
 	for _, service := range services {
 		d.add(service)
 	}
@@ -59,9 +59,9 @@
 	return d
 }
 
-func routeText(name, kind, service string) string {
-	return fmt.Sprintf(`{"ResourceType":"Routes","Metadata":{"Name":%q},"Spec":{"Host":"example","PathPrefix":"/%s/","Kind":%q,"TimeoutMs":1000,"TargetLatencyMs":500,"Priority":0,"Service":%q,"MaxAttempts":2}}`,
-		name, name, kind, service)
+func routeText(name, kind string) string {
+	return fmt.Sprintf(`{"ResourceType":"Routes","Metadata":{"Name":%q},"Spec":{"Host":"example","PathPrefix":"/%s/","Kind":%q,"TimeoutMs":1000,"TargetLatencyMs":500,"Priority":0,"Service":"orders","MaxAttempts":2}}`,
+		name, name, kind)
 }
 
 // publish puts a new version of the desired state into the log.
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -18,11 +18,6 @@
 )
 
 const (
-	// A request is offered to nearOffers nodes of its region, and then to others,
-	// up to maxOffers until one takes it. Refusals by nodes cost no work at a
-	// backend server, but each offer to another region takes 40 ms.
-	nearOffers = 3
-	maxOffers  = 5
 	// answerGrace is how much longer this node waits than the nodes and backend
 	// servers further on, so that their own end of the request arrives first.
 	answerGrace = 30 * time.Millisecond
@@ -30,15 +25,6 @@
 	// caller is told to come back.
 	minRetryAfter    = 400 * time.Millisecond
 	retryAfterSpread = 600 * time.Millisecond
-	// firstPatience is how long a request waits for a slot at a node while
-	// others may have one: the way to the next zone and back takes 1 ms.
-	firstPatience = 10 * time.Millisecond
-	// nearPatience is how long it waits in its region before it goes to another
-	// one, about twice the way there and back.
-	nearPatience = 80 * time.Millisecond
-	// lastPatienceShare of the time left is what a request waits at the last
-	// node that it is offered to.
-	lastPatienceShare = 0.25
 )
 
 // ingress takes requests of callers on this VM, the backend server among them,
@@ -84,7 +70,7 @@
 		return
 	}
 	admitted := i.entrance.admit(route)
-	out.region = admitted.region
+	out.region, out.fromCustomer = admitted.region, i.entrance.fromCustomers(route)
 	if !admitted.ok {
 		end := notRun(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is short: level %.2f", admitted.level))
 		i.deliver(w, out, end, arrived, state.Version())
@@ -133,19 +119,16 @@
 // and worth it.
 func (i *ingress) carry(ctx context.Context, r *request, route *config.Route, version int64) (end *reply) {
 	i.budget.arrived(r.service)
-	var tried []string
+	o := &offers{balancer: i.balancer, entrance: i.entrance, request: r}
 	attempts := 0
 	end = notRun(call.ReasonNoUpstream, "no node has a backend server of the service that takes work")
-	for offer := 1; offer <= maxOffers; offer++ {
-		p, ok := i.balancer.choose(r, tried, offer <= nearOffers)
+	for {
+		p, ok := o.next()
 		if !ok {
 			return end
 		}
-		node := p.node
-		tried = append(tried, node)
-		r.patience = i.patience(r, offer)
 		end = i.offer(ctx, p, r, version)
-		i.balancer.done(r, node, end)
+		i.balancer.done(r, p.node, end)
 		i.entrance.heard(r, p.region, end)
 		switch {
 		case end.outcome == call.Answered:
@@ -154,29 +137,18 @@
 			return end
 		case end.outcome == call.NotRun && end.reason != call.ReasonShed:
 			i.learn(p, end)
+			o.declined = append(o.declined, p.node)
 			continue
 		}
 		attempts++
+		o.ran = append(o.ran, p.node)
 		if end.outcome == call.Unknown && r.kind != config.Idempotent || attempts >= route.Attempts() || !i.budget.take(r.service) {
 			return end
 		}
 		i.metrics.Retried(metrics.Ingress, r.service)
-		i.events.Record(event.CallRetried, attrRequest(r.id), attrRoute(r.route), attrNode(node),
+		i.events.Record(event.CallRetried, attrRequest(r.id), attrRoute(r.route), attrNode(p.node),
 			attrReason(end.reason), attrDetail(end.detail), attrLeft(r))
 	}
-	return end
-}
-
-func (i *ingress) patience(r *request, offer int) time.Duration {
-	last := time.Duration(lastPatienceShare * float64(time.Until(r.deadline)))
-	switch {
-	case offer == 1:
-		return min(firstPatience, last)
-	case offer < maxOffers:
-		return min(nearPatience, last)
-	default:
-		return last
-	}
 }
 
 // offer sends a request to a node, or runs it here.
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -159,7 +159,7 @@
 
 func TestNewVersionIsInForceEverywhere(t *testing.T) {
 	d := newDeployment(t, "orders", "catalogue")
-	d.publish(routeText("added", "safe", "orders"))
+	d.publish(routeText("added", "safe"))
 	d.settle()
 	for _, p := range d.places {
 		must.Eq(t, http.StatusOK, d.call(p, http.MethodGet, "/added/", "a").status)
@@ -176,7 +176,7 @@
 	caller := d.places[1]
 	d.log.Set(keyedlog.Troubles{Down: true})
 	d.version++
-	d.places[0].node.life.parts.desired.take(d.state(routeText("safe", "safe", "orders"), routeText("added", "safe", "orders")), "test")
+	d.places[0].node.life.parts.desired.take(d.state(routeText("safe", "safe"), routeText("added", "safe")), "test")
 	eventually(t, func() bool {
 		d.call(caller, http.MethodGet, "/safe/", "a")
 		return int(caller.node.life.parts.desired.version()) == d.version
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -43,8 +43,12 @@
 	rank int
 	// deadline is when the caller stops waiting.
 	deadline time.Time
+	// fromCustomer is true if customers call the route.
+	fromCustomer bool
 	// region is where the request is to run, or "" if that is open.
 	region string
+	// repeated is true if the request has been offered to another node before.
+	repeated bool
 	// patience is how long the request may wait for a slot at the next node.
 	patience time.Duration
 }
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -99,7 +99,11 @@
 	case s.stopping.Load():
 		return notRun(call.ReasonDraining, "the node is stopping")
 	}
-	s.gauge.Arrived()
+	if !r.repeated {
+		// Each request is part of the demand once, at the node that was chosen for
+		// it first.
+		s.gauge.Arrived()
+	}
 	giveUp := time.Now().Add(r.patience)
 	if latest := r.deadline.Add(-minWorkTime); giveUp.After(latest) {
 		giveUp = latest
@@ -111,7 +115,6 @@
 	case err != nil && ctx.Err() != nil:
 		return notRun(call.ReasonCanceled, "the caller has gone while the request waited")
 	case err != nil:
-		s.gauge.Refused()
 		return notRun(call.ReasonOverloaded, err.Error())
 	}
 	started := time.Now()
@@ -165,7 +168,7 @@
 	level := s.gauge.Tick(now, load)
 	if math.Abs(level-s.reported) >= reportedStep || level == 0 && s.reported > 0 {
 		s.reported = level
-		s.events.Record(event.PressureChanged, slog.Float64("level", level), slog.Float64("use", s.gauge.Use()),
+		s.events.Record(event.PressureChanged, slog.Float64("level", level), slog.Float64("demand", s.gauge.Demand()),
 			slog.Int("running", load.Running), slog.Int("waiting", load.Waiting), slog.Int("limit", load.Limit),
 			attrMs("meanRunMs", load.MeanRun))
 	}
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -27,6 +27,10 @@
 	// between zones and regions are paid for.
 	headerHop = internalPrefix + "Hop"
 
+	// requestFields and answerFields are the numbers of fields in the header.
+	requestFields = 9
+	answerFields  = 10
+
 	kindOnce, kindIdempotent = "o", "i"
 	// noReason stands for an empty reason, which would be cut off at the end of
 	// the header.
@@ -58,6 +62,7 @@
 		strconv.FormatInt(r.patience.Milliseconds(), 10),
 		strconv.FormatInt(time.Until(r.deadline).Milliseconds(), 10),
 		strconv.FormatInt(version, 10),
+		strconv.FormatInt(flag(r.repeated), 10),
 	}, " "))
 }
 
@@ -66,8 +71,8 @@
 func readRequest(r *http.Request, arrived time.Time) (in *request, version int64, err error) {
 	defer func() { err = eris.Wrapf(err, "header %s", headerHop) }()
 	fields := strings.Split(r.Header.Get(headerHop), " ")
-	if len(fields) != 8 {
-		return nil, 0, eris.Errorf("it has %d fields, expected 8", len(fields))
+	if len(fields) != requestFields {
+		return nil, 0, eris.Errorf("it has %d fields, expected %d", len(fields), requestFields)
 	}
 	in = &request{
 		id: platform.RequestID(r.Header), method: r.Method, host: r.Host, target: r.RequestURI,
@@ -88,9 +93,17 @@
 	in.rank = int(numbers[0])
 	in.patience = time.Duration(numbers[1]) * time.Millisecond
 	in.deadline = arrived.Add(time.Duration(numbers[2]) * time.Millisecond)
+	in.repeated = numbers[4] == 1
 	return in, numbers[3], nil
 }
 
+func flag(set bool) int64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
 // loadReport is what a node says about its backend server on an answer.
 type loadReport struct {
 	slot.Load
@@ -113,17 +126,13 @@
 	// The receiver knows the time and the request's ID.
 	h["Date"] = nil
 	platform.DropRequestID(h)
-	entry := 0
-	if r.report.fromCustomers {
-		entry = 1
-	}
 	reason := r.reason
 	if reason == "" {
 		reason = noReason
 	}
 	h.Set(headerHop, fmt.Sprintf("%x %s %d %d %d %d %d %d %d %s", idHash(id), r.outcome, version,
 		r.report.Running, r.report.Waiting, r.report.Limit, r.report.MeanRun.Milliseconds(),
-		int(r.report.level*levelUnits), entry, reason))
+		int(r.report.level*levelUnits), flag(r.report.fromCustomers), reason))
 	status := r.status
 	if status == 0 {
 		status = call.Status(r.outcome, r.reason)
@@ -195,8 +204,8 @@
 func readHop(text string) (end *reply, version int64, err error) {
 	defer func() { err = eris.Wrapf(err, "header %s of an answer", headerHop) }()
 	fields := strings.Split(text, " ")
-	if len(fields) != 10 {
-		return nil, 0, eris.Errorf("it has %d fields, expected 10", len(fields))
+	if len(fields) != answerFields {
+		return nil, 0, eris.Errorf("it has %d fields, expected %d", len(fields), answerFields)
 	}
 	end = &reply{}
 	if fields[9] != noReason {
--- a/pressure/door.go
+++ b/pressure/door.go
@@ -7,8 +7,11 @@
 )
 
 const (
-	// heardWeight is the weight of one answer in the level of its route.
-	heardWeight = 0.2
+	// heardTime is the time over which the levels of answers are averaged. It adds
+	// up over the hops of the call tree.
+	heardTime = 100 * time.Millisecond
+	// minWeight is the least weight of an answer.
+	minWeight = 0.02
 	// heardMemory is how long a level stays without news. When few requests are
 	// admitted, few answers bring news.
 	heardMemory = 2 * time.Second
@@ -18,7 +21,7 @@
 
 	// remoteLevel is the level of another region from which on it takes no
 	// requests from here: they would take the place of its own ones.
-	remoteLevel = 0.3
+	remoteLevel = 0.1
 )
 
 // Way is a route's requests to the nodes of a region.
@@ -55,11 +58,12 @@
 		if level == 0 || len(d.ways) >= maxDoorways {
 			return
 		}
-		w = &doorway{heard: now, credit: 0.5}
+		w = &doorway{heard: now.Add(-heardTime), credit: 0.5}
 		d.ways[way] = w
 	}
+	passed := now.Sub(w.heard)
 	w.level = w.at(now)
-	w.level += heardWeight * (level - w.level)
+	w.level += max(weightOf(passed, heardTime), minWeight) * (level - w.level)
 	w.heard = now
 	if w.level < 0.001 {
 		delete(d.ways, way)
--- a/pressure/pressure.go
+++ b/pressure/pressure.go
@@ -29,24 +29,26 @@
 )
 
 const (
-	// targetUse is the share of usable slots that is in use on average when the
-	// level stands still. Above it waits grow faster than throughput: at 0.88 of
-	// 13 slots a request waits a quarter of its run time.
-	targetUse = 0.88
-	// useMemory is the time over which use is averaged.
-	useMemory = 300 * time.Millisecond
-	// changeRate is the change of the level per second for an excess of 1. A
-	// refused customer request takes its calls away within about half a second,
-	// so faster changes would overshoot.
-	changeRate = 2.0
-	// Use below lowUse counts twice more, so that the level is back at 0 within
-	// about a second after a surge.
-	lowUse     = 0.75
-	lowUseRate = 2.0
-	// maxWaiting bounds what waiting requests add to the excess.
-	maxWaiting = 0.6
-	// refusedWeight is what a refusal of all arrivals adds to the excess.
-	refusedWeight = 0.3
+	// targetUse is the demand, as a share of the usable slots, at which the level
+	// stands still. Above it waits grow faster than throughput: at 0.9 of 13 slots
+	// a request waits a quarter of its run time.
+	targetUse = 0.9
+	// demandMemory is the time over which demand is averaged.
+	demandMemory = 400 * time.Millisecond
+	// effectDelay is how long a change of the level takes to show in the demand:
+	// answers carry it up the call tree, and customer requests that have been
+	// admitted go on to make calls. The level that caused the present demand is
+	// the one before that time; without that the level swings between its ends.
+	effectDelay = 1200 * time.Millisecond
+	// settleTime is the time in which the level covers most of the way to where
+	// the demand says that it should be.
+	settleTime = 300 * time.Millisecond
+	// queueWeight is what waiting requests add to the demand while all slots are
+	// in use, as a share of the slots. It tells a full backend server from a
+	// stuck one, whose arrivals say little.
+	queueWeight = 0.3
+	// minDemand avoids division by a demand of nearly nothing.
+	minDemand = 0.05
 	// maxLevel bounds the level: all but a few requests of the two lowest ranks
 	// are refused.
 	maxLevel = 2.0
@@ -56,25 +58,27 @@
 // concurrent use.
 type Gauge struct {
 	mu      sync.Mutex
-	use     float64
-	level   float64
 	ticked  time.Time
 	arrived float64
-	refused float64
+	// rate is that of arrivals, per second.
+	rate   float64
+	use    float64
+	demand float64
+	level  float64
+	// past has the levels of the last ticks, the oldest first.
+	past []pastLevel
 }
 
-// Arrived takes in that a request was offered.
-func (g *Gauge) Arrived() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.arrived++
+type pastLevel struct {
+	at    time.Time
+	level float64
 }
 
-// Refused takes in that a request was refused because no slot was free in time.
-func (g *Gauge) Refused() {
+// Arrived takes in that a request was offered for the first time.
+func (g *Gauge) Arrived() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.refused++
+	g.arrived++
 }
 
 // Level returns the present level.
@@ -84,11 +88,11 @@
 	return g.level
 }
 
-// Use returns the share of slots that was in use of late.
-func (g *Gauge) Use() float64 {
+// Demand returns what the offered requests need, as a share of the slots.
+func (g *Gauge) Demand() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.use
+	return g.demand
 }
 
 // Tick adapts the level to the load and returns it.
@@ -101,16 +105,60 @@
 	if first || load.Limit <= 0 || passed <= 0 {
 		return g.level
 	}
-	weight := 1 - math.Exp(-float64(passed)/float64(useMemory))
-	g.use += weight * (float64(load.Running)/float64(load.Limit) - g.use)
-	excess := g.use - targetUse + min(float64(load.Waiting)/float64(load.Limit), maxWaiting)
-	if g.arrived > 0 {
-		excess += refusedWeight * g.refused / g.arrived
-	}
-	g.arrived, g.refused = 0, 0
-	if g.use < lowUse {
-		excess += lowUseRate * (g.use - lowUse)
+	g.measure(passed, load)
+	wanted := next(g.levelAt(now.Add(-effectDelay)), g.demand)
+	g.level += weightOf(passed, settleTime) * (wanted - g.level)
+	if g.level < 0.005 {
+		g.level = 0
 	}
-	g.level = min(max(g.level+changeRate*excess*passed.Seconds(), 0), maxLevel)
+	g.past = append(g.past, pastLevel{now, g.level})
 	return g.level
 }
+
+// measure brings the demand up to date.
+func (g *Gauge) measure(passed time.Duration, load slot.Load) {
+	weight, limit := weightOf(passed, demandMemory), float64(load.Limit)
+	g.rate += weight * (g.arrived/passed.Seconds() - g.rate)
+	g.arrived = 0
+	g.use += weight * (float64(load.Running)/limit - g.use)
+	offered := g.rate * load.MeanRun.Seconds() / limit
+	queued := g.use + queueWeight*min(float64(load.Waiting)/limit, 1)
+	g.demand = max(offered, queued)
+}
+
+// levelAt returns the level at an earlier time, and forgets those before it.
+func (g *Gauge) levelAt(at time.Time) (level float64) {
+	n := 0
+	for n+1 < len(g.past) && !g.past[n+1].at.After(at) {
+		n++
+	}
+	g.past = g.past[n:]
+	if len(g.past) == 0 || g.past[0].at.After(at) {
+		return 0
+	}
+	return g.past[0].level
+}
+
+// next returns the level at which the demand would be at its target, from the
+// level that caused it. Of the lowest rank it assumes that all demand comes from
+// there; what does not is corrected in the next steps.
+func next(level, demand float64) float64 {
+	ratio := targetUse / max(demand, minDemand)
+	whole := math.Floor(min(level, maxLevel-1))
+	share := max(1-(level-whole), minShare)
+	wanted := whole + 1 - share*ratio
+	switch {
+	case wanted < whole && whole > 0:
+		// The rank above needs no refusals; the one below has minShare left.
+		wanted = whole - minShare*(ratio-1)
+	case share <= minShare && ratio < 1:
+		wanted = max(wanted, whole+1+(1-ratio))
+	}
+	return min(max(wanted, 0), maxLevel)
+}
+
+// weightOf returns the weight of a new value after a time, for an exponential
+// mean over the memory.
+func weightOf(passed, memory time.Duration) float64 {
+	return 1 - math.Exp(-float64(passed)/float64(memory))
+}
