Let the oldest requests end first, and bookings before calls

Cause: under overload the queue of the scarce service was in order of arrival, so that all customer requests became slow together and most ran out of time after taking slots. Customer requests of a low priority also waited behind all calls although they had been admitted.

Change: among equal ranks the earliest deadline goes first. Calls expire with their customer request, so this favours those with most work done. Admitted requests and calls wait alike, but those of the highest priority go first.

--- a/calltree/callers.go
+++ b/calltree/callers.go
@@ -17,19 +17,31 @@
 	entryShare = 0.7
 )
 
+// Origin says who calls a route.
+type Origin uint8
+
+const (
+	// Unknown means that too few calls have been seen.
+	Unknown Origin = iota
+	// Customers call the route, through VMs of many services.
+	Customers
+	// Servers call the route, those of one or a few services.
+	Servers
+)
+
 // Callers tells the routes that customers call from those that only backend
 // servers call, by the services beside which the calls begin. It is safe for
 // concurrent use.
 type Callers struct {
 	mu     sync.Mutex
 	counts map[string]map[string]float64
-	entry  map[string]bool
+	origin map[string]Origin
 	judged time.Time
 }
 
 // NewCallers returns an empty table.
 func NewCallers() *Callers {
-	return &Callers{counts: make(map[string]map[string]float64), entry: make(map[string]bool)}
+	return &Callers{counts: make(map[string]map[string]float64), origin: make(map[string]Origin)}
 }
 
 // Called takes in a call of the route that began beside a server of the service.
@@ -47,12 +59,11 @@
 	services[service]++
 }
 
-// FromCustomers reports whether customers call the route. It is false as long
-// as that is not known.
-func (c *Callers) FromCustomers(route string) bool {
+// Origin returns who calls the route, as far as is known.
+func (c *Callers) Origin(route string) Origin {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.entry[route]
+	return c.origin[route]
 }
 
 // Tick lets old counts fade and judges the routes anew; services is the number
@@ -77,10 +88,13 @@
 		}
 		switch {
 		case total >= minCalls:
-			c.entry[route] = services > 1 && float64(wide) >= entryShare*float64(services)
+			c.origin[route] = Servers
+			if services > 1 && float64(wide) >= entryShare*float64(services) {
+				c.origin[route] = Customers
+			}
 		case total < 0.01:
 			delete(c.counts, route)
-			delete(c.entry, route)
+			delete(c.origin, route)
 		}
 	}
 }
--- a/calltree/calltree_test.go
+++ b/calltree/calltree_test.go
@@ -82,12 +82,12 @@
 		callers.Called("inner", []string{"a", "b"}[n%2])
 	}
 	callers.Called("rare", "a")
-	must.False(t, callers.FromCustomers("customers"))
+	must.Eq(t, calltree.Unknown, callers.Origin("customers"))
 	callers.Tick(time.Now(), 4)
-	must.True(t, callers.FromCustomers("customers"))
+	must.Eq(t, calltree.Customers, callers.Origin("customers"))
 	// Calls of backend servers must never be refused for pressure.
-	must.False(t, callers.FromCustomers("inner"))
-	must.False(t, callers.FromCustomers("rare"))
+	must.Eq(t, calltree.Servers, callers.Origin("inner"))
+	must.Eq(t, calltree.Unknown, callers.Origin("rare"))
 }
 
 func TestOneServiceTellsNothing(t *testing.T) {
@@ -96,5 +96,5 @@
 		callers.Called("r", "only")
 	}
 	callers.Tick(time.Now(), 1)
-	must.False(t, callers.FromCustomers("r"))
+	must.NotEq(t, calltree.Customers, callers.Origin("r"))
 }
--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -130,7 +130,7 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	u, ok := b.table.Choose(now, routing.Query{
-		Service: r.service, Importance: importanceOf(r.rank), Tried: tried, Cost: int64(len(r.body)), Region: region,
+		Service: r.service, Importance: importanceOf(r.priority), Tried: tried, Cost: int64(len(r.body)), Region: region,
 	})
 	if !ok {
 		return nil, false
--- a/mesh/entrance.go
+++ b/mesh/entrance.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/lacewingslip/lacewingslip/calltree"
 	"github.com/lacewingslip/lacewingslip/config"
 	"github.com/lacewingslip/lacewingslip/pressure"
 	"github.com/lacewingslip/lacewingslip/site"
@@ -23,15 +24,21 @@
 	regions []string
 
 	mu sync.Mutex
-	// ranks has the rank of each route that customers call.
-	ranks map[string]int
-	// order has the distinct ranks, the most important first.
+	// origins has who calls each route, as far as is known.
+	origins map[string]origin
+	// order has the distinct priorities of the routes that customers call, the
+	// most important first.
 	order []int
 }
 
+type origin struct {
+	calltree.Origin
+	priority int
+}
+
 func newEntrance(place site.Site) *entrance {
 	e := &entrance{
-		door: pressure.NewDoor(), calls: pressure.NewDoor(), home: place.Region, ranks: make(map[string]int),
+		door: pressure.NewDoor(), calls: pressure.NewDoor(), home: place.Region, origins: make(map[string]origin),
 	}
 	for _, region := range place.RegionOf {
 		if !slices.Contains(e.regions, region) {
@@ -49,32 +56,30 @@
 	now := time.Now()
 	e.door.Heard(now, pressure.Way{Route: r.route, Region: region}, end.report.level)
 	e.calls.Heard(now, pressure.Way{Route: r.route}, end.report.level)
+	if end.report.origin == calltree.Unknown {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	rank, known := e.ranks[r.route]
-	if end.report.fromCustomers == known && (!known || rank == r.rank) {
+	heard := origin{end.report.origin, r.priority}
+	if e.origins[r.route] == heard {
 		return
 	}
-	if end.report.fromCustomers {
-		e.ranks[r.route] = r.rank
-	} else {
-		delete(e.ranks, r.route)
-	}
+	e.origins[r.route] = heard
 	e.order = e.order[:0]
-	for _, rank := range e.ranks {
-		if !slices.Contains(e.order, rank) {
-			e.order = append(e.order, rank)
+	for _, o := range e.origins {
+		if o.Origin == calltree.Customers && !slices.Contains(e.order, o.priority) {
+			e.order = append(e.order, o.priority)
 		}
 	}
 	slices.Sort(e.order)
 }
 
-// fromCustomers reports whether customers call the route, as far as is known.
-func (e *entrance) fromCustomers(route *config.Route) bool {
+// origin returns who calls the route, as far as is known.
+func (e *entrance) origin(route *config.Route) calltree.Origin {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_, known := e.ranks[route.Name()]
-	return known
+	return e.origins[route.Name()].Origin
 }
 
 // entry is what the entrance decided on a request, with what decided it.
@@ -83,6 +88,8 @@
 	region string
 	// level is that of the own region.
 	level float64
+	// first is true for customer requests of the highest priority.
+	first bool
 	ok    bool
 }
 
@@ -92,13 +99,14 @@
 // and not one for each call.
 func (e *entrance) admit(route *config.Route) (a entry) {
 	e.mu.Lock()
-	_, known := e.ranks[route.Name()]
+	fromCustomers := e.origins[route.Name()].Origin == calltree.Customers
 	place, places := slices.Index(e.order, route.Priority()), len(e.order)
 	e.mu.Unlock()
 	now := time.Now()
 	home := pressure.Way{Route: route.Name(), Region: e.home}
 	a.level = e.door.Level(now, home)
-	if !known || place < 0 || e.door.Admit(now, home, place, places) {
+	a.first = fromCustomers && place == 0 && places > 1
+	if !fromCustomers || place < 0 || e.door.Admit(now, home, place, places) {
 		a.ok = true
 		return a
 	}
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/calltree"
 	"github.com/lacewingslip/lacewingslip/config"
 	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/fleet"
@@ -18,6 +19,11 @@
 )
 
 const (
+	// firstRank is that of admitted customer requests of the highest priority, and
+	// admittedRank that of all others and of the calls that they lead to. Calls do
+	// not show what they are made for.
+	firstRank    = 0
+	admittedRank = 1
 	// answerGrace is how much longer this node waits than the nodes and backend
 	// servers further on, so that their own end of the request arrives first.
 	answerGrace = 30 * time.Millisecond
@@ -65,12 +71,19 @@
 		return
 	}
 	i.sidecar.links.Child(route.Name(), arrived.Add(timeLeft(r.Header)))
-	if i.life.closed.Load() && i.entrance.fromCustomers(route) {
+	origin := i.entrance.origin(route)
+	if i.life.closed.Load() && origin == calltree.Customers {
 		i.deliver(w, out, notRun(call.ReasonDraining, "the node is stopping"), arrived, state.Version())
 		return
 	}
 	admitted := i.entrance.admit(route)
-	out.region, out.fromCustomer = admitted.region, i.entrance.fromCustomers(route)
+	out.region, out.fromCustomer = admitted.region, origin == calltree.Customers
+	if origin != calltree.Unknown {
+		out.rank = admittedRank
+		if admitted.first {
+			out.rank = firstRank
+		}
+	}
 	if !admitted.ok {
 		end := notRun(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is short: level %.2f", admitted.level))
 		i.deliver(w, out, end, arrived, state.Version())
@@ -92,7 +105,7 @@
 	out = &request{
 		id: platform.RequestID(r.Header), method: r.Method, host: r.Host, target: r.RequestURI,
 		header: relayHeader(r.Header), service: i.splitter.Next(route), caller: i.place.Service,
-		route: route.Name(), kind: route.Kind(), rank: route.Priority(), deadline: arrived.Add(wait),
+		route: route.Name(), kind: route.Kind(), priority: route.Priority(), rank: route.Priority(), deadline: arrived.Add(wait),
 	}
 	out.header.Del("Content-Length")
 	var err error
@@ -176,7 +189,7 @@
 	defer end.close()
 	took := time.Since(arrived)
 	i.metrics.CallEnded(metrics.Call{
-		Hop: metrics.Ingress, Service: r.service, Importance: importanceOf(r.rank), Outcome: end.outcome, Reason: end.reason,
+		Hop: metrics.Ingress, Service: r.service, Importance: importanceOf(r.priority), Outcome: end.outcome, Reason: end.reason,
 	}, took)
 	if end.outcome == call.Answered && platform.IsPromise(end.status) {
 		// Callers would take the status as a promise that nothing ran, which the
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -39,6 +39,9 @@
 	caller string
 	route  string
 	kind   config.Kind
+	// priority is that of the route; 0 is the highest. It is known only where the
+	// request entered.
+	priority int
 	// rank orders waiting requests; lower ranks go first.
 	rank int
 	// deadline is when the caller stops waiting.
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -81,7 +81,7 @@
 	reply := s.attempt(ctx, r)
 	reply.upstream = s.place.Node
 	reply.report = loadReport{
-		Load: s.slots.Load(), known: true, level: s.level(r.route), fromCustomers: s.callers.FromCustomers(r.route),
+		Load: s.slots.Load(), known: true, level: s.level(r.route), origin: s.callers.Origin(r.route),
 	}
 	if reply.outcome != call.Answered {
 		s.events.Record(endEvent(reply.outcome), attrRequest(r.id), attrRoute(r.route),
@@ -108,7 +108,7 @@
 	if latest := r.deadline.Add(-minWorkTime); giveUp.After(latest) {
 		giveUp = latest
 	}
-	release, err := s.slots.Acquire(ctx, slot.Request{Rank: r.rank, WaitUntil: giveUp})
+	release, err := s.slots.Acquire(ctx, slot.Request{Rank: r.rank, Deadline: r.deadline, WaitUntil: giveUp})
 	switch {
 	case errors.Is(err, slot.ErrClosed):
 		return notRun(call.ReasonDraining, "the backend server is "+s.tracker.Server().State().String())
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/calltree"
 	"github.com/lacewingslip/lacewingslip/config"
 	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/platform"
@@ -109,9 +110,9 @@
 	slot.Load
 	// level is the pressure on the route of the request.
 	level float64
-	// fromCustomers is true if customers call the route.
-	fromCustomers bool
-	known         bool
+	// origin says who calls the route.
+	origin calltree.Origin
+	known  bool
 }
 
 // levelUnits is the resolution of a level between nodes.
@@ -132,7 +133,7 @@
 	}
 	h.Set(headerHop, fmt.Sprintf("%x %s %d %d %d %d %d %d %d %s", idHash(id), r.outcome, version,
 		r.report.Running, r.report.Waiting, r.report.Limit, r.report.MeanRun.Milliseconds(),
-		int(r.report.level*levelUnits), flag(r.report.fromCustomers), reason))
+		int(r.report.level*levelUnits), r.report.origin, reason))
 	status := r.status
 	if status == 0 {
 		status = call.Status(r.outcome, r.reason)
@@ -219,7 +220,7 @@
 		return nil, 0, err
 	}
 	end.report = loadReport{
-		known: true, level: float64(numbers[5]) / levelUnits, fromCustomers: numbers[6] == 1,
+		known: true, level: float64(numbers[5]) / levelUnits, origin: calltree.Origin(numbers[6]),
 		Load: slot.Load{
 			Running: int(numbers[1]), Waiting: int(numbers[2]), Limit: int(numbers[3]),
 			MeanRun: time.Duration(numbers[4]) * time.Millisecond,
--- a/pressure/pressure.go
+++ b/pressure/pressure.go
@@ -39,7 +39,7 @@
 	// answers carry it up the call tree, and customer requests that have been
 	// admitted go on to make calls. The level that caused the present demand is
 	// the one before that time; without that the level swings between its ends.
-	effectDelay = 1200 * time.Millisecond
+	effectDelay = 800 * time.Millisecond
 	// settleTime is the time in which the level covers most of the way to where
 	// the demand says that it should be.
 	settleTime = 300 * time.Millisecond
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -13,6 +13,7 @@
 package slot
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -36,6 +37,10 @@
 type Request struct {
 	// Rank orders waiting requests; lower ranks go first.
 	Rank int
+	// Deadline is when the caller stops waiting for the answer. Among equal ranks
+	// the earliest goes first: a call expires with the customer request that it
+	// belongs to, so the requests that have had most work done end first.
+	Deadline time.Time
 	// WaitUntil is when the request gives up waiting.
 	WaitUntil time.Time
 }
@@ -137,7 +142,10 @@
 		return nil, nil
 	}
 	at, _ := slices.BinarySearchFunc(q.waiting, r, func(w *waiter, r Request) int {
-		if w.request.Rank <= r.Rank {
+		if w.request.Rank != r.Rank {
+			return cmp.Compare(w.request.Rank, r.Rank)
+		}
+		if !r.Deadline.Before(w.request.Deadline) {
 			return -1
 		}
 		return 1
