Take no request shortly before the end of a planned stop

A node that had restarted did not know who calls a route, took a customer request 4.3 s after SIGTERM for a call of its backend server, and cut it off at its end.

Change: from 2.7 s on, a request of unknown origin is taken only while the backend server runs something, and from 3.7 s on none is.

TestPlannedStopUnderSteadyCalls failed before (a request that ran got no answer) and passes 4 of 4 times.

--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -72,7 +72,7 @@
 	}
 	i.sidecar.links.Child(route.Name(), arrived.Add(timeLeft(r.Header)))
 	origin := i.entrance.origin(route)
-	if i.life.closed.Load() && origin == calltree.Customers {
+	if i.life.refuses(origin) {
 		i.deliver(w, out, notRun(call.ReasonDraining, "the node is stopping"), arrived, state.Version())
 		return
 	}
--- a/mesh/life.go
+++ b/mesh/life.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lacewingslip/lacewingslip/calltree"
 	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/site"
 )
@@ -17,9 +18,12 @@
 	// A stopping node takes requests of other nodes for peerTime, and of customers
 	// for carryOnTime: the platform needs two failed probes, one a second, to send
 	// callers elsewhere, and goes on to send some where many nodes stop. After
-	// that it carries only the calls of its own backend server.
+	// that it carries only the calls of its own backend server, and none from
+	// callsTime on: the longest customer request takes 1.5 s, and a request that is
+	// taken later could not end before SIGKILL.
 	peerTime    = 2200 * time.Millisecond
 	carryOnTime = 2700 * time.Millisecond
+	callsTime   = 3700 * time.Millisecond
 	// graceMargin of the time until SIGKILL is left for the end of the process.
 	graceMargin = 700 * time.Millisecond
 	// defaultGrace applies where the settings do not say.
@@ -41,6 +45,8 @@
 	stopping atomic.Bool
 	// closed refuses requests of customers shortly before the end.
 	closed atomic.Bool
+	// closedToAll refuses the calls of the backend server too.
+	closedToAll atomic.Bool
 	// active counts the requests of callers in progress, and lastActive is when
 	// the last one began or ended, in Unix nanoseconds.
 	active     atomic.Int64
@@ -109,7 +115,11 @@
 	l.parts.sidecar.stopping.Store(true)
 	waitFor(context.Background(), min(carryOnTime-peerTime, grace/6))
 	l.closed.Store(true)
+	callsEnd := started.Add(min(callsTime, 6*grace/10))
 	for time.Since(started) < grace-graceMargin && !l.quiet() {
+		if time.Now().After(callsEnd) {
+			l.closedToAll.Store(true)
+		}
 		waitFor(context.Background(), settleInterval)
 	}
 	if active := l.active.Load(); active > 0 {
@@ -128,6 +138,20 @@
 	l.events.Record(event.NodeReloaded, attrNode(l.place.Node), attrMs("graceMs", place.Bounds.Grace))
 }
 
+// refuses reports whether a stopping node takes no more requests of an origin.
+// Where the origin is not known, the request is a call only if the backend server
+// runs something.
+func (l *life) refuses(origin calltree.Origin) bool {
+	switch {
+	case l.closedToAll.Load():
+		return true
+	case !l.closed.Load():
+		return false
+	default:
+		return origin == calltree.Customers || origin == calltree.Unknown && l.parts.sidecar.slots.Load().Running == 0
+	}
+}
+
 // quiet reports whether no request is in progress and none came for a while.
 func (l *life) quiet() bool {
 	if l.active.Load() > 0 || l.parts.sidecar.slots.Load().Running > 0 {
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -280,3 +280,27 @@
 		return response.StatusCode == http.StatusServiceUnavailable
 	})
 }
+
+// Callers that are not sent elsewhere go on sending to a stopping node. What it
+// takes shortly before its end would be cut off, so it must say that it does not
+// run it, also where it does not know yet who calls the route.
+func TestPlannedStopUnderSteadyCalls(t *testing.T) {
+	d := newDeployment(t, "orders", "catalogue")
+	d.places[0].server.Work(500 * time.Millisecond)
+	stopping := d.places[1]
+	stopped := make(chan error, 1)
+	go func() { stopped <- stopping.node.Stop(context.Background()) }()
+	for n := 0; ; n++ {
+		select {
+		case err := <-stopped:
+			must.NoError(t, err)
+			return
+		default:
+		}
+		r := d.call(stopping, http.MethodPost, "/once/", fmt.Sprintf("a%d", n))
+		if d.runs(fmt.Sprintf("a%d", n)) > 0 {
+			must.NoError(t, r.err)
+			must.Eq(t, http.StatusOK, r.status)
+		}
+	}
+}
