Explain a failed request from the logs of many nodes

Errors that a backend server answered were logged only for the time line, and nothing tied a call to the request that made it.

Such answers are a numbered event of their own (callFailed); the lines about requests state when the caller stops waiting, which a call and its request have in common at the node between them; lacewingslip explain merges logs and prints the story of one request. Metrics gain the level of the own service, the version of the desired state, load and members on the platform path.

--- a/event/calls.go
+++ b/event/calls.go
@@ -11,6 +11,7 @@
 	CallStarted      ID = 2005
 	AnswerCut        ID = 2006
 	AnswerMismatched ID = 2007
+	CallFailed       ID = 2008
 )
 
 var callEvents = []Entry{
@@ -21,4 +22,5 @@
 	{ID: CallStarted, Name: "callStarted", Level: slog.LevelDebug, Meaning: "The sidecar passed the call to its backend server."},
 	{ID: AnswerCut, Name: "answerCut", Level: slog.LevelWarn, Meaning: "The answer broke off before its end. The connection to the receiver was aborted."},
 	{ID: AnswerMismatched, Name: "answerMismatched", Level: slog.LevelError, Meaning: "An answer carried the ID of another call and was discarded."},
+	{ID: CallFailed, Name: "callFailed", Level: slog.LevelWarn, Meaning: "The backend server answered with an error, which was passed on. Often a call that it made has failed; calls expire with the request that they belong to."},
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -86,6 +86,7 @@
 			experimentCommand(),
 			statusCommand(),
 			timelineCommand(),
+			explainCommand(),
 			versionCommand(),
 		},
 	}
--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -239,6 +239,18 @@
 	return b.serviceCount
 }
 
+// counts returns the numbers of nodes that can be reached and that can't.
+func (b *balancer) counts() (reachable, lost int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.peers {
+		if p.lost {
+			lost++
+		}
+	}
+	return len(b.peers) - lost, lost
+}
+
 // at returns the node whose address has the IP.
 func (b *balancer) at(ip string) (p *peer, ok bool) {
 	b.mu.Lock()
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -70,7 +70,7 @@
 	if !ok {
 		return
 	}
-	i.sidecar.links.Child(route.Name(), arrived.Add(timeLeft(r.Header)))
+	i.sidecar.links.Child(route.Name(), out.expires)
 	origin := i.entrance.origin(route)
 	if i.life.refuses(origin) {
 		i.deliver(w, out, notRun(call.ReasonDraining, "the node is stopping"), arrived, state.Version())
@@ -105,7 +105,7 @@
 	out = &request{
 		id: platform.RequestID(r.Header), method: r.Method, host: r.Host, target: r.RequestURI,
 		header: relayHeader(r.Header), service: i.splitter.Next(route), caller: i.place.Service,
-		route: route.Name(), kind: route.Kind(), priority: route.Priority(), rank: route.Priority(), deadline: arrived.Add(wait),
+		route: route.Name(), kind: route.Kind(), priority: route.Priority(), rank: route.Priority(), deadline: arrived.Add(wait), expires: arrived.Add(timeLeft(r.Header)),
 	}
 	out.header.Del("Content-Length")
 	var err error
@@ -160,7 +160,7 @@
 		}
 		i.metrics.Retried(metrics.Ingress, r.service)
 		i.events.Record(event.CallRetried, attrRequest(r.id), attrRoute(r.route), attrNode(p.node),
-			attrReason(end.reason), attrDetail(end.detail), attrLeft(r))
+			attrReason(end.reason), attrDetail(end.detail), attrExpires(r.expires), attrLeft(r))
 	}
 }
 
@@ -196,7 +196,7 @@
 		// backend server has not made.
 		end = unknown(call.ReasonLost, "the backend server answered a status that promises too much")
 	}
-	i.events.Record(endEvent(end.outcome), attrRequest(r.id), attrRoute(r.route), attrHop(metrics.Ingress),
+	i.events.Record(endEvent(end), attrRequest(r.id), attrRoute(r.route), attrHop(metrics.Ingress), attrExpires(r.expires),
 		attrService(r.service), attrNode(end.upstream), attrReason(end.reason), attrDetail(end.detail),
 		slog.Int("status", end.status), attrMs("tookMs", took), attrLeft(r), slog.Int64("version", version))
 	i.head(w, r.id)
--- a/mesh/life.go
+++ b/mesh/life.go
@@ -9,6 +9,7 @@
 
 	"github.com/lacewingslip/lacewingslip/calltree"
 	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/metrics"
 	"github.com/lacewingslip/lacewingslip/site"
 )
 
@@ -26,6 +27,9 @@
 	callsTime   = 3700 * time.Millisecond
 	// graceMargin of the time until SIGKILL is left for the end of the process.
 	graceMargin = 700 * time.Millisecond
+	// Nodes are counted by whether this one can reach them.
+	healthReachable = "reachable"
+	healthLost      = "lost"
 	// defaultGrace applies where the settings do not say.
 	defaultGrace = 5 * time.Second
 	// settleInterval is how often a stopping node looks whether all requests
@@ -40,6 +44,7 @@
 type life struct {
 	place    site.Site
 	events   recorder
+	metrics  *metrics.Metrics
 	parts    parts
 	bounds   atomic.Pointer[site.Bounds]
 	stopping atomic.Bool
@@ -67,8 +72,8 @@
 	directory     interface{ Run(ctx context.Context) }
 }
 
-func newLife(place site.Site, events recorder) *life {
-	l := &life{place: place, events: events}
+func newLife(place site.Site, m *metrics.Metrics, events recorder) *life {
+	l := &life{place: place, metrics: m, events: events}
 	l.bounds.Store(&place.Bounds)
 	return l
 }
@@ -181,6 +186,15 @@
 			l.parts.sidecar.tick(now, l.parts.balancer.services())
 			l.parts.servers.idle.sweep(now)
 			l.parts.exchange.probe(ctx, now)
+			l.measure()
 		}
 	}
 }
+
+// measure states what this node believes.
+func (l *life) measure() {
+	reachable, lost := l.parts.balancer.counts()
+	l.metrics.SetMembers(healthReachable, reachable)
+	l.metrics.SetMembers(healthLost, lost)
+	l.metrics.SetDesiredVersion(l.parts.desired.version())
+}
--- a/mesh/observe.go
+++ b/mesh/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/http"
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/call"
@@ -14,18 +15,25 @@
 	Record(id event.ID, attrs ...slog.Attr)
 }
 
-// endEvent returns the event of a request that ended with the outcome.
-func endEvent(outcome call.Outcome) event.ID {
-	switch outcome {
-	case call.Answered:
+// endEvent returns the event of a request that ended with the reply.
+func endEvent(end *reply) event.ID {
+	switch {
+	case end.outcome == call.Answered && end.status >= http.StatusInternalServerError:
+		return event.CallFailed
+	case end.outcome == call.Answered:
 		return event.CallAnswered
-	case call.NotRun:
+	case end.outcome == call.NotRun:
 		return event.CallNotRun
 	default:
 		return event.CallUnknown
 	}
 }
 
+// attrExpires states when the caller stops waiting, by this node's clock. A call
+// expires with the request that it belongs to, so the lines of the two at the
+// node between them state the same time, unless the call's own limit is shorter.
+func attrExpires(at time.Time) slog.Attr { return slog.Int64("expiresMs", at.UnixMilli()) }
+
 func attrRequest(id string) slog.Attr               { return slog.String("request", id) }
 func attrRoute(name string) slog.Attr               { return slog.String("route", name) }
 func attrHop(hop metrics.Hop) slog.Attr             { return slog.String("hop", string(hop)) }
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -44,8 +44,11 @@
 	priority int
 	// rank orders waiting requests; lower ranks go first.
 	rank int
-	// deadline is when the caller stops waiting.
+	// deadline is when the request must be answered.
 	deadline time.Time
+	// expires is when the caller stops waiting by its own word, which may be later
+	// than the route's timeout. It is known only where the request entered.
+	expires time.Time
 	// fromCustomer is true if customers call the route.
 	fromCustomer bool
 	// region is where the request is to run, or "" if that is open.
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -43,6 +43,7 @@
 	slots   *slot.Queue
 	backend *hop.Pool
 	events  recorder
+	metrics *metrics.Metrics
 	gauge   *pressure.Gauge
 	links   *calltree.Links
 	callers *calltree.Callers
@@ -54,9 +55,10 @@
 	stopping atomic.Bool
 }
 
-func newSidecar(place site.Site, tracker *upstream.Tracker, e *entrance, events recorder) *sidecar {
+func newSidecar(place site.Site, tracker *upstream.Tracker, e *entrance, m *metrics.Metrics, events recorder) *sidecar {
 	return &sidecar{
-		gauge: &pressure.Gauge{}, links: calltree.NewLinks(), callers: calltree.NewCallers(), child: e.calls,
+		metrics: m,
+		gauge:   &pressure.Gauge{}, links: calltree.NewLinks(), callers: calltree.NewCallers(), child: e.calls,
 		place: place, tracker: tracker, slots: slot.New(), events: events,
 		backend: hop.New(place.Backend, hop.WithMaxIdle(backendIdle)),
 	}
@@ -77,15 +79,19 @@
 // run takes a request to the backend server and returns how it ended. A reply
 // that is not run is a promise.
 func (s *sidecar) run(ctx context.Context, r *request) *reply {
+	started := time.Now()
 	s.callers.Called(r.route, r.caller)
 	reply := s.attempt(ctx, r)
 	reply.upstream = s.place.Node
 	reply.report = loadReport{
 		Load: s.slots.Load(), known: true, level: s.level(r.route), origin: s.callers.Origin(r.route),
 	}
-	if reply.outcome != call.Answered {
-		s.events.Record(endEvent(reply.outcome), attrRequest(r.id), attrRoute(r.route),
-			attrHop(metrics.Sidecar), attrReason(reply.reason), attrDetail(reply.detail),
+	s.metrics.CallEnded(metrics.Call{
+		Hop: metrics.Sidecar, Service: r.service, Importance: importanceOf(r.rank), Outcome: reply.outcome, Reason: reply.reason,
+	}, time.Since(started))
+	if ended := endEvent(reply); ended != event.CallAnswered {
+		s.events.Record(ended, attrRequest(r.id), attrRoute(r.route), attrExpires(r.deadline),
+			attrHop(metrics.Sidecar), attrReason(reply.reason), attrDetail(reply.detail), slog.Int("status", reply.status),
 			slog.Int("running", reply.report.Running), slog.Int("waiting", reply.report.Waiting),
 			slog.Int("limit", reply.report.Limit), attrLeft(r))
 	}
@@ -172,6 +178,8 @@
 			slog.Int("running", load.Running), slog.Int("waiting", load.Waiting), slog.Int("limit", load.Limit),
 			attrMs("meanRunMs", load.MeanRun))
 	}
+	s.metrics.SetLoad(s.place.Service, metrics.Load{Running: load.Running, Limit: load.Limit, Queued: load.Waiting})
+	s.metrics.SetPressure(s.place.Service, level)
 	s.links.Tick(now)
 	s.callers.Tick(now, services)
 	s.backend.Sweep(now)
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -106,12 +106,21 @@
 		Name: "lacewingslip.settings.offset", Exported: "lacewingslip_settings_offset", Kind: Gauge, Unit: "{record}",
 		Meaning: "Offset of the last settings record that was read. It is equal on all nodes when a change is in effect everywhere.",
 	}
+	pressure = Instrument{
+		Name: "lacewingslip.pressure", Exported: "lacewingslip_pressure", Kind: Gauge, Unit: "{level}",
+		Labels:  []string{labelService},
+		Meaning: "Level at which customer requests for the service beside this node are refused: 0 none, 1 those of the lowest priority, 2 those of the next one as well.",
+	}
+	desiredVersion = Instrument{
+		Name: "lacewingslip.desired.version", Exported: "lacewingslip_desired_version", Kind: Gauge, Unit: "{version}",
+		Meaning: "Version of the desired state in force at this node.",
+	}
 )
 
 // Catalogue returns all instruments in the order of docs/operate/metrics.md.
 func Catalogue() []Instrument {
 	return []Instrument{
 		calls, callDuration, retries, queueLength, running, limit,
-		bookings, crossRegionBytes, members, settingsOffset,
+		bookings, crossRegionBytes, members, settingsOffset, pressure, desiredVersion,
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -71,6 +71,8 @@
 	crossRegionBytes metric.Int64Counter
 	members          metric.Int64Gauge
 	settingsOffset   metric.Int64Gauge
+	pressure         metric.Float64Gauge
+	desiredVersion   metric.Int64Gauge
 
 	// Label sets are made once per combination, since making one sorts and
 	// allocates.
@@ -162,6 +164,19 @@
 	m.settingsOffset.Record(context.Background(), offset)
 }
 
+// SetPressure states the level at which requests for the service are refused.
+func (m *Metrics) SetPressure(service string, level float64) {
+	set := m.serviceSets.get(service, func() []attribute.KeyValue {
+		return []attribute.KeyValue{attribute.String(labelService, service)}
+	})
+	m.pressure.Record(context.Background(), level, set.record...)
+}
+
+// SetDesiredVersion states the version of the desired state in force.
+func (m *Metrics) SetDesiredVersion(version int64) {
+	m.desiredVersion.Record(context.Background(), version)
+}
+
 func (m *Metrics) createInstruments() error {
 	c := creator{meter: m.provider.Meter(meterName)}
 	m.calls = c.counter(calls)
@@ -174,6 +189,8 @@
 	m.crossRegionBytes = c.counter(crossRegionBytes)
 	m.members = c.gauge(members)
 	m.settingsOffset = c.gauge(settingsOffset)
+	m.pressure = c.level(pressure)
+	m.desiredVersion = c.gauge(desiredVersion)
 	return c.err
 }
 
@@ -213,6 +230,12 @@
 	return made
 }
 
+func (c *creator) level(i Instrument) metric.Float64Gauge {
+	made, err := c.meter.Float64Gauge(i.Name, metric.WithUnit(i.Unit), metric.WithDescription(i.Meaning))
+	c.note(i, err)
+	return made
+}
+
 func (c *creator) histogram(i Instrument) metric.Float64Histogram {
 	made, err := c.meter.Float64Histogram(i.Name, metric.WithUnit(i.Unit), metric.WithDescription(i.Meaning),
 		metric.WithExplicitBucketBoundaries(durationBounds...))
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -95,6 +95,8 @@
 	m.CrossRegion("orders", "hawassa", 4096)
 	m.SetMembers("alive", 4)
 	m.SetSettingsOffset(17)
+	m.SetPressure("orders", 0.5)
+	m.SetDesiredVersion(7)
 
 	server := httptest.NewServer(m.Handler())
 	defer server.Close()
