Read the log less often in a start of all nodes; name peers apart from nodes in logs

Log lines had the attribute node twice, for the node that writes and for its peer.

Change: reads wait 29 s, and pause 1.2 s after four records or more; the other node is the attribute peer.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -19,10 +19,13 @@
 
 	// followWait is how long one read waits for a record. The log allows 30 s;
 	// each read is paid for, and a silent connection shows by its probes.
-	followWait = 20 * time.Second
-	// gatherTime is the pause after a read with records. In a start of all nodes
-	// each record would otherwise wake each node once.
-	gatherTime = 400 * time.Millisecond
+	followWait = 29 * time.Second
+	// gatherTime is the pause after a read with records, and gatherMany that after
+	// one with manyRecords or more. In a start of all nodes each record would
+	// otherwise wake each node once.
+	gatherTime  = 400 * time.Millisecond
+	gatherMany  = 1200 * time.Millisecond
+	manyRecords = 4
 	// minRetryTime and maxRetryTime bound the pause after a failed call. The
 	// rates of the log are shared by all nodes.
 	minRetryTime = 150 * time.Millisecond
@@ -199,7 +202,10 @@
 		pause = minRetryTime
 		d.takeRecords(records)
 		d.loadOnce.Do(func() { close(d.loaded) })
-		if len(records) > 0 {
+		switch {
+		case len(records) >= manyRecords:
+			sleep(ctx, gatherMany)
+		case len(records) > 0:
 			sleep(ctx, gatherTime)
 		}
 	}
@@ -228,7 +234,7 @@
 		}
 		if d.take(m) {
 			changed = true
-			d.events.Record(event.MemberChanged, slog.String("node", m.Node), slog.String("service", m.Service),
+			d.events.Record(event.MemberChanged, slog.String("peer", m.Node), slog.String("service", m.Service),
 				slog.String("instance", m.Instance), slog.Bool("takesWork", m.TakesWork),
 				slog.Int64("epoch", m.Epoch), slog.Int64("offset", record.Offset))
 		}
--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -172,7 +172,7 @@
 	}
 	p.refusedEpoch = p.member.Epoch
 	b.publish()
-	b.events.Record(event.PeerRefuses, attrNode(p.node), attrService(p.member.Service),
+	b.events.Record(event.PeerRefuses, attrPeer(p.node), attrService(p.member.Service),
 		slog.Int64("epoch", p.member.Epoch))
 }
 
@@ -186,7 +186,7 @@
 	p.lost, p.pause = true, b.probePause(probeFirst)
 	p.probeAt = time.Now().Add(p.pause)
 	b.publish()
-	b.events.Record(event.PeerLost, attrNode(p.node), slog.Int64("epoch", p.member.Epoch), attrDetail(detail))
+	b.events.Record(event.PeerLost, attrPeer(p.node), slog.Int64("epoch", p.member.Epoch), attrDetail(detail))
 }
 
 // regain takes in that a node answers.
@@ -199,7 +199,7 @@
 	}
 	p.lost = false
 	b.publish()
-	b.events.Record(event.PeerBack, attrNode(node), slog.Int64("epoch", p.member.Epoch))
+	b.events.Record(event.PeerBack, attrPeer(node), slog.Int64("epoch", p.member.Epoch))
 }
 
 // due returns the nodes that are to be asked whether they are back.
--- a/mesh/desired.go
+++ b/mesh/desired.go
@@ -17,7 +17,7 @@
 const (
 	// desiredWait is how long one read waits for a new version. The log allows
 	// 30 s, and each read is paid for.
-	desiredWait = 20 * time.Second
+	desiredWait = 29 * time.Second
 	// A new version must be in force within seconds, so failed reads are
 	// repeated sooner than those of members.
 	minDesiredRetry = 100 * time.Millisecond
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -153,7 +153,7 @@
 	e.asking[node] = true
 	go func() {
 		if err := e.with(context.Background(), p, false); err != nil {
-			e.events.Record(event.ExchangeFailed, attrNode(node), slog.String("error", err.Error()))
+			e.events.Record(event.ExchangeFailed, attrPeer(node), slog.String("error", err.Error()))
 		}
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -159,7 +159,7 @@
 			return end
 		}
 		i.metrics.Retried(metrics.Ingress, r.service)
-		i.events.Record(event.CallRetried, attrRequest(r.id), attrRoute(r.route), attrNode(p.node),
+		i.events.Record(event.CallRetried, attrRequest(r.id), attrRoute(r.route), attrPeer(p.node),
 			attrReason(end.reason), attrDetail(end.detail), attrExpires(r.expires), attrLeft(r))
 	}
 }
@@ -197,7 +197,7 @@
 		end = unknown(call.ReasonLost, "the backend server answered a status that promises too much")
 	}
 	i.events.Record(endEvent(end), attrRequest(r.id), attrRoute(r.route), attrHop(metrics.Ingress), attrExpires(r.expires),
-		attrService(r.service), attrNode(end.upstream), attrReason(end.reason), attrDetail(end.detail),
+		attrService(r.service), attrPeer(end.upstream), attrReason(end.reason), attrDetail(end.detail),
 		slog.Int("status", end.status), attrMs("tookMs", took), attrLeft(r), slog.Int64("version", version))
 	i.head(w, r.id)
 	if end.outcome != call.Answered {
--- a/mesh/life.go
+++ b/mesh/life.go
@@ -89,7 +89,7 @@
 	l.loops.Go(func() { l.parts.exchange.runAlone(ctx) })
 	l.loops.Go(func() { l.parts.announcements.restore(ctx) })
 	l.loops.Go(func() { l.tick(ctx) })
-	l.events.Record(event.NodeStarted, attrNode(l.place.Node), attrService(l.place.Service))
+	l.events.Record(event.NodeStarted, attrService(l.place.Service))
 	return nil
 }
 
@@ -110,7 +110,7 @@
 // other nodes, and lets those in progress end.
 func (l *life) stop(context.Context) (err error) {
 	started := time.Now()
-	l.events.Record(event.NodeStopping, attrNode(l.place.Node))
+	l.events.Record(event.NodeStopping, attrService(l.place.Service))
 	l.stopping.Store(true)
 	grace := l.bounds.Load().Grace
 	if grace <= 0 {
@@ -128,19 +128,19 @@
 		waitFor(context.Background(), settleInterval)
 	}
 	if active := l.active.Load(); active > 0 {
-		l.events.Record(event.StopDeadlineExceeded, attrNode(l.place.Node), attrMs("afterMs", time.Since(started)))
+		l.events.Record(event.StopDeadlineExceeded, attrMs("afterMs", time.Since(started)))
 	}
 	l.parts.servers.close()
 	l.cancel()
 	l.loops.Wait()
-	l.events.Record(event.NodeStopped, attrNode(l.place.Node), attrMs("tookMs", time.Since(started)))
+	l.events.Record(event.NodeStopped, attrMs("tookMs", time.Since(started)))
 	return nil
 }
 
 // reload takes changed bounds over.
 func (l *life) reload(place site.Site) {
 	l.bounds.Store(&place.Bounds)
-	l.events.Record(event.NodeReloaded, attrNode(l.place.Node), attrMs("graceMs", place.Bounds.Grace))
+	l.events.Record(event.NodeReloaded, attrMs("graceMs", place.Bounds.Grace))
 }
 
 // refuses reports whether a stopping node takes no more requests of an origin.
--- a/mesh/observe.go
+++ b/mesh/observe.go
@@ -39,7 +39,7 @@
 func attrHop(hop metrics.Hop) slog.Attr             { return slog.String("hop", string(hop)) }
 func attrReason(reason call.Reason) slog.Attr       { return slog.String("reason", string(reason)) }
 func attrDetail(detail string) slog.Attr            { return slog.String("detail", detail) }
-func attrNode(name string) slog.Attr                { return slog.String("node", name) }
+func attrPeer(name string) slog.Attr                { return slog.String("peer", name) }
 func attrService(name string) slog.Attr             { return slog.String("service", name) }
 func attrLeft(r *request) slog.Attr                 { return attrMs("leftMs", time.Until(r.deadline)) }
 func attrMs(name string, d time.Duration) slog.Attr { return slog.Int64(name, d.Milliseconds()) }
