Do not start requests that can't end in time

Cause: with the earliest deadline first, the scarce service started calls with a few milliseconds left.

TestHopelessRequestIsNotStarted fails without the check.

--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -304,3 +304,17 @@
 		}
 	}
 }
+
+// A request that can't end in time takes a slot for nothing, and a caller that
+// hears so at once can do something else.
+func TestHopelessRequestIsNotStarted(t *testing.T) {
+	d := newDeployment(t, "orders")
+	p := d.places[0]
+	for n := range 50 {
+		p.node.life.parts.sidecar.runTimes.ended("once", 5*time.Second)
+		p.node.life.parts.sidecar.runTimes.ended("safe", time.Duration(n)*time.Millisecond)
+	}
+	must.Eq(t, http.StatusServiceUnavailable, d.call(p, http.MethodPost, "/once/", "a").status)
+	must.Eq(t, 0, d.runs("a"))
+	must.Eq(t, http.StatusOK, d.call(p, http.MethodGet, "/safe/", "b").status)
+}
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -47,6 +47,8 @@
 	gauge   *pressure.Gauge
 	links   *calltree.Links
 	callers *calltree.Callers
+	// runTimes tells requests that can't end in time before they start.
+	runTimes *runTimes
 	// child has the level of the routes that the backend server calls.
 	child *pressure.Door
 	// reported is the level of the last event. Only tick uses it.
@@ -57,8 +59,8 @@
 
 func newSidecar(place site.Site, tracker *upstream.Tracker, e *entrance, m *metrics.Metrics, events recorder) *sidecar {
 	return &sidecar{
-		metrics: m,
-		gauge:   &pressure.Gauge{}, links: calltree.NewLinks(), callers: calltree.NewCallers(), child: e.calls,
+		metrics: m, runTimes: newRunTimes(),
+		gauge: &pressure.Gauge{}, links: calltree.NewLinks(), callers: calltree.NewCallers(), child: e.calls,
 		place: place, tracker: tracker, slots: slot.New(), events: events,
 		backend: hop.New(place.Backend, hop.WithMaxIdle(backendIdle)),
 	}
@@ -111,7 +113,7 @@
 		s.gauge.Arrived()
 	}
 	giveUp := time.Now().Add(r.patience)
-	if latest := r.deadline.Add(-minWorkTime); giveUp.After(latest) {
+	if latest := r.deadline.Add(-s.runTimes.least(r.route)); giveUp.After(latest) {
 		giveUp = latest
 	}
 	release, err := s.slots.Acquire(ctx, slot.Request{Rank: r.rank, Deadline: r.deadline, WaitUntil: giveUp})
@@ -126,8 +128,11 @@
 	started := time.Now()
 	reply := s.exchange(ctx, r)
 	ran := time.Since(started)
-	if reply.outcome != call.Answered {
+	switch {
+	case reply.outcome != call.Answered:
 		ran = 0
+	case reply.status < http.StatusMultipleChoices:
+		s.runTimes.ended(r.route, ran)
 	}
 	// A long answer is still being read, but the backend server has made it.
 	release(ran)
@@ -138,8 +143,8 @@
 func (s *sidecar) exchange(ctx context.Context, r *request) *reply {
 	server := s.tracker.Server()
 	left := time.Until(r.deadline)
-	if left < minWorkTime {
-		return notRun(call.ReasonTooLate, "no time is left")
+	if least := s.runTimes.least(r.route); left < least {
+		return notRun(call.ReasonTooLate, fmt.Sprintf("%v is left, and %v the least that is worth starting", left, least))
 	}
 	out := r.outgoing(func(h http.Header) {
 		platform.SetTimeLeft(h, left)
