Send nothing to a backend server that has stopped answering

It had lost power: it neither answered nor reset connections, and its node went on giving it as many requests as it has slots.

Change: with three requests or more open and nothing heard for 0.7 s and three mean run times, a sidecar declines requests, and asks the health endpoint each 0.4 s until something answers.

TestSilentServerGetsNothing fails with the check off.

--- a/call/reason.go
+++ b/call/reason.go
@@ -25,6 +25,9 @@
 	ReasonNoUpstream Reason = "noUpstream"
 	// ReasonUnreachable means that no connection to the upstream was made.
 	ReasonUnreachable Reason = "unreachable"
+	// ReasonSilent means that the backend server has stopped answering, so that
+	// the call was not sent to it.
+	ReasonSilent Reason = "silent"
 	// ReasonLost means that the connection broke before the answer was
 	// complete.
 	ReasonLost Reason = "lost"
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -109,7 +109,7 @@
 	slices.SortStableFunc(lines, func(a, b logLine) int { return a.Time.Compare(b.Time) })
 	found := false
 	for _, line := range lines {
-		mark := ""
+		var mark string
 		switch {
 		case line.Request == id:
 			mark, found = "request", true
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -94,22 +94,15 @@
 
 // ask sends one health request. done is false if it is worth asking again.
 func (a *announcements) ask(ctx context.Context, path string) (done bool) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	probe := &request{method: http.MethodGet, host: a.place.Backend, target: path, header: http.Header{}}
-	answer, err := a.sidecar.backend.Do(ctx, probe.outgoing(func(http.Header) {}), func(int, http.Header) bool { return true })
+	h, status, err := a.sidecar.ask(ctx, path)
 	if err != nil {
 		return false
 	}
-	defer answer.Close()
-	// Without the body the connection can't be used again, which is all that an
-	// error here means.
-	_, _, _ = answer.ReadAll(bufferedBody)
-	instance := platform.AnsweredBy(answer.Header)
-	load, stated := platform.ServerLoad(answer.Header)
-	if answer.StatusCode != http.StatusOK || instance == "" || !stated {
+	instance := platform.AnsweredBy(h)
+	load, stated := platform.ServerLoad(h)
+	if status != http.StatusOK || instance == "" || !stated {
 		// A leaving server announces itself when it is ready again.
-		return answer.StatusCode == http.StatusServiceUnavailable
+		return status == http.StatusServiceUnavailable
 	}
 	if a.left(instance) {
 		return true
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -318,3 +318,21 @@
 	must.Eq(t, 0, d.runs("a"))
 	must.Eq(t, http.StatusOK, d.call(p, http.MethodGet, "/safe/", "b").status)
 }
+
+// A backend server that has lost power neither answers nor resets connections.
+// Requests must not go on being lost to it, and must come back when it does.
+func TestSilentServerGetsNothing(t *testing.T) {
+	d := newDeployment(t, "orders", "orders", "catalogue")
+	dark := d.places[0]
+	dark.server.Behave(func(*http.Request) server.Behaviour { return server.Hang })
+	var calls sync.WaitGroup
+	for n := range 16 {
+		calls.Go(func() { d.call(d.places[2], http.MethodGet, "/safe/", fmt.Sprintf("a%d", n)) })
+	}
+	eventually(t, dark.node.life.parts.sidecar.silence.is)
+	for n := range 10 {
+		must.Eq(t, http.StatusOK, d.call(d.places[2], http.MethodPost, "/once/", fmt.Sprintf("b%d", n)).status)
+	}
+	calls.Wait()
+	eventually(t, func() bool { return !dark.node.life.parts.sidecar.silence.is() })
+}
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -47,6 +48,10 @@
 	gauge   *pressure.Gauge
 	links   *calltree.Links
 	callers *calltree.Callers
+	// silence stops requests to a server that does not answer any more.
+	silence silence
+	// healthPath returns the path of the server's health endpoint, or "".
+	healthPath func() string
 	// runTimes tells requests that can't end in time before they start.
 	runTimes *runTimes
 	// child has the level of the routes that the backend server calls.
@@ -57,8 +62,15 @@
 	stopping atomic.Bool
 }
 
-func newSidecar(place site.Site, tracker *upstream.Tracker, e *entrance, m *metrics.Metrics, events recorder) *sidecar {
+func newSidecar(place site.Site, tracker *upstream.Tracker, e *entrance, m *metrics.Metrics, d *desired, events recorder) *sidecar {
 	return &sidecar{
+		healthPath: func() string {
+			if state := d.current(); state != nil {
+				service, _ := state.Service(place.Service)
+				return service.HealthPath
+			}
+			return ""
+		},
 		metrics: m, runTimes: newRunTimes(),
 		gauge: &pressure.Gauge{}, links: calltree.NewLinks(), callers: calltree.NewCallers(), child: e.calls,
 		place: place, tracker: tracker, slots: slot.New(), events: events,
@@ -106,6 +118,8 @@
 		return notRun(call.ReasonNoUpstream, "the request is for another service")
 	case s.stopping.Load():
 		return notRun(call.ReasonDraining, "the node is stopping")
+	case s.silence.is():
+		return notRun(call.ReasonSilent, "the backend server has stopped answering")
 	}
 	if !r.repeated {
 		// Each request is part of the demand once, at the node that was chosen for
@@ -155,7 +169,10 @@
 	})
 	run := s.links.Start(r.route, r.deadline)
 	defer s.links.End(run)
+	s.silence.sent(time.Now())
 	answer, err := s.backend.Do(ctx, out, belongsTo(r.id))
+	// Time-outs of connections say no more than the silence does.
+	s.silence.ended(time.Now(), err == nil || !isTimeout(err) && ctx.Err() == nil)
 	if err != nil {
 		return lost(ctx, err)
 	}
@@ -185,11 +202,52 @@
 	}
 	s.metrics.SetLoad(s.place.Service, metrics.Load{Running: load.Running, Limit: load.Limit, Queued: load.Waiting})
 	s.metrics.SetPressure(s.place.Service, level)
+	s.watch(now, load.MeanRun)
 	s.links.Tick(now)
 	s.callers.Tick(now, services)
 	s.backend.Sweep(now)
 }
 
+// watch notices that the backend server falls silent, and that it answers again.
+func (s *sidecar) watch(now time.Time, meanRun time.Duration) {
+	if s.silence.check(now, meanRun) {
+		s.events.Record(event.BackendUnreachable, slog.String("instance", s.tracker.Server().Instance()),
+			attrMs("meanRunMs", meanRun))
+	}
+	path := s.healthPath()
+	if path == "" || !s.silence.probeDue(now) {
+		return
+	}
+	go func() {
+		if _, status, err := s.ask(context.Background(), path); err == nil && status > 0 {
+			s.silence.over(time.Now())
+			s.events.Record(event.BackendReachable, slog.String("instance", s.tracker.Server().Instance()), slog.Int("status", status))
+		}
+	}()
+}
+
+// ask sends a health request to the backend server.
+func (s *sidecar) ask(ctx context.Context, path string) (h http.Header, status int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	probe := &request{method: http.MethodGet, host: s.place.Backend, target: path, header: http.Header{}}
+	answer, err := s.backend.Do(ctx, probe.outgoing(func(http.Header) {}), func(int, http.Header) bool { return true })
+	if err != nil {
+		return nil, 0, err
+	}
+	defer answer.Close()
+	// Without the body the connection can't be used again, which is all that an
+	// error here means.
+	_, _, _ = answer.ReadAll(bufferedBody)
+	return answer.Header, answer.StatusCode, nil
+}
+
+// isTimeout reports whether a connection ended because the other side was silent.
+func isTimeout(err error) bool {
+	var network net.Error
+	return errors.As(err, &network) && network.Timeout()
+}
+
 // belongsTo accepts the answers that bear the request's ID. Statements that
 // nothing was run bear none.
 func belongsTo(id string) func(status int, h http.Header) bool {
