Follow topics of the log in one place, and start retry budgets with the slack's share

Cause: the directory of nodes and the desired state had the same loop twice (newest records, reads, pauses, loss and return of the log); package follow has it once.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/follow"
 	"github.com/lacewingslip/lacewingslip/platform"
 )
 
@@ -17,17 +17,13 @@
 	// Topic holds the newest record of each node under its name.
 	Topic = "keyed.nodes"
 
-	// followWait is how long one read waits for a record. The log allows 30 s;
-	// each read is paid for, and a silent connection shows by its probes.
-	followWait = 29 * time.Second
 	// gatherTime is the pause after a read with records, and gatherMany that after
 	// one with manyRecords or more. In a start of all nodes each record would
 	// otherwise wake each node once.
 	gatherTime  = 400 * time.Millisecond
 	gatherMany  = 1200 * time.Millisecond
 	manyRecords = 4
-	// minRetryTime and maxRetryTime bound the pause after a failed call. The
-	// rates of the log are shared by all nodes.
+	// minRetryTime and maxRetryTime bound the pause after a failed write.
 	minRetryTime = 150 * time.Millisecond
 	maxRetryTime = 1200 * time.Millisecond
 	// fencedStep is added to an epoch that the log has seen exceeded, which
@@ -65,16 +61,17 @@
 	// loaded is closed after the first complete read of the log.
 	loaded   chan struct{}
 	loadOnce sync.Once
-	// reachable says whether the last read of the log succeeded.
-	reachable bool
+	follower *follow.Follower
 }
 
 // NewDirectory returns the directory of the node that own describes.
 func NewDirectory(own Member, table *Table, s store, events recorder, changed func()) *Directory {
-	return &Directory{
+	d := &Directory{
 		table: table, store: s, events: events, changed: changed, unpublished: func() {},
-		own: own, wake: make(chan struct{}, 1), loaded: make(chan struct{}), reachable: true,
+		own: own, wake: make(chan struct{}, 1), loaded: make(chan struct{}),
 	}
+	d.follower = follow.New(s, Topic, events, d.takeRecords, follow.WithGather(gather))
+	return d
 }
 
 // Table returns the table that the directory keeps.
@@ -95,11 +92,7 @@
 }
 
 // Reachable reports whether the last read of the log succeeded.
-func (d *Directory) Reachable() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.reachable
-}
+func (d *Directory) Reachable() bool { return d.follower.Reachable() }
 
 // Update changes the record of this node; the new one is published soon.
 func (d *Directory) Update(change func(m *Member)) {
@@ -174,49 +167,21 @@
 // Run follows the log and publishes the own record until the context ends.
 func (d *Directory) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { d.follow(ctx) })
+	loops.Go(func() { d.follower.Run(ctx) })
 	loops.Go(func() { d.publishChanges(ctx) })
 	loops.Wait()
 }
 
-func (d *Directory) follow(ctx context.Context) {
-	next, known := int64(0), false
-	pause := minRetryTime
-	for ctx.Err() == nil {
-		var records []platform.Record
-		var err error
-		if known {
-			records, next, err = d.read(ctx, next)
-		} else if records, next, err = d.store.Newest(ctx, Topic); err == nil {
-			known = true
-		}
-		d.note(err)
-		switch {
-		case errors.Is(err, platform.ErrTrimmed):
-			known = false
-		case err != nil:
-			sleep(ctx, jitter(pause))
-			pause = min(2*pause, maxRetryTime)
-			continue
-		}
-		pause = minRetryTime
-		d.takeRecords(records)
-		d.loadOnce.Do(func() { close(d.loaded) })
-		switch {
-		case len(records) >= manyRecords:
-			sleep(ctx, gatherMany)
-		case len(records) > 0:
-			sleep(ctx, gatherTime)
-		}
-	}
-}
-
-func (d *Directory) read(ctx context.Context, from int64) (records []platform.Record, next int64, err error) {
-	records, next, err = d.store.Read(ctx, Topic, from, followWait)
-	if err != nil {
-		return nil, from, err
+// gather returns the pause after a read.
+func gather(records int) time.Duration {
+	switch {
+	case records >= manyRecords:
+		return gatherMany
+	case records > 0:
+		return gatherTime
+	default:
+		return 0
 	}
-	return records, next, nil
 }
 
 func (d *Directory) takeRecords(records []platform.Record) {
@@ -242,25 +207,11 @@
 	if changed {
 		d.changed()
 	}
-}
-
-// note logs when the log service is lost and regained.
-func (d *Directory) note(err error) {
-	reachable := err == nil || errors.Is(err, platform.ErrTrimmed) || errors.Is(err, context.Canceled)
-	d.mu.Lock()
-	before := d.reachable
-	d.reachable = reachable
-	d.mu.Unlock()
-	switch {
-	case before && !reachable:
-		d.events.Record(event.LogUnavailable, slog.String("topic", Topic), slog.String("error", err.Error()))
-	case !before && reachable:
-		d.events.Record(event.LogAvailable, slog.String("topic", Topic))
-	}
+	d.loadOnce.Do(func() { close(d.loaded) })
 }
 
 func (d *Directory) publishChanges(ctx context.Context) {
-	pause, told := minRetryTime, int64(0)
+	pause, told := follow.NewBackoff(minRetryTime, maxRetryTime), int64(0)
 	for ctx.Err() == nil {
 		own, due := d.duePublication()
 		if !due {
@@ -275,11 +226,10 @@
 				told = own.Epoch
 				d.unpublished()
 			}
-			sleep(ctx, jitter(pause))
-			pause = min(2*pause, maxRetryTime)
+			pause.Wait(ctx)
 			continue
 		}
-		pause = minRetryTime
+		pause.Reset()
 	}
 }
 
@@ -310,17 +260,3 @@
 	}
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// jitter spreads the calls of many nodes that failed together.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + time.Duration(rand.Int64N(int64(d)))
-}
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -8,6 +8,7 @@
 
 	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/fleet"
+	"github.com/lacewingslip/lacewingslip/follow"
 	"github.com/lacewingslip/lacewingslip/platform"
 	"github.com/lacewingslip/lacewingslip/site"
 	"github.com/lacewingslip/lacewingslip/upstream"
@@ -88,7 +89,7 @@
 		if a.ask(ctx, service.HealthPath) {
 			return
 		}
-		waitFor(ctx, askPause)
+		follow.Pause(ctx, askPause)
 	}
 }
 
--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -56,22 +56,26 @@
 	return true
 }
 
-// capacity is this node's part of the slack, and one attempt at least.
-func (b *retryBudget) capacity() float64 {
-	return max(budgetShare*b.bounds.RetrySlack/float64(max(b.nodes(), 1)), 1)
+// slack is this node's part of the slack.
+func (b *retryBudget) slack() float64 {
+	return budgetShare * b.bounds.RetrySlack / float64(max(b.nodes(), 1))
 }
 
+// capacity is what a bucket holds: the part of the slack, and one attempt at
+// least, so that shares of requests can add up to one.
+func (b *retryBudget) capacity() float64 { return max(b.slack(), 1) }
+
 func (b *retryBudget) bucket(service string) *retryTokens {
 	now := time.Now()
 	t := b.services[service]
 	if t == nil {
-		t = &retryTokens{tokens: b.capacity(), updated: now}
+		// A whole token for each node would exceed the slack in a large deployment.
+		t = &retryTokens{tokens: b.slack(), updated: now}
 		b.services[service] = t
 	}
 	if window := b.bounds.RetryWindow; window > 0 {
 		// The slack is granted once in each window.
-		refill := budgetShare * b.bounds.RetrySlack / float64(max(b.nodes(), 1))
-		t.tokens = min(t.tokens+refill*float64(now.Sub(t.updated))/float64(window), b.capacity())
+		t.tokens = min(t.tokens+b.slack()*float64(now.Sub(t.updated))/float64(window), b.capacity())
 	}
 	t.updated = now
 	return t
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -16,6 +16,7 @@
 
 	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/fleet"
+	"github.com/lacewingslip/lacewingslip/follow"
 	"github.com/lacewingslip/lacewingslip/hop"
 )
 
@@ -184,7 +185,7 @@
 // read.
 func (e *exchange) runAlone(ctx context.Context) {
 	for ctx.Err() == nil {
-		waitFor(ctx, aloneInterval/2+time.Duration(rand.Int64N(int64(aloneInterval))))
+		follow.Pause(ctx, aloneInterval/2+time.Duration(rand.Int64N(int64(aloneInterval))))
 		if e.directory.Reachable() {
 			continue
 		}
--- a/mesh/life.go
+++ b/mesh/life.go
@@ -9,6 +9,7 @@
 
 	"github.com/lacewingslip/lacewingslip/calltree"
 	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/follow"
 	"github.com/lacewingslip/lacewingslip/metrics"
 	"github.com/lacewingslip/lacewingslip/site"
 )
@@ -116,16 +117,16 @@
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	waitFor(context.Background(), min(peerTime, grace/3))
+	follow.Pause(context.Background(), min(peerTime, grace/3))
 	l.parts.sidecar.stopping.Store(true)
-	waitFor(context.Background(), min(carryOnTime-peerTime, grace/6))
+	follow.Pause(context.Background(), min(carryOnTime-peerTime, grace/6))
 	l.closed.Store(true)
 	callsEnd := started.Add(min(callsTime, 6*grace/10))
 	for time.Since(started) < grace-graceMargin && !l.quiet() {
 		if time.Now().After(callsEnd) {
 			l.closedToAll.Store(true)
 		}
-		waitFor(context.Background(), settleInterval)
+		follow.Pause(context.Background(), settleInterval)
 	}
 	if active := l.active.Load(); active > 0 {
 		l.events.Record(event.StopDeadlineExceeded, attrMs("afterMs", time.Since(started)))
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -102,9 +102,8 @@
 			},
 			func(r *timeline.Recorder) recorder { return r },
 			func() *platform.Store { return platform.NewStore(place.Log) },
-			func(s *platform.Store, events recorder) *desired { return newDesired(s, events) },
 			func() *upstream.Tracker { return upstream.New(place.Service, place.Backend) },
-			metrics.New, newListeners, newBalancer, newSidecar, newDirectory, newExchange, newLife,
+			metrics.New, newListeners, newDesired, newBalancer, newSidecar, newDirectory, newExchange, newLife,
 			newAnnouncements, newEntrance, newIngress, newPeerHandler, newServers,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, l *life, s *servers, b *balancer, e *exchange, a *announcements, sc *sidecar, d *desired, dir *fleet.Directory) {
