--- a/pressure/pressure_test.go
+++ b/pressure/pressure_test.go
@@ -12,12 +12,13 @@
 
 const tick = 100 * time.Millisecond
 
-// run ticks a gauge for a time and returns the level and the time after it.
-func run(g *pressure.Gauge, now time.Time, d time.Duration, load slot.Load) (level float64, after time.Time) {
+// run ticks a gauge for a time and returns the level after it.
+func run(g *pressure.Gauge, d time.Duration, load slot.Load) (level float64) {
+	now := time.Now()
 	for end := now.Add(d); now.Before(end); now = now.Add(tick) {
 		level = g.Tick(now, load)
 	}
-	return level, now
+	return level
 }
 
 // plant is a service whose demand follows the level of some time before, as
@@ -72,13 +73,13 @@
 // the refusal of nearly all.
 func TestGaugeOfStuckServer(t *testing.T) {
 	g := &pressure.Gauge{}
-	level, _ := run(g, time.Now(), 15*time.Second, slot.Load{Running: 13, Waiting: 6, Limit: 13})
+	level := run(g, 15*time.Second, slot.Load{Running: 13, Waiting: 6, Limit: 13})
 	must.Greater(t, 0.9, level)
 }
 
 func TestLevelIsBounded(t *testing.T) {
 	g := &pressure.Gauge{}
-	level, _ := run(g, time.Now(), time.Minute, slot.Load{Running: 13, Waiting: 100, Limit: 13})
+	level := run(g, time.Minute, slot.Load{Running: 13, Waiting: 100, Limit: 13})
 	must.LessEq(t, 2, level)
 }
 
