--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -110,6 +110,11 @@
 	}
 	d.table.Apply(own)
 	d.changed()
+	d.publishSoon()
+}
+
+// publishSoon wakes the loop that writes the own record.
+func (d *Directory) publishSoon() {
 	select {
 	case d.wake <- struct{}{}:
 	default:
@@ -155,10 +160,7 @@
 		own := d.own
 		d.mu.Unlock()
 		changed = d.table.Apply(own)
-		select {
-		case d.wake <- struct{}{}:
-		default:
-		}
+		d.publishSoon()
 		return changed
 	}
 	return d.table.Apply(m)
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -78,15 +78,15 @@
 	case <-ctx.Done():
 		return
 	}
-	service, ok := a.desired.current().Service(a.place.Service)
-	if !ok || service.HealthPath == "" {
+	path := a.sidecar.healthPath()
+	if path == "" {
 		return
 	}
 	for range askAttempts {
 		if a.tracker.Server().State() != upstream.Unknown {
 			return
 		}
-		if a.ask(ctx, service.HealthPath) {
+		if a.ask(ctx, path) {
 			return
 		}
 		follow.Pause(ctx, askPause)
--- a/mesh/desired.go
+++ b/mesh/desired.go
@@ -44,10 +44,10 @@
 }
 
 // snapshot returns the newest state as the operator wrote it.
-func (d *desired) snapshot() (version int64, document []byte) {
+func (d *desired) snapshot() (document []byte) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.version(), d.document
+	return d.document
 }
 
 // take puts a document into force if it is newer than the present state.
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -84,7 +84,7 @@
 	}
 	sent := e.message()
 	if received.Version < sent.Version {
-		_, sent.State = e.desired.snapshot()
+		sent.State = e.desired.snapshot()
 	}
 	if received.WantMembers && received.Digest != sent.Digest {
 		sent.Members = e.directory.Table().Members()
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -12,7 +12,6 @@
 	"github.com/lacewingslip/lacewingslip/calltree"
 	"github.com/lacewingslip/lacewingslip/config"
 	"github.com/lacewingslip/lacewingslip/event"
-	"github.com/lacewingslip/lacewingslip/fleet"
 	"github.com/lacewingslip/lacewingslip/metrics"
 	"github.com/lacewingslip/lacewingslip/platform"
 	"github.com/lacewingslip/lacewingslip/site"
@@ -36,18 +35,17 @@
 // ingress takes requests of callers on this VM, the backend server among them,
 // and sends each to a node that runs it.
 type ingress struct {
-	place     site.Site
-	desired   *desired
-	splitter  *config.Splitter
-	balancer  *balancer
-	sidecar   *sidecar
-	exchange  *exchange
-	directory *fleet.Directory
-	budget    *retryBudget
-	events    recorder
-	metrics   *metrics.Metrics
-	life      *life
-	entrance  *entrance
+	place    site.Site
+	desired  *desired
+	splitter *config.Splitter
+	balancer *balancer
+	sidecar  *sidecar
+	exchange *exchange
+	budget   *retryBudget
+	events   recorder
+	metrics  *metrics.Metrics
+	life     *life
+	entrance *entrance
 }
 
 // ServeHTTP carries one request.
@@ -217,11 +215,7 @@
 func (i *ingress) fail(w http.ResponseWriter, end *reply) {
 	switch {
 	case end.outcome == call.NotRun:
-		after := end.retryAfter
-		if after == 0 {
-			after = minRetryAfter + time.Duration(rand.Int64N(int64(retryAfterSpread)))
-		}
-		platform.SetRetryAfter(w.Header(), after)
+		platform.SetRetryAfter(w.Header(), minRetryAfter+time.Duration(rand.Int64N(int64(retryAfterSpread))))
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case end.reason == call.ReasonDeadline:
 		w.WriteHeader(http.StatusGatewayTimeout)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -131,6 +131,6 @@
 	nodes := func() int { return len(dir.Table().Members()) }
 	return &ingress{
 		place: place, desired: d, splitter: config.NewSplitter(), balancer: b, sidecar: s, exchange: e,
-		directory: dir, budget: newRetryBudget(place.Bounds, nodes), events: events, metrics: m, life: l, entrance: entrance,
+		budget: newRetryBudget(place.Bounds, nodes), events: events, metrics: m, life: l, entrance: entrance,
 	}
 }
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -73,8 +73,6 @@
 	stream *hop.Answer
 	// upstream is the node that answered or refused.
 	upstream string
-	// retryAfter is when room is expected.
-	retryAfter time.Duration
 	// report is what the node beside the backend server says of its load.
 	report loadReport
 }
