Take the key of a repeated booking from the node that it is sent to

Cause: a client took keys from one node and sent the booking through another. After the restart of a key's owner, nodes that had not heard of it went on issuing keys of the old incarnation, while the booking went to nodes that knew better and refused them unsent (ownerGone); the issuing node never learned.

Change: after ownerGone the next attempt stays at the node that refused, which has learned from the refusal, and takes a fresh key from it and not from the stock.

Ruled out: a node that issues keys of an owner it knows to have ended (peers.issue checks that).

Test: TestKeysOfRestartedOwner, two nodes that learn only from their own refusals; it failed before (notRun ownerGone) and passes now.

--- a/attempt.go
+++ b/attempt.go
@@ -27,15 +27,17 @@
 
 // attempt sends the call once.
 func (d *delivery) attempt(ctx context.Context) (answer Answer, failure *Error) {
+	if !d.stay {
+		d.node = d.client.nodes.pick()
+	}
 	if failure := d.ensureKey(ctx); failure != nil {
 		return Answer{}, failure
 	}
-	address := d.client.nodes.pick()
-	req, err := d.newRequest(ctx, address)
+	req, err := d.newRequest(ctx, d.node)
 	if err != nil {
 		return Answer{}, &Error{outcome: call.NotRun, reason: call.ReasonBadRequest, cause: err}
 	}
-	resp, resent, failure := d.client.send(req, address)
+	resp, resent, failure := d.client.send(req, d.node)
 	if failure != nil {
 		return Answer{}, failure
 	}
@@ -51,12 +53,18 @@
 	return answer, failure
 }
 
-// ensureKey gives a booking a key. A booking without a key has not been sent.
+// ensureKey gives a booking a key, from the stock or from the node that the
+// booking goes to. A booking without a key has not been sent.
 func (d *delivery) ensureKey(ctx context.Context) (failure *Error) {
 	if d.request.Repeat != call.Never || d.key != "" {
 		return nil
 	}
-	key, failure := d.client.issuedKey(ctx, d.request.Service)
+	issue := d.client.issuedKey
+	if d.stay {
+		// Keys in stock may come from nodes that know less.
+		issue = d.client.freshKey
+	}
+	key, failure := issue(ctx, d.request.Service, d.node)
 	if failure != nil {
 		failure.outcome = call.NotRun
 		failure.message = "no key was issued for the booking"
--- a/client.go
+++ b/client.go
@@ -178,6 +178,9 @@
 	// skipped counts nodes that took no connection. Nothing was sent to them,
 	// so they don't count as attempts.
 	skipped int
+	// node is the address of the last attempt. stay sends the next one there too.
+	node string
+	stay bool
 }
 
 func (d *delivery) run(ctx context.Context) (answer Answer, err error) {
@@ -196,6 +199,9 @@
 			return Answer{}, d.report(failure)
 		}
 		d.prepareRepeat(failure)
+		// The node has learned with this refusal that the owner has restarted. Others
+		// may not know it yet, and issue keys that this one refuses.
+		d.stay = failure.reason == call.ReasonOwnerGone
 		d.retries++
 	}
 }
--- a/client_test.go
+++ b/client_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -245,6 +246,40 @@
 	must.EqOp(t, call.Unknown, lacewingslip.OutcomeOf(err))
 }
 
+// forgetfulNode issues keys of an owner that has restarted, until it has been
+// refused one of them.
+type forgetfulNode struct{ knows atomic.Bool }
+
+func (n *forgetfulNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch key := r.Header.Get(call.HeaderKey); {
+	case r.URL.Path == "/lacewingslip/v1/keys" && n.knows.Load():
+		_, _ = io.WriteString(w, `{"keys":["new"]}`)
+	case r.URL.Path == "/lacewingslip/v1/keys":
+		_, _ = io.WriteString(w, `{"keys":["old"]}`)
+	case key == "old":
+		n.knows.Store(true)
+		unsent(call.ReasonOwnerGone)(w)
+	default:
+		answer(200)(w)
+	}
+}
+
+// Guards against a booking that fails after the restart of its key's owner,
+// because each attempt takes its key from a node that has not heard of the
+// restart and is sent to another one that refuses the key.
+func TestKeysOfRestartedOwner(t *testing.T) {
+	addresses := make([]string, 2)
+	for i := range addresses {
+		node := httptest.NewServer(&forgetfulNode{})
+		defer node.Close()
+		addresses[i] = node.Listener.Addr().String()
+	}
+	client, err := lacewingslip.New(addresses)
+	must.NoError(t, err)
+	_, err = client.Do(t.Context(), lacewingslip.Request{Service: "orders", Method: "POST", Path: "/book", Repeat: call.Never})
+	must.NoError(t, err)
+}
+
 // Guards against requests and addresses that could only fail later, and with a
 // message that does not name the mistake.
 func TestMistakes(t *testing.T) {
--- a/keys.go
+++ b/keys.go
@@ -72,12 +72,17 @@
 	delete(s.byService, service)
 }
 
-// issuedKey takes a key from the stock, or asks a node for some.
-func (c *Client) issuedKey(ctx context.Context, service string) (key string, failure *Error) {
+// issuedKey takes a key from the stock, or asks the node for some.
+func (c *Client) issuedKey(ctx context.Context, service, address string) (key string, failure *Error) {
 	if key, ok := c.keys.take(service); ok {
 		return key, nil
 	}
-	keys, failure := c.fetchKeys(ctx, service)
+	return c.freshKey(ctx, service, address)
+}
+
+// freshKey asks the node for keys, returns one and puts the others into the stock.
+func (c *Client) freshKey(ctx context.Context, service, address string) (key string, failure *Error) {
+	keys, failure := c.fetchKeys(ctx, service, address)
 	if failure != nil {
 		return "", failure
 	}
@@ -91,11 +96,10 @@
 	Keys []string `json:"keys"`
 }
 
-func (c *Client) fetchKeys(ctx context.Context, service string) (keys []string, failure *Error) {
+func (c *Client) fetchKeys(ctx context.Context, service, address string) (keys []string, failure *Error) {
 	failed := func(err error) ([]string, *Error) {
 		return nil, &Error{outcome: call.NotRun, reason: call.ReasonInternal, cause: err}
 	}
-	address := c.nodes.pick()
 	query := url.Values{"service": {service}, "count": {strconv.Itoa(keysPerRequest)}}
 	target := url.URL{Scheme: "http", Host: address, Path: keysPath, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), http.NoBody)
