--- a/cmd/lacewingslipd/main.go
+++ b/cmd/lacewingslipd/main.go
@@ -31,6 +31,7 @@
 	exitCutOff    = 3
 	flagFile      = "file"
 	flagLogLevel  = "log-level"
+	flagAdvertise = "advertise"
 	defaultLevel  = "info"
 	usageLogLevel = "lowest level of events that are logged: debug, info, warn or error"
 )
@@ -47,6 +48,9 @@
 		Commands: []*cli.Command{{
 			Name:   "platform",
 			Usage:  "run on the users' platform, with the settings file that it provides",
+			Flags: []cli.Flag{
+				&cli.StringFlag{Name: flagAdvertise, Usage: "address that other nodes are told, if it is not the one that is listened on"},
+			},
 			Action: runOnPlatform,
 		}},
 	}
--- a/cmd/lacewingslipd/platform.go
+++ b/cmd/lacewingslipd/platform.go
@@ -24,6 +24,7 @@
 	if err != nil {
 		return cli.Exit(err, exitBadFile)
 	}
+	place.Listen.Advertised = command.String(flagAdvertise)
 	output := logs.New(os.Stdout)
 	defer output.Close()
 	logger := slog.New(logs.Limit(slog.NewJSONHandler(output, &slog.HandlerOptions{Level: level}))).With("node", place.Node)
--- a/internal/e2e/processes.go
+++ b/internal/e2e/processes.go
@@ -45,6 +45,9 @@
 	node, standin string
 }
 
+// Node returns the path of the node's program.
+func (b Binaries) Node() string { return b.node }
+
 // Build compiles the programs into the directory.
 func Build(directory string) (b Binaries, err error) {
 	defer func() { err = eris.Wrap(err, "build programs") }()
@@ -280,19 +283,33 @@
 }
 
 func (s *System) run(program string, arguments ...string) (p *Process, err error) {
-	p = &Process{command: exec.Command(program, arguments...), output: &lockedBuffer{}, exited: make(chan struct{})}
-	p.command.Stdout, p.command.Stderr = p.output, p.output
-	if err = p.command.Start(); err != nil {
+	output := &lockedBuffer{}
+	command := exec.Command(program, arguments...)
+	command.Stdout, command.Stderr = output, output
+	if p, err = StartProcess(command); err != nil {
+		return nil, err
+	}
+	p.output = output
+	s.processes = append(s.processes, p)
+	return p, nil
+}
+
+// StartProcess starts a program. What it prints goes where the command says.
+func StartProcess(command *exec.Cmd) (p *Process, err error) {
+	p = &Process{command: command, output: &lockedBuffer{}, exited: make(chan struct{})}
+	if err = command.Start(); err != nil {
 		return nil, err
 	}
 	go func() {
-		p.err = p.command.Wait()
+		p.err = command.Wait()
 		close(p.exited)
 	}()
-	s.processes = append(s.processes, p)
 	return p, nil
 }
 
+// Exited is closed when the process has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
 func getJSON(ctx context.Context, url string, value any) (err error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,36 @@
+package soak
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/internal/e2e"
+)
+
+// Guards against promises that hold only while nothing else goes wrong at the
+// same time. Seeds that failed once stay here, with the cause.
+func TestSoak(t *testing.T) {
+	seeds := map[string]uint64{
+		"usual": 1,
+	}
+	if text := os.Getenv("SOAK_SEED"); text != "" {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		must.NoError(t, err)
+		seeds = map[string]uint64{"asked": seed}
+	}
+	directory := t.TempDir()
+	binaries, err := e2e.Build(directory)
+	must.NoError(t, err)
+	for name, seed := range seeds {
+		t.Run(name, func(t *testing.T) {
+			report, err := Run(t.Context(), binaries, t.TempDir(), WithSeed(seed), WithTime(15*time.Second))
+			must.NoError(t, err)
+			t.Logf("%+v", report)
+			must.SliceEmpty(t, report.Broken)
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/operator/operator.go
@@ -0,0 +1,168 @@
+// Package operator is a stand-in for the platform around a node: the operator
+// who writes desired states, the settings file of a process, the announcements of
+// a backend server and the requests of a caller, in the platform's own formats.
+//
+// # Usage
+//
+//	log.Put(operator.Topic, operator.Key, operator.Document(1, routes, "orders"))
+//	text := operator.Settings(place)
+//	status, err := operator.Announce(ctx, place.Listen.Announce, said)
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/lacewingslip/lacewingslip/site"
+)
+
+const (
+	// Topic and Key are where the operator writes the desired state.
+	Topic = "keyed.op"
+	Key   = "config"
+	// SettingsVariable names the settings file of a process.
+	SettingsVariable = "LACEWINGSLIP_CONFIG"
+	// HealthPath is that of all services.
+	HealthPath = "/health"
+	// Host is that of all routes.
+	Host = "example"
+
+	announcePath  = "/lacewingslip/rpc"
+	readinessPath = "/lacewingslip/readiness"
+)
+
+// Route is a route of a desired state. Its prefix is its name between slashes.
+type Route struct {
+	Name, Service string
+	// Once is true if its requests may run once at most.
+	Once     bool
+	Timeout  time.Duration
+	Attempts int
+	Priority int
+}
+
+// Document writes a desired state.
+func Document(version int, routes []Route, services ...string) (text []byte) {
+	var resources []string
+	for _, r := range routes {
+		kind := "safe"
+		if r.Once {
+			kind = "unsafe"
+		}
+		resources = append(resources, fmt.Sprintf(`{"ResourceType":"Routes","Metadata":{"Name":%q},"Spec":{"Host":%q,"PathPrefix":"/%s/","Kind":%q,"TimeoutMs":%d,"TargetLatencyMs":%d,"Priority":%d,"Service":%q,"MaxAttempts":%d}}`,
+			r.Name, Host, r.Name, kind, r.Timeout.Milliseconds(), r.Timeout.Milliseconds()/2, r.Priority, r.Service, r.Attempts))
+	}
+	for _, s := range services {
+		resources = append(resources, fmt.Sprintf(`{"ResourceType":"Services","Metadata":{"Name":%q},"Spec":{"HealthPath":%q,"MaxConnections":100}}`, s, HealthPath))
+	}
+	return fmt.Appendf(nil, `{"Version":%d,"Resources":[%s]}`, version, strings.Join(resources, ","))
+}
+
+// Settings writes the settings file of a process.
+func Settings(s site.Site) (text []byte) {
+	b := s.Bounds
+	lines := []string{
+		"Node=" + s.Node, "Ip=" + s.IP, "Zone=" + s.Zone, "Region=" + s.Region, "Service=" + s.Service, "AppAddr=" + s.Backend,
+		"Listen.Outbound=" + s.Listen.Caller, "Listen.Inbound=" + s.Listen.Peer,
+		"Listen.Ready=" + s.Listen.Ready, "Listen.Control=" + s.Listen.Announce,
+		fmt.Sprintf("PortRange=%d,%d", s.FirstPort, s.LastPort), "Provider.Address=" + s.Log,
+		fmt.Sprintf("Bounds=DrainMs=%d,GraceS=%g,ConfigApplyMs=%d,RetryBudgetRatio=%g,BudgetWindowS=%g,BudgetSlack=%g",
+			b.Drain.Milliseconds(), b.Grace.Seconds(), b.ConfigApply.Milliseconds(), b.RetryRatio, b.RetryWindow.Seconds(), b.RetrySlack),
+	}
+	for zone, region := range s.RegionOf {
+		lines = append(lines, "Zones."+zone+"="+region)
+	}
+	slices.Sort(lines)
+	return []byte(strings.Join(lines, "\n") + "\n")
+}
+
+// Announcement is what a backend server says of itself. A state of "" signs off.
+type Announcement struct {
+	Instance, Service, Address, Zone, State string
+	Born, Sequence                          int64
+	Slots                                   int
+}
+
+// Announce sends an announcement to the node at the address.
+func Announce(ctx context.Context, address string, a Announcement) (status int, err error) {
+	call, body := "instances.heartbeat", map[string]any{
+		"Address": a.Address, "born": a.Born,
+		"Info":   map[string]any{"Service": a.Service, "Zone": a.Zone, "Slots": a.Slots},
+		"Status": map[string]any{"State": a.State, "Sequence": a.Sequence},
+	}
+	if a.State == "" {
+		call, body = "instances.deregister", map[string]any{"born": a.Born}
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, err
+	}
+	url := fmt.Sprintf("http://%s%s?call=%s&of=%s", address, announcePath, call, a.Instance)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Close = true
+	return statusOf(request)
+}
+
+// Ready asks whether the node at the address may be sent callers.
+func Ready(ctx context.Context, address string) (ok bool) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+readinessPath, http.NoBody)
+	if err != nil {
+		return false
+	}
+	request.Close = true
+	status, err := statusOf(request)
+	return err == nil && status == http.StatusOK
+}
+
+func statusOf(request *http.Request) (status int, err error) {
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	return response.StatusCode, nil
+}
+
+// Request makes a request of a caller that waits for the time.
+func Request(address, method, path, id string, wait time.Duration) (request *http.Request, err error) {
+	request, err = http.NewRequest(method, "http://"+address+path, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	request.Host = Host
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	return request, nil
+}
+
+// Sent is what a backend server sees of a request.
+type Sent struct {
+	ID, Caller string
+	Left       time.Duration
+}
+
+// Received reads what a backend server sees of a request.
+func Received(r *http.Request) (s Sent) {
+	// A node always states the time; without it the request has none.
+	left, _ := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
+	return Sent{
+		ID: r.Header.Get("X-Request-Id"), Caller: r.Header.Get("X-Caller-Service"), Left: time.Duration(left) * time.Millisecond,
+	}
+}
+
+// Signed reports whether an answer bears a backend server's signature.
+func Signed(h http.Header) bool { return h.Get("X-Server-Signature") != "" }
+
+// AnswerTo returns the ID of the request that an answer belongs to.
+func AnswerTo(h http.Header) string { return h.Get("X-Request-Id") }
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -53,6 +53,7 @@
 
 	mu       sync.Mutex
 	behave   func(r *http.Request) Behaviour
+	during   func(r *http.Request) (ok bool)
 	work     time.Duration
 	runs     map[string]int
 	headers  map[string]http.Header
@@ -97,6 +98,14 @@
 	s.behave = behave
 }
 
+// During sets what is done while a request runs, such as calls of its own. The
+// request fails with status 500 if it is not ok.
+func (s *Server) During(during func(r *http.Request) (ok bool)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.during = during
+}
+
 // Work sets how long a request runs.
 func (s *Server) Work(d time.Duration) {
 	s.mu.Lock()
@@ -185,11 +194,15 @@
 	behaviour := s.begin(id, r)
 	defer s.end()
 	s.mu.Lock()
-	work := s.work
+	work, during := s.work, s.during
 	s.mu.Unlock()
 	time.Sleep(work)
 	named := "X-Request-Id: " + id + "\r\n"
 	signed := named + "X-Server-Signature: signed\r\n"
+	if behaviour != Shed && during != nil && !during(r) {
+		write(c, "500 Internal Server Error", signed, "a call failed")
+		return true
+	}
 	switch behaviour {
 	case Shed:
 		write(c, "503 Service Unavailable", "X-Not-Executed: 1\r\n", "")
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -117,8 +117,12 @@
 
 func newDirectory(place site.Site, s *platform.Store, b *balancer, events recorder) *fleet.Directory {
 	table := fleet.NewTable()
+	address := place.Listen.Peer
+	if place.Listen.Advertised != "" {
+		address = place.Listen.Advertised
+	}
 	own := fleet.Member{
-		Node: place.Node, Address: place.Listen.Peer, Region: place.Region, Zone: place.Zone, Service: place.Service,
+		Node: place.Node, Address: address, Region: place.Region, Zone: place.Zone, Service: place.Service,
 	}
 	return fleet.NewDirectory(own, table, s, events, func() { b.replace(table.Members()) })
 }
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,6 +93,25 @@
 	}
 }
 
+// A request that was lost once and then declined everywhere may have run, so
+// its caller must not be told that it did not.
+func TestLostThenDeclined(t *testing.T) {
+	d := newDeployment(t, "orders", "orders", "catalogue")
+	var arrivals atomic.Int64
+	for _, p := range d.places {
+		p.server.Behave(func(*http.Request) server.Behaviour {
+			if arrivals.Add(1) == 1 {
+				return server.LoseAnswer
+			}
+			return server.Shed
+		})
+	}
+	r := d.call(d.places[2], http.MethodGet, "/safe/", "a")
+	must.Eq(t, 1, d.runs("a"))
+	must.Eq(t, int64(2), arrivals.Load())
+	must.Eq(t, http.StatusBadGateway, r.status)
+}
+
 // A request that a backend server declined goes to another one, also if it may
 // run once only.
 func TestDeclinedRequestRunsElsewhere(t *testing.T) {
--- a/site/site.go
+++ b/site/site.go
@@ -52,6 +52,9 @@
 	Caller string
 	// Peer is for calls from other nodes.
 	Peer string
+	// Advertised is the address that other nodes are told instead of Peer, where
+	// something stands between them. It is usually empty.
+	Advertised string
 	// Ready is for the platform's readiness probe.
 	Ready string
 	// Announce is for announcements of the backend server.
