Use kept connections for a shorter time after the receiver has forgotten one

Cause: backend servers may forget idle connections sooner than they state, and reset what is sent next.

Change: a kept connection that ends within 50 ms of its next request, without an answer, halves the idle time up to which the pool uses connections, for 30 s.

Ruled out: a new connection for each request that may run once only; new connections are paid for and take 1 ms. Peeking at the socket before use (already done) does not show a silent drop.

--- a/hop/hop.go
+++ b/hop/hop.go
@@ -41,6 +41,15 @@
 	backgroundBody = 32 << 10
 	// defaultMaxIdle is how long a connection is kept without use.
 	defaultMaxIdle = 8 * time.Second
+	// A receiver that has forgotten an idle connection resets it when a request
+	// arrives, so one that ends within forgottenWithin of the request is taken for
+	// forgotten. A reset takes one way there and back, 40 ms between regions.
+	forgottenWithin = 50 * time.Millisecond
+	// trustShare of the idle time of a forgotten connection is the longest for
+	// which others are used, for trustMemory. minTrust keeps busy ones in use.
+	trustShare  = 0.5
+	trustMemory = 30 * time.Second
+	minTrust    = 20 * time.Millisecond
 )
 
 // ExchangeError is an attempt without an answer.
@@ -71,6 +80,10 @@
 	// idle is in order of last use, the latest at the end.
 	idle   []*conn
 	closed bool
+	// trust is the idle time up to which connections are used until trustEnds,
+	// because the receiver has forgotten one sooner than it states.
+	trust     time.Duration
+	trustEnds time.Time
 }
 
 // Option changes a new pool.
@@ -95,6 +108,10 @@
 	writer  *bufio.Writer
 	usedAt  time.Time
 	maxIdle time.Duration
+	// idled is how long the connection was idle before its present request, and
+	// reused is false for the first one.
+	idled  time.Duration
+	reused bool
 }
 
 // Answer is a response whose body has not been read yet. Close must be called.
@@ -123,8 +140,12 @@
 		return nil, &ExchangeError{cause: eris.Wrapf(err, "connect to %s", p.address)}
 	}
 	answer = &Answer{pool: p, conn: c, stop: context.AfterFunc(ctx, c.abort)}
+	began := time.Now()
 	defer func() {
 		if err != nil {
+			if c.reused && ctx.Err() == nil && time.Since(began) < forgottenWithin {
+				p.forgotten(began, c.idled)
+			}
 			answer.stop()
 			c.abort()
 			if ctx.Err() != nil {
@@ -245,13 +266,37 @@
 		if c = p.pop(); c == nil {
 			return p.dial(ctx)
 		}
-		if time.Since(c.usedAt) < c.maxIdle && c.quiet() {
+		now := time.Now()
+		c.idled, c.reused = now.Sub(c.usedAt), true
+		if c.idled < min(c.maxIdle, p.trusted(now)) && c.quiet() {
 			return c, nil
 		}
 		c.Close()
 	}
 }
 
+// forgotten takes in that the receiver has forgotten a connection after an idle
+// time.
+func (p *Pool) forgotten(now time.Time, idled time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	trust := max(time.Duration(trustShare*float64(idled)), minTrust)
+	if now.Before(p.trustEnds) {
+		trust = min(trust, p.trust)
+	}
+	p.trust, p.trustEnds = trust, now.Add(trustMemory)
+}
+
+// trusted returns the idle time up to which connections are used.
+func (p *Pool) trusted(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Before(p.trustEnds) {
+		return p.trust
+	}
+	return p.maxIdle
+}
+
 func (p *Pool) pop() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/hop/hop_test.go
+++ b/hop/hop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -121,6 +122,22 @@
 	must.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
+// A server that forgets idle connections costs each request that is sent on one
+// of them, and those that must not run twice can't be sent again. One loss must
+// be enough to learn it.
+func TestForgottenConnectionsAreNotUsed(t *testing.T) {
+	s, pool := start(t)
+	s.ForgetIdle(100 * time.Millisecond)
+	failed := 0
+	for n := range 4 {
+		if _, err := send(context.Background(), pool, http.MethodPost, "a"+strconv.Itoa(n)); err != nil {
+			failed++
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+	must.Eq(t, 1, failed)
+}
+
 func TestSweepClosesUnusedConnections(t *testing.T) {
 	s, _ := start(t)
 	pool := hop.New(s.Address(), hop.WithMaxIdle(time.Millisecond))
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -54,6 +54,7 @@
 	mu       sync.Mutex
 	behave   func(r *http.Request) Behaviour
 	during   func(r *http.Request) (ok bool)
+	forget   time.Duration
 	work     time.Duration
 	runs     map[string]int
 	headers  map[string]http.Header
@@ -106,6 +107,21 @@
 	s.during = during
 }
 
+// ForgetIdle makes the server forget connections that are idle for longer than
+// the time: it resets them when the next request arrives, which does not run.
+func (s *Server) ForgetIdle(after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forget = after
+}
+
+// forgets reports whether a connection that was idle for the time is forgotten.
+func (s *Server) forgets(idle time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.forget > 0 && idle > s.forget
+}
+
 // Work sets how long a request runs.
 func (s *Server) Work(d time.Duration) {
 	s.mu.Lock()
@@ -171,10 +187,18 @@
 	}()
 	reader := bufio.NewReader(c)
 	for {
+		idleSince := time.Now()
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
+		if s.forgets(time.Since(idleSince)) {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				// A connection that is already gone needs no reset.
+				_ = tcp.SetLinger(0)
+			}
+			return
+		}
 		if _, err = io.Copy(io.Discard, r.Body); err != nil || !s.answer(c, r) {
 			return
 		}
