Let two nodes of each zone read the nodes' records from the log

At the target size one record would take 1,100 of the 2,000 reads a second.

Change: each node ranks the reachable nodes of its zone; the first two read the log, the others hold an exchange with one of them, which is answered when records have changed, with these records only. A node that can follow nobody reads the log itself for 5 s.

Ruled out: longer pauses between reads, which divide the calls by a constant and delay news.

Also: the harness of the mesh tests opened and closed its ports one by one and got one twice (bind: address already in use, TestPath, once); ports of a VM are now opened together.

--- a/event/members.go
+++ b/event/members.go
@@ -17,6 +17,7 @@
 	PeerBack          ID = 5105
 	PeerRefuses       ID = 5106
 	ExchangeFailed    ID = 5107
+	WatcherMissing    ID = 5108
 )
 
 var memberEvents = []Entry{
@@ -32,5 +33,6 @@
 	{ID: PeerLost, Name: "peerLost", Level: slog.LevelWarn, Meaning: "Another node can't be reached. It gets no calls until it answers again."},
 	{ID: PeerBack, Name: "peerBack", Level: slog.LevelInfo, Meaning: "A node that could not be reached answers again and gets calls."},
 	{ID: ExchangeFailed, Name: "exchangeFailed", Level: slog.LevelWarn, Meaning: "Another node has a newer desired state but did not send it. It is asked again with the next call."},
+	{ID: WatcherMissing, Name: "watcherMissing", Level: slog.LevelWarn, Meaning: "No node of the zone that reads the log could be followed, so this node reads the log itself for a while."},
 	{ID: PeerRefuses, Name: "peerRefuses", Level: slog.LevelInfo, Meaning: "A node said that its backend server is leaving. It gets no calls until it announces a change."},
 }
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -52,6 +52,8 @@
 	changed func()
 	// unpublished is called when the log has not taken the own record.
 	unpublished func()
+	// duty reports whether this node reads the log itself.
+	duty func() bool
 
 	mu sync.Mutex
 	// own is the record of this node. Its epoch is 0 until the first one.
@@ -67,10 +69,11 @@
 // NewDirectory returns the directory of the node that own describes.
 func NewDirectory(own Member, table *Table, s store, events recorder, changed func()) *Directory {
 	d := &Directory{
-		table: table, store: s, events: events, changed: changed, unpublished: func() {},
+		table: table, store: s, events: events, changed: changed, unpublished: func() {}, duty: func() bool { return true },
 		own: own, wake: make(chan struct{}, 1), loaded: make(chan struct{}),
 	}
-	d.follower = follow.New(s, Topic, events, d.takeRecords, follow.WithGather(gather))
+	d.follower = follow.New(s, Topic, events, d.takeRecords, follow.WithGather(gather),
+		follow.WithDuty(func() bool { return d.duty() }))
 	return d
 }
 
@@ -84,6 +87,11 @@
 // so that other nodes can hear of it in another way.
 func (d *Directory) OnUnpublished(call func()) { d.unpublished = call }
 
+// OnDuty sets what decides whether this node reads the log itself. A node that
+// does not has to hear of changes from others, through [Directory.Merge]. It is
+// called before [Directory.Run].
+func (d *Directory) OnDuty(duty func() bool) { d.duty = duty }
+
 // Own returns the record of this node.
 func (d *Directory) Own() Member {
 	d.mu.Lock()
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -59,6 +59,11 @@
 type Table struct {
 	mu      sync.Mutex
 	members map[string]Member
+	// changes numbers the changes of the table, and changedAt has the number of
+	// the last change of each node.
+	changes   int64
+	changedAt map[string]int64
+	changed   chan struct{}
 	// dropped has the last epoch of nodes that have left.
 	dropped map[string]int64
 	digest  uint64
@@ -66,7 +71,10 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{members: make(map[string]Member), dropped: make(map[string]int64)}
+	return &Table{
+		members: make(map[string]Member), dropped: make(map[string]int64),
+		changedAt: make(map[string]int64), changed: make(chan struct{}),
+	}
 }
 
 // Apply takes a record in if it is newer than the known one.
@@ -82,9 +90,26 @@
 	}
 	t.members[m.Node] = m
 	t.digest ^= digestOf(m)
+	t.changes++
+	t.changedAt[m.Node] = t.changes
+	close(t.changed)
+	t.changed = make(chan struct{})
 	return true
 }
 
+// Since returns the records that have changed after a number of changes, the
+// present number, and a channel that is closed at the next change.
+func (t *Table) Since(seen int64) (members []Member, changes int64, next <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for node, at := range t.changedAt {
+		if at > seen {
+			members = append(members, t.members[node])
+		}
+	}
+	return members, t.changes, t.changed
+}
+
 // Get returns the record of a node.
 func (t *Table) Get(node string) (m Member, ok bool) {
 	t.mu.Lock()
@@ -104,6 +129,7 @@
 	t.digest ^= digestOf(old)
 	t.dropped[node] = old.Epoch
 	delete(t.members, node)
+	delete(t.changedAt, node)
 	return true
 }
 
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -30,6 +30,9 @@
 	// log are shared by all nodes, and news must be in force within seconds.
 	minPause = 120 * time.Millisecond
 	maxPause = time.Second
+	// dutyInterval is how often a follower that is not on duty looks whether that
+	// has changed.
+	dutyInterval = 200 * time.Millisecond
 )
 
 // store is what following needs of the platform's log.
@@ -50,6 +53,7 @@
 	events recorder
 	take   func(records []platform.Record)
 	gather func(records int) time.Duration
+	duty   func() bool
 	// lost is true while the log does not answer.
 	lost atomic.Bool
 }
@@ -63,17 +67,25 @@
 	return func(f *Follower) { f.gather = gather }
 }
 
+// WithDuty makes the follower read only while it is on duty, and in any case
+// until it has read the topic once.
+func WithDuty(duty func() bool) Option { return func(f *Follower) { f.duty = duty } }
+
 // New returns a follower that gives each batch of records to take, the first
 // one also if it is empty.
 func New(s store, topic string, events recorder, take func(records []platform.Record), opts ...Option) *Follower {
-	f := &Follower{store: s, topic: topic, events: events, take: take, gather: func(int) time.Duration { return 0 }}
+	f := &Follower{
+		store: s, topic: topic, events: events, take: take,
+		gather: func(int) time.Duration { return 0 }, duty: func() bool { return true },
+	}
 	for _, opt := range opts {
 		opt(f)
 	}
 	return f
 }
 
-// Reachable reports whether the last call of the log succeeded.
+// Reachable reports whether the last call of the log succeeded. It is true while
+// the follower is not on duty.
 func (f *Follower) Reachable() bool { return !f.lost.Load() }
 
 // Run follows the topic until the context ends.
@@ -81,6 +93,11 @@
 	next, known := int64(0), false
 	pause := NewBackoff(minPause, maxPause)
 	for ctx.Err() == nil {
+		if known && !f.duty() {
+			f.lost.Store(false)
+			Pause(ctx, dutyInterval)
+			continue
+		}
 		records, after, err := f.read(ctx, next, known)
 		f.note(err)
 		switch {
--- /dev/null
+++ b/internal/soak/soakrun/main.go
@@ -0,0 +1,87 @@
+// Command soakrun runs the fault soak with one seed after the other.
+//
+// # Usage
+//
+//	go run ./internal/soak/soakrun --seed 1 --seeds 50 --for 20s --vms 6 --keep soak-logs
+//
+// It prints one line for each seed and the promises that were broken, and exits
+// with 1 if there are any. The logs of seeds with broken promises stay in the
+// directory given with --keep.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/lacewingslip/lacewingslip/internal/e2e"
+	"github.com/lacewingslip/lacewingslip/internal/soak"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	command := &cli.Command{
+		Name:  "soakrun",
+		Usage: "run nodes as processes, disturb them and check the promises",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Usage: "first seed", Value: 1},
+			&cli.IntFlag{Name: "seeds", Usage: "number of seeds", Value: 1},
+			&cli.DurationFlag{Name: "for", Usage: "time with faults for each seed", Value: 20 * time.Second},
+			&cli.IntFlag{Name: "vms", Usage: "number of VMs, each with a node and a backend server", Value: 6},
+			&cli.StringFlag{Name: "keep", Usage: "directory for the logs of seeds that failed", Value: "soak-logs"},
+		},
+		Action: run,
+	}
+	if err := command.Run(ctx, os.Args); err != nil {
+		slog.Error(err.Error())
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, command *cli.Command) (err error) {
+	programs, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(programs)
+	binaries, err := e2e.Build(programs)
+	if err != nil {
+		return err
+	}
+	failed := 0
+	first := command.Uint64("seed")
+	for seed := first; seed < first+uint64(command.Int("seeds")); seed++ {
+		directory := filepath.Join(command.String("keep"), fmt.Sprintf("seed-%d", seed))
+		if err = os.MkdirAll(directory, 0o750); err != nil {
+			return err
+		}
+		report, err := soak.Run(ctx, binaries, directory,
+			soak.WithSeed(seed), soak.WithTime(command.Duration("for")), soak.WithVMs(command.Int("vms")))
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: %d faults, %d requests, %d of customers served, back after %v, %d promises broken\n",
+			seed, report.Faults, report.Requests, report.Served, report.Recovery.Round(time.Millisecond), len(report.Broken))
+		for _, broken := range report.Broken {
+			fmt.Println("  " + broken)
+		}
+		if len(report.Broken) == 0 {
+			if err = os.RemoveAll(directory); err != nil {
+				return err
+			}
+			continue
+		}
+		failed++
+	}
+	if failed > 0 {
+		return cli.Exit(fmt.Sprintf("%d seeds broke promises", failed), 1)
+	}
+	return nil
+}
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lacewingslip/lacewingslip/internal/e2e"
+	"github.com/lacewingslip/lacewingslip/internal/loopback"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 	"github.com/lacewingslip/lacewingslip/internal/standin/server"
 	"github.com/lacewingslip/lacewingslip/site"
@@ -72,18 +73,23 @@
 	if v.backend, err = newLink(ip+":0", ""); err != nil {
 		return nil, err
 	}
-	var ports [5]int
-	for i := range ports {
-		if ports[i], err = freePort(ip); err != nil {
-			return nil, err
-		}
+	free, err := loopback.FreeAddresses(ip, 5)
+	if err != nil {
+		return nil, err
+	}
+	_, text, err := net.SplitHostPort(free[4])
+	if err != nil {
+		return nil, err
+	}
+	port, err := strconv.Atoi(text)
+	if err != nil {
+		return nil, err
 	}
-	at := func(i int) string { return net.JoinHostPort(ip, strconv.Itoa(ports[i])) }
 	v.site = site.Site{
 		Node: fmt.Sprintf("node-%d", n), Region: region, Zone: zone, IP: ip, Service: service, Backend: v.backend.address(),
 		RegionOf: map[string]string{"addis-a": "addis", "hawassa-a": "hawassa", "dire-a": "dire"},
-		Listen:   site.Listen{Caller: at(0), Peer: at(1), Ready: at(2), Announce: at(3)},
-		Log:      v.store.address(), FirstPort: ports[4], LastPort: ports[4], Bounds: bounds,
+		Listen:   site.Listen{Caller: free[0], Peer: free[1], Ready: free[2], Announce: free[3]},
+		Log:      v.store.address(), FirstPort: port, LastPort: port, Bounds: bounds,
 	}
 	v.peer.point(v.site.Listen.Peer)
 	if err = os.WriteFile(v.settingsPath(), operator.Settings(v.site), 0o600); err != nil {
@@ -100,15 +106,6 @@
 
 func (v *vm) settingsPath() string { return filepath.Join(v.run.directory, v.site.Node+".conf") }
 
-func freePort(ip string) (port int, err error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
-}
-
 // startNode starts the node's process.
 func (v *vm) startNode() (err error) {
 	command := exec.Command(v.run.binaries.Node(), "platform", "--advertise", v.peer.address())
@@ -158,6 +155,7 @@
 
 // stop ends the node as the platform does, with SIGKILL after the grace time.
 func (v *vm) stop() {
+	began := time.Now()
 	v.mu.Lock()
 	p := v.node
 	v.mu.Unlock()
@@ -165,7 +163,9 @@
 	select {
 	case <-p.Exited():
 	case <-time.After(bounds.Grace):
-		v.run.ledger.broken("%s was still there %v after SIGTERM", v.site.Node, bounds.Grace)
+		if v.run.calmSince(began) {
+			v.run.ledger.broken("%s was still there %v after SIGTERM", v.site.Node, bounds.Grace)
+		}
 		p.Kill()
 	}
 }
--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -48,9 +48,11 @@
 
 // peer is another node, or this one.
 type peer struct {
-	// node, address and region never change.
+	// node, address, region and order never change.
 	node, address, region string
-	pool                  *hop.Pool
+	// order is the node's place in the choice of watchers.
+	order uint64
+	pool  *hop.Pool
 	// member and what follows are guarded by the balancer's lock.
 	member fleet.Member
 	// lost is true while the node can't be reached.
@@ -82,7 +84,7 @@
 			if p != nil {
 				p.pool.Close()
 			}
-			p = &peer{node: m.Node, address: m.Address, region: m.Region, pool: hop.New(m.Address, hop.WithMaxIdle(peerIdle))}
+			p = &peer{node: m.Node, address: m.Address, region: m.Region, order: orderOf(m.Node), pool: hop.New(m.Address, hop.WithMaxIdle(peerIdle))}
 			b.peers[m.Node] = p
 		}
 		p.member = m
@@ -232,6 +234,18 @@
 	return peers
 }
 
+// zone returns the nodes of this zone that can be reached, this one among them.
+func (b *balancer) zone() (peers []*peer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.peers {
+		if p.member.Zone == b.place.Zone && !p.lost {
+			peers = append(peers, p)
+		}
+	}
+	return peers
+}
+
 // services returns the number of services that have nodes.
 func (b *balancer) services() int {
 	b.mu.Lock()
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -46,6 +46,15 @@
 	// the version that was asked with.
 	State   []byte         `json:"state,omitempty"`
 	Members []fleet.Member `json:"members,omitempty"`
+
+	// WaitMs asks the receiver to answer only when records have changed since
+	// Seen, or after that time in milliseconds. Table names the table that Seen
+	// counts the changes of; every process has its own.
+	WaitMs int64 `json:"waitMs,omitempty"`
+	Table  int64 `json:"table,omitempty"`
+	Seen   int64 `json:"seen,omitempty"`
+	// Watches is true if the sender reads the log itself.
+	Watches bool `json:"watches,omitempty"`
 }
 
 // exchange passes news between nodes beside the log: to nodes that can't read
@@ -56,6 +65,10 @@
 	desired   *desired
 	events    recorder
 	client    *http.Client
+	// watches reports whether this node reads the log itself.
+	watches func() bool
+	// table names the table of this process.
+	table int64
 
 	mu sync.Mutex
 	// asking holds the nodes that are being asked for a newer state.
@@ -65,6 +78,7 @@
 func newExchange(b *balancer, directory *fleet.Directory, d *desired, events recorder) *exchange {
 	return &exchange{
 		balancer: b, directory: directory, desired: d, events: events, asking: make(map[string]bool),
+		watches: func() bool { return true }, table: rand.Int64(),
 		client: &http.Client{Transport: &http.Transport{DialContext: hop.Dialer().DialContext, MaxIdleConnsPerHost: -1}},
 	}
 }
@@ -72,7 +86,9 @@
 // message describes this node.
 func (e *exchange) message() exchangeMessage {
 	table := e.directory.Table()
-	return exchangeMessage{Self: e.directory.Own(), Version: e.desired.version(), Digest: table.Digest()}
+	return exchangeMessage{
+		Self: e.directory.Own(), Version: e.desired.version(), Digest: table.Digest(), Table: e.table, Watches: e.watches(),
+	}
 }
 
 // ServeHTTP answers another node.
@@ -82,15 +98,21 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	e.directory.Merge(received.Self)
+	e.balancer.regain(received.Self.Node)
+	var changed []fleet.Member
+	var seen int64
+	if received.WaitMs > 0 {
+		changed, seen = e.awaitChange(r.Context(), received)
+	}
 	sent := e.message()
+	sent.Seen, sent.Members = seen, changed
 	if received.Version < sent.Version {
 		sent.State = e.desired.snapshot()
 	}
 	if received.WantMembers && received.Digest != sent.Digest {
 		sent.Members = e.directory.Table().Members()
 	}
-	e.directory.Merge(received.Self)
-	e.balancer.regain(received.Self.Node)
 	w.Header().Set("Content-Type", "application/json")
 	// An error means that the node has gone; it asks again.
 	_ = json.NewEncoder(w).Encode(sent)
@@ -101,42 +123,72 @@
 	}
 }
 
+// awaitChange waits until records have changed since those that the sender has
+// seen, and returns them with the number of changes.
+func (e *exchange) awaitChange(ctx context.Context, received exchangeMessage) (changed []fleet.Member, changes int64) {
+	if received.Table != e.table {
+		received.Seen = 0
+	}
+	timeout := time.NewTimer(min(time.Duration(received.WaitMs)*time.Millisecond, watchWait))
+	defer timeout.Stop()
+	for {
+		changed, changes, next := e.directory.Table().Since(received.Seen)
+		if len(changed) > 0 {
+			return changed, changes
+		}
+		select {
+		case <-next:
+			// Changes that come together are told together.
+			follow.Pause(ctx, watchGather)
+		case <-timeout.C:
+			return nil, changes
+		case <-ctx.Done():
+			return nil, changes
+		}
+	}
+}
+
 // with exchanges news with a node.
 func (e *exchange) with(ctx context.Context, p *peer, wantMembers bool) (err error) {
 	defer func() { err = eris.Wrapf(err, "exchange with node %s", p.node) }()
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
 	message := e.message()
 	message.WantMembers = wantMembers
+	_, err = e.send(ctx, p, message)
+	return err
+}
+
+// send sends a message to a node and takes in the answer.
+func (e *exchange) send(ctx context.Context, p *peer, message exchangeMessage) (received exchangeMessage, err error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout+time.Duration(message.WaitMs)*time.Millisecond)
+	defer cancel()
 	body, err := json.Marshal(message)
 	if err != nil {
-		return err
+		return received, err
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.address+exchangePath, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return received, err
 	}
 	response, err := e.client.Do(request)
 	if err != nil {
-		return err
+		return received, err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return eris.Errorf("status %s", response.Status)
+		return received, eris.Errorf("status %s", response.Status)
 	}
-	var received exchangeMessage
 	if err = json.NewDecoder(io.LimitReader(response.Body, maxExchangeBytes)).Decode(&received); err != nil {
-		return err
+		return received, err
 	}
 	if received.Self.Node != p.node {
-		return eris.Errorf("the address belongs to node %q", received.Self.Node)
+		return received, eris.Errorf("the address belongs to node %q", received.Self.Node)
 	}
 	if len(received.State) > 0 {
 		e.desired.take(received.State, received.Self.Node)
 	}
 	e.directory.Merge(append(received.Members, received.Self)...)
 	e.balancer.regain(received.Self.Node)
-	return nil
+	return received, nil
 }
 
 // heard takes in which version of the desired state another node has, and asks
--- a/mesh/life.go
+++ b/mesh/life.go
@@ -67,6 +67,7 @@
 	servers       *servers
 	balancer      *balancer
 	exchange      *exchange
+	watch         *watch
 	announcements *announcements
 	sidecar       *sidecar
 	desired       *desired
@@ -88,6 +89,7 @@
 	l.loops.Go(func() { l.parts.desired.run(ctx) })
 	l.loops.Go(func() { l.parts.directory.Run(ctx) })
 	l.loops.Go(func() { l.parts.exchange.runAlone(ctx) })
+	l.loops.Go(func() { l.parts.watch.run(ctx) })
 	l.loops.Go(func() { l.parts.announcements.restore(ctx) })
 	l.loops.Go(func() { l.tick(ctx) })
 	l.events.Record(event.NodeStarted, attrService(l.place.Service))
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -103,12 +103,13 @@
 			func(r *timeline.Recorder) recorder { return r },
 			func() *platform.Store { return platform.NewStore(place.Log) },
 			func() *upstream.Tracker { return upstream.New(place.Service, place.Backend) },
-			metrics.New, newListeners, newDesired, newBalancer, newSidecar, newDirectory, newExchange, newLife,
+			metrics.New, newListeners, newDesired, newBalancer, newSidecar, newDirectory, newExchange, newWatch, newLife,
 			newAnnouncements, newEntrance, newIngress, newPeerHandler, newServers,
 		),
-		fx.Invoke(func(lc fx.Lifecycle, l *life, s *servers, b *balancer, e *exchange, a *announcements, sc *sidecar, d *desired, dir *fleet.Directory) {
-			l.parts = parts{servers: s, balancer: b, exchange: e, announcements: a, sidecar: sc, desired: d, directory: dir}
+		fx.Invoke(func(lc fx.Lifecycle, l *life, s *servers, b *balancer, e *exchange, w *watch, a *announcements, sc *sidecar, d *desired, dir *fleet.Directory) {
+			l.parts = parts{servers: s, balancer: b, exchange: e, watch: w, announcements: a, sidecar: sc, desired: d, directory: dir}
 			s.caller.Handler = l.count(s.caller.Handler)
+			dir.OnDuty(w.duty)
 			dir.OnUnpublished(func() { e.announce(context.Background()) })
 			lc.Append(fx.Hook{OnStart: l.start, OnStop: l.stop})
 		}),
