--- a/cmd/lacewingslipd/platform.go
+++ b/cmd/lacewingslipd/platform.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -14,6 +15,11 @@
 	"github.com/lacewingslip/lacewingslip/platform"
 )
 
+// heapShare of the memory of the process is the limit from which on the garbage
+// collector works harder. The rest is for what the kernel holds for its
+// connections.
+const heapShare = 0.7
+
 // runOnPlatform runs the node with the settings that the users' platform gives.
 func runOnPlatform(ctx context.Context, command *cli.Command) (err error) {
 	level, err := logLevel(command)
@@ -32,6 +38,9 @@
 	if err != nil {
 		return err
 	}
+	if place.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(place.MemoryBytes)))
+	}
 	signals, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reload := make(chan os.Signal, 1)
