Give services at the bottom more of the retry budget

Each lost call fails its whole customer request.

Change: answers state whether the backend server makes calls.

Test: TestRetryBudgetOfLeaves.

--- a/mesh/budget_test.go
+++ b/mesh/budget_test.go
@@ -38,6 +38,31 @@
 	}
 }
 
+// Most answers that are lost belong to calls of the services at the bottom. Those
+// call no others, so that an attempt there adds no further ones, and may use more
+// of the budget; services that make calls may not.
+func TestRetryBudgetOfLeaves(t *testing.T) {
+	for name, leaf := range map[string]bool{"leaf": true, "with calls": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newRetryBudget(budgetBounds, func() int { return 1100 })
+				const requests = 10000
+				repeats := 0
+				for range requests {
+					b.arrived("orders")
+					b.heard("orders", leaf)
+					if time.Sleep(10 * time.Millisecond); b.take("orders") {
+						repeats++
+					}
+				}
+				share := float64(repeats) / requests
+				must.Eq(t, leaf, share > 0.4*budgetBounds.RetryRatio)
+				must.Less(t, 0.5*budgetBounds.RetryRatio, share)
+			})
+		})
+	}
+}
+
 // Many nodes with few requests each must not each begin with a whole attempt.
 func TestRetryBudgetOfManyNodes(t *testing.T) {
 	b := newRetryBudget(budgetBounds, func() int { return 1100 })
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -70,6 +70,9 @@
 	}
 	i.sidecar.links.Child(route.Name(), out.expires)
 	origin := i.entrance.origin(route)
+	if origin == calltree.Servers {
+		i.sidecar.madeCall(arrived)
+	}
 	if i.life.refuses(origin) {
 		i.deliver(w, out, notRun(call.ReasonDraining, "the node is stopping"), arrived, state.Version())
 		return
@@ -149,6 +152,9 @@
 		end = i.offer(ctx, p, r, version)
 		i.balancer.done(r, p.node, end)
 		i.entrance.heard(r, p.region, end)
+		if end.report.known {
+			i.budget.heard(r.service, end.report.leaf)
+		}
 		switch {
 		case end.outcome == call.Answered:
 			return end
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -56,6 +56,9 @@
 	runTimes *runTimes
 	// child has the level of the routes that the backend server calls.
 	child *pressure.Door
+	// calledAt is when the backend server last made a call, as far as is known, in
+	// Unix nanoseconds.
+	calledAt atomic.Int64
 	// reported is the level of the last event. Only tick uses it.
 	reported float64
 	// stopping refuses requests of other nodes before a planned stop.
@@ -63,7 +66,7 @@
 }
 
 func newSidecar(place site.Site, tracker *upstream.Tracker, e *entrance, m *metrics.Metrics, d *desired, events recorder) *sidecar {
-	return &sidecar{
+	s := &sidecar{
 		healthPath: func() string {
 			if state := d.current(); state != nil {
 				service, _ := state.Service(place.Service)
@@ -76,6 +79,17 @@
 		place: place, tracker: tracker, slots: slot.New(), events: events,
 		backend: hop.New(place.Backend, hop.WithMaxIdle(backendIdle)),
 	}
+	// Nothing is known at the start.
+	s.madeCall(time.Now())
+	return s
+}
+
+// madeCall takes in a call of the backend server.
+func (s *sidecar) madeCall(now time.Time) { s.calledAt.Store(now.UnixNano()) }
+
+// leaf reports whether the backend server makes no calls.
+func (s *sidecar) leaf(now time.Time) bool {
+	return now.Sub(time.Unix(0, s.calledAt.Load())) > leafMemory
 }
 
 // usable returns how many requests run at once at a server with the slots.
@@ -99,6 +113,7 @@
 	reply.upstream = s.place.Node
 	reply.report = loadReport{
 		Load: s.slots.Load(), known: true, level: s.level(r.route), origin: s.callers.Origin(r.route),
+		leaf: s.leaf(time.Now()),
 	}
 	s.metrics.CallEnded(metrics.Call{
 		Hop: metrics.Sidecar, Service: r.service, Importance: importanceOf(r.rank), Outcome: reply.outcome, Reason: reply.reason,
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -30,7 +30,7 @@
 
 	// requestFields and answerFields are the numbers of fields in the header.
 	requestFields = 9
-	answerFields  = 10
+	answerFields  = 11
 
 	kindOnce, kindIdempotent = "o", "i"
 	// noReason stands for an empty reason, which would be cut off at the end of
@@ -112,7 +112,9 @@
 	level float64
 	// origin says who calls the route.
 	origin calltree.Origin
-	known  bool
+	// leaf is true if the backend server makes no calls.
+	leaf  bool
+	known bool
 }
 
 // levelUnits is the resolution of a level between nodes.
@@ -131,9 +133,9 @@
 	if reason == "" {
 		reason = noReason
 	}
-	h.Set(headerHop, fmt.Sprintf("%x %s %d %d %d %d %d %d %d %s", idHash(id), r.outcome, version,
+	h.Set(headerHop, fmt.Sprintf("%x %s %d %d %d %d %d %d %d %d %s", idHash(id), r.outcome, version,
 		r.report.Running, r.report.Waiting, r.report.Limit, r.report.MeanRun.Milliseconds(),
-		int(r.report.level*levelUnits), r.report.origin, reason))
+		int(r.report.level*levelUnits), r.report.origin, flag(r.report.leaf), reason))
 	status := r.status
 	if status == 0 {
 		status = call.Status(r.outcome, r.reason)
@@ -209,18 +211,18 @@
 		return nil, 0, eris.Errorf("it has %d fields, expected %d", len(fields), answerFields)
 	}
 	end = &reply{}
-	if fields[9] != noReason {
-		end.reason = call.Reason(fields[9])
+	if reason := fields[answerFields-1]; reason != noReason {
+		end.reason = call.Reason(reason)
 	}
 	if end.outcome, err = call.ParseOutcome(fields[1]); err != nil {
 		return nil, 0, err
 	}
-	numbers, err := parseNumbers(fields[2:9])
+	numbers, err := parseNumbers(fields[2 : answerFields-1])
 	if err != nil {
 		return nil, 0, err
 	}
 	end.report = loadReport{
-		known: true, level: float64(numbers[5]) / levelUnits, origin: calltree.Origin(numbers[6]),
+		known: true, level: float64(numbers[5]) / levelUnits, origin: calltree.Origin(numbers[6]), leaf: numbers[7] == 1,
 		Load: slot.Load{
 			Running: int(numbers[1]), Waiting: int(numbers[2]), Limit: int(numbers[3]),
 			MeanRun: time.Duration(numbers[4]) * time.Millisecond,
