--- a/cmd/lacewingslipd/main.go
+++ b/cmd/lacewingslipd/main.go
@@ -46,8 +46,8 @@
 		},
 		Action: run,
 		Commands: []*cli.Command{{
-			Name:   "platform",
-			Usage:  "run on the users' platform, with the settings file that it provides",
+			Name:  "platform",
+			Usage: "run on the users' platform, with the settings file that it provides",
 			Flags: []cli.Flag{
 				&cli.StringFlag{Name: flagAdvertise, Usage: "address that other nodes are told, if it is not the one that is listened on"},
 			},
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -59,10 +59,11 @@
 	return records, int64(len(s.values)), nil
 }
 
-func (s *store) write(value string, fails int) {
+// write appends the record b, after which some calls fail.
+func (s *store) write(fails int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.values = append(s.values, value)
+	s.values = append(s.values, "b")
 	s.fails = fails
 }
 
@@ -74,9 +75,9 @@
 // and when the log has deleted those that come next.
 func TestEachRecordIsTakenOnce(t *testing.T) {
 	for name, trouble := range map[string]func(s *store){
-		"none":            func(s *store) { s.write("b", 0) },
-		"calls fail":      func(s *store) { s.write("b", 3) },
-		"records deleted": func(s *store) { s.write("b", 0); s.first = 1 },
+		"none":            func(s *store) { s.write(0) },
+		"calls fail":      func(s *store) { s.write(3) },
+		"records deleted": func(s *store) { s.write(0); s.first = 1 },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -115,7 +116,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.Run(ctx)
 		time.Sleep(time.Minute)
-		s.write("b", 0)
+		s.write(0)
 		time.Sleep(time.Minute)
 		must.EqOp(t, "a", seen)
 		must.EqOp(t, 1, s.reads)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -104,7 +104,7 @@
 	}
 	l.sent(id, r.service, v.site.Service, r.once)
 	began := time.Now()
-	response, body, err := c.exchange(request, began.Add(wait+lateSlack))
+	a, err := c.exchange(request, began.Add(wait+lateSlack))
 	took := time.Since(began)
 	var notSent *net.OpError
 	switch timeout := net.Error(nil); {
@@ -124,19 +124,28 @@
 	if took > routeTimeout+lateSlack && v.run.calmSince(began) {
 		l.broken("request %s at %s ended after %v", id, v.site.Node, took)
 	}
-	c.check(r, id, response, body)
-	return response.StatusCode
+	c.check(r, id, a)
+	return a.status
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// last is true if the node closes the connection.
+	last bool
 }
 
 // check looks at an answer.
-func (c *caller) check(r route, id string, response *http.Response, body string) {
+func (c *caller) check(r route, id string, a answer) {
 	l := c.vm.run.ledger
-	switch status := response.StatusCode; {
+	switch status := a.status; {
 	case status == http.StatusOK:
-		if !operator.Signed(response.Header) || operator.AnswerTo(response.Header) != id || body != "answer of "+id {
-			l.broken("request %s got an answer to %q with body %q", id, operator.AnswerTo(response.Header), body)
+		if !operator.Signed(a.header) || operator.AnswerTo(a.header) != id || a.body != "answer of "+id {
+			l.broken("request %s got an answer to %q with body %q", id, operator.AnswerTo(a.header), a.body)
 		}
-	case operator.Signed(response.Header) && status < http.StatusInternalServerError:
+	case operator.Signed(a.header) && status < http.StatusInternalServerError:
 		l.broken("request %s got status %d with a signature", id, status)
 	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests:
 		l.promised(id)
@@ -146,31 +155,32 @@
 }
 
 // exchange sends a request on the kept connection and reads the whole answer.
-func (c *caller) exchange(request *http.Request, until time.Time) (response *http.Response, body string, err error) {
+func (c *caller) exchange(request *http.Request, until time.Time) (a answer, err error) {
 	defer func() {
-		if err != nil || response.Close {
+		if err != nil || a.last {
 			c.close()
 		}
 	}()
 	if c.conn == nil {
 		dialer := net.Dialer{Deadline: until}
 		if c.conn, err = dialer.DialContext(context.Background(), "tcp", request.URL.Host); err != nil {
-			return nil, "", err
+			return answer{}, err
 		}
 		c.reader = bufio.NewReader(c.conn)
 	}
 	if err = c.conn.SetDeadline(until); err != nil {
-		return nil, "", err
+		return answer{}, err
 	}
 	if err = request.Write(c.conn); err != nil {
-		return nil, "", err
+		return answer{}, err
 	}
-	if response, err = http.ReadResponse(c.reader, request); err != nil {
-		return nil, "", err
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil {
+		return answer{}, err
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
-	return response, string(data), err
+	body, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header, string(body), response.Close}, err
 }
 
 func (c *caller) close() {
--- a/internal/soak/soakrun/main.go
+++ b/internal/soak/soakrun/main.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -50,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(programs)
+	defer func() { err = errors.Join(err, os.RemoveAll(programs)) }()
 	binaries, err := e2e.Build(programs)
 	if err != nil {
 		return err
--- a/internal/standin/operator/operator.go
+++ b/internal/standin/operator/operator.go
@@ -24,9 +24,10 @@
 )
 
 const (
-	// Topic and Key are where the operator writes the desired state.
+	// Topic is where the operator writes the desired state.
 	Topic = "keyed.op"
-	Key   = "config"
+	// Key is the key of the desired state there.
+	Key = "config"
 	// SettingsVariable names the settings file of a process.
 	SettingsVariable = "LACEWINGSLIP_CONFIG"
 	// HealthPath is that of all services.
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -100,8 +100,8 @@
 	out := &http.Request{
 		Method: r.method,
 		// An opaque URL is written as it is, so that the target stays unchanged.
-		URL:    &url.URL{Opaque: r.target},
-		Host:   r.host,
+		URL:  &url.URL{Opaque: r.target},
+		Host: r.host,
 		// Headers are set and removed on the copy; their values never change.
 		Header: maps.Clone(r.header),
 		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
