Let the mesh tests speak through the operator's stand-in

The harness had copies of the operator's documents, announcements and requests that the soak's stand-in has too. One copy remains. The tests check what they checked before.

--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -19,8 +18,8 @@
 	"github.com/lacewingslip/lacewingslip/fleet"
 	"github.com/lacewingslip/lacewingslip/internal/loopback"
 	"github.com/lacewingslip/lacewingslip/internal/standin/keyedlog"
+	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 	"github.com/lacewingslip/lacewingslip/internal/standin/server"
-	"github.com/lacewingslip/lacewingslip/platform"
 	"github.com/lacewingslip/lacewingslip/site"
 )
 
@@ -52,7 +51,7 @@
 	logServer := httptest.NewServer(d.log)
 	t.Cleanup(logServer.Close)
 	d.logAddr = logServer.Listener.Addr().String()
-	d.publish(routeText("once", "unsafe"), routeText("safe", "safe"))
+	d.publish(once("once"), safe("safe"))
 	for _, service := range services {
 		d.add(service)
 	}
@@ -60,20 +59,23 @@
 	return d
 }
 
-func routeText(name, kind string) string {
-	return fmt.Sprintf(`{"ResourceType":"Routes","Metadata":{"Name":%q},"Spec":{"Host":"example","PathPrefix":"/%s/","Kind":%q,"TimeoutMs":1000,"TargetLatencyMs":500,"Priority":0,"Service":"orders","MaxAttempts":2}}`,
-		name, name, kind)
+// once and safe are routes to orders whose requests may run once, or repeatedly.
+func once(name string) operator.Route {
+	return operator.Route{Name: name, Service: "orders", Once: true, Timeout: time.Second, Attempts: 2}
+}
+
+func safe(name string) operator.Route {
+	return operator.Route{Name: name, Service: "orders", Timeout: time.Second, Attempts: 2}
 }
 
 // publish puts a new version of the desired state into the log.
-func (d *deployment) publish(routes ...string) {
+func (d *deployment) publish(routes ...operator.Route) {
 	d.version++
-	d.log.Put("keyed.op", "config", d.state(routes...))
+	d.log.Put(operator.Topic, operator.Key, d.state(routes...))
 }
 
-func (d *deployment) state(routes ...string) []byte {
-	services := `{"ResourceType":"Services","Metadata":{"Name":"orders"},"Spec":{"HealthPath":"/health","MaxConnections":100}}`
-	return fmt.Appendf(nil, `{"Version":%d,"Resources":[%s,%s]}`, d.version, strings.Join(routes, ","), services)
+func (d *deployment) state(routes ...operator.Route) []byte {
+	return operator.Document(d.version, routes, "orders")
 }
 
 // add starts a VM.
@@ -124,30 +126,21 @@
 	n.life.loops.Wait()
 }
 
-// say sends a message of the backend server to its node and returns the status.
-func (d *deployment) say(p *place, call string, body map[string]any) int {
-	d.t.Helper()
-	data, err := json.Marshal(body)
-	must.NoError(d.t, err)
-	url := fmt.Sprintf("http://%s%s?call=%s&of=%s", p.site.Listen.Announce, platform.AnnouncePath, call, p.instance())
-	response, err := http.Post(url, "application/json", strings.NewReader(string(data)))
-	must.NoError(d.t, err)
-	defer response.Body.Close()
-	return response.StatusCode
-}
-
 func (p *place) instance() string {
 	return "i-" + strings.TrimPrefix(p.site.Node, "node-")
 }
 
+// announce sends an announcement of the backend server to its node. A state of
+// "" signs off.
 func (d *deployment) announce(p *place, state string) {
 	d.t.Helper()
 	p.said++
-	must.Eq(d.t, http.StatusOK, d.say(p, "instances.heartbeat", map[string]any{
-		"Address": p.site.Backend, "born": p.born,
-		"Info":   map[string]any{"Service": p.site.Service, "Zone": p.site.Zone, "Slots": 8},
-		"Status": map[string]any{"State": state, "Sequence": p.said},
-	}))
+	status, err := operator.Announce(d.t.Context(), p.site.Listen.Announce, operator.Announcement{
+		Instance: p.instance(), Service: p.site.Service, Address: p.site.Backend, Zone: p.site.Zone, State: state,
+		Born: p.born, Sequence: p.said, Slots: 8,
+	})
+	must.NoError(d.t, err)
+	must.Eq(d.t, http.StatusOK, status)
 }
 
 // settle waits until all nodes know each other and the desired state.
@@ -190,11 +183,8 @@
 
 // call sends a request of a caller to the node of the VM.
 func (d *deployment) call(p *place, method, path, id string) (r result) {
-	request, err := http.NewRequest(method, "http://"+p.site.Listen.Caller+path, http.NoBody)
+	request, err := operator.Request(p.site.Listen.Caller, method, path, id, 2*time.Second)
 	must.NoError(d.t, err)
-	request.Host = "example"
-	request.Header.Set("X-Request-Id", id)
-	request.Header.Set("X-Deadline-Ms", "2000")
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -145,16 +145,12 @@
 // After its leaving has been acknowledged, a backend server must get nothing
 // new, also from nodes that have not heard of it.
 func TestDrainingServerGetsNothing(t *testing.T) {
-	for _, call := range []string{"draining", "deregister"} {
-		t.Run(call, func(t *testing.T) {
+	for name, state := range map[string]string{"draining": "draining", "signed off": ""} {
+		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t, "orders", "orders", "catalogue")
 			leaving := d.places[0]
 			d.log.Set(keyedlog.Troubles{Down: true})
-			if call == "draining" {
-				d.announce(leaving, "draining")
-			} else {
-				must.Eq(t, http.StatusOK, d.say(leaving, "instances.deregister", map[string]any{"born": leaving.born}))
-			}
+			d.announce(leaving, state)
 			for n := range 20 {
 				id := fmt.Sprintf("a%d", n)
 				must.Eq(t, http.StatusOK, d.call(d.places[2], http.MethodPost, "/once/", id).status)
@@ -182,7 +178,7 @@
 
 func TestNewVersionIsInForceEverywhere(t *testing.T) {
 	d := newDeployment(t, "orders", "catalogue")
-	d.publish(routeText("added", "safe"))
+	d.publish(safe("added"))
 	d.settle()
 	for _, p := range d.places {
 		must.Eq(t, http.StatusOK, d.call(p, http.MethodGet, "/added/", "a").status)
@@ -199,7 +195,7 @@
 	caller := d.places[1]
 	d.log.Set(keyedlog.Troubles{Down: true})
 	d.version++
-	d.places[0].node.life.parts.desired.take(d.state(routeText("safe", "safe"), routeText("added", "safe")), "test")
+	d.places[0].node.life.parts.desired.take(d.state(safe("safe"), safe("added")), "test")
 	eventually(t, func() bool {
 		d.call(caller, http.MethodGet, "/safe/", "a")
 		return int(caller.node.life.parts.desired.version()) == d.version
