Bound how long a frozen watcher keeps news from its followers

An exchange with a watcher was held for 20 s, as long as a paused process keeps its connections open without a word. It is held for 5 s now; the cost is one small message per node every 5 s within the zone.

--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -19,8 +19,9 @@
 	// log's rate would not do for every node of a large deployment. Two, so that
 	// the loss of one is noticed by the others before it is needed.
 	watchersPerZone = 2
-	// watchWait is how long a watcher holds an answer while nothing changes.
-	watchWait = 20 * time.Second
+	// watchWait is how long a watcher holds an answer while nothing changes. A
+	// watcher whose process is frozen keeps its followers from news for as long.
+	watchWait = 5 * time.Second
 	// watchGather is how long it waits for further changes after one.
 	watchGather = 100 * time.Millisecond
 	// aloneTime is how long a node reads the log itself after no watcher could be
