--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -118,14 +118,15 @@
 		time.Sleep(time.Minute)
 		s.write(0)
 		time.Sleep(time.Minute)
+		synctest.Wait()
 		must.EqOp(t, "a", seen)
 		must.EqOp(t, 1, s.reads)
 		mu.Lock()
 		duty = true
 		mu.Unlock()
 		time.Sleep(time.Minute)
-		must.EqOp(t, "ab", seen)
 		cancel()
 		synctest.Wait()
+		must.EqOp(t, "ab", seen)
 	})
 }
