--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -67,6 +67,13 @@
 	s.fails = fails
 }
 
+// trim deletes the first record.
+func (s *store) trim() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first = 1
+}
+
 type events struct{ ids []event.ID }
 
 func (e *events) Record(id event.ID, _ ...slog.Attr) { e.ids = append(e.ids, id) }
@@ -77,7 +84,7 @@
 	for name, trouble := range map[string]func(s *store){
 		"none":            func(s *store) { s.write(0) },
 		"calls fail":      func(s *store) { s.write(3) },
-		"records deleted": func(s *store) { s.write(0); s.first = 1 },
+		"records deleted": func(s *store) { s.write(0); s.trim() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
