Give up connections to other nodes after 300 ms

Requests waited for one for up to 1.5 s, mostly until their own time was up, and so did not even mark the node as lost; from half of the nodes dark on, most requests met one.

Change: connections for requests are given up after 300 ms; the request is offered to another node and the dark one is probed. The log and the exchanges keep 1.5 s.

Test: TestConnectionIsGivenUpSoon, failed before.

--- a/hop/dial.go
+++ b/hop/dial.go
@@ -12,6 +12,10 @@
 	// dialTimeout bounds the set-up of a connection. The longest way between
 	// regions takes 40 ms; a lost opening packet is sent again after a second.
 	dialTimeout = 1500 * time.Millisecond
+	// requestDialTimeout bounds it for requests, which can go elsewhere: a VM that
+	// has lost power takes no connection, and each request that waits for one is
+	// lost. A lost opening packet costs another offer.
+	requestDialTimeout = 300 * time.Millisecond
 	// A VM that is cut off neither answers nor resets. Two lost probes, or data
 	// that stays unacknowledged, end its connections within about 3 s, the time
 	// after which the deployment counts a VM as reachable again.
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -95,6 +95,7 @@
 // New returns a pool without connections to the address, which is host:port.
 func New(address string, opts ...Option) *Pool {
 	p := &Pool{address: address, dialer: Dialer(), maxIdle: defaultMaxIdle}
+	p.dialer.Timeout = requestDialTimeout
 	for _, opt := range opts {
 		opt(p)
 	}
--- a/hop/hop_test.go
+++ b/hop/hop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
 
 	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/internal/standin/server"
@@ -154,3 +156,30 @@
 	must.Eq(t, http.Header{"X-Kept": {"1"}}, hop.EndToEnd(h))
 	must.True(t, strings.HasPrefix(h.Get("Connection"), "X-Private"))
 }
+
+// A VM that has lost power takes no connection and refuses none. Requests that
+// wait for one until their own time is up are lost, although another VM could
+// run them.
+func TestConnectionIsGivenUpSoon(t *testing.T) {
+	// Connections beyond the queue of a listener that accepts none stay open half.
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	must.NoError(t, err)
+	defer unix.Close(fd)
+	must.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	must.NoError(t, unix.Listen(fd, 0))
+	bound, err := unix.Getsockname(fd)
+	must.NoError(t, err)
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*unix.SockaddrInet4).Port))
+	for range 2 {
+		conn, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+		if err == nil {
+			defer conn.Close()
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err = send(ctx, hop.New(address), http.MethodPost, "a")
+	must.Error(t, err)
+	must.False(t, hop.MayHaveRun(err))
+	must.NoError(t, ctx.Err())
+}
