--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -135,12 +135,12 @@
 	i.budget.arrived(r.service)
 	o := &offers{balancer: i.balancer, entrance: i.entrance, request: r}
 	attempts := 0
-	// lost is the end of the last attempt that may have run. A refusal that comes
-	// after it holds for its own attempt only.
-	var lost *reply
+	// uncertain is the end of the last attempt that may have run. A refusal that
+	// comes after it holds for its own attempt only.
+	var uncertain *reply
 	defer func() {
-		if lost != nil && end.outcome == call.NotRun {
-			end = lost
+		if uncertain != nil && end.outcome == call.NotRun {
+			end = uncertain
 		}
 	}()
 	end = notRun(call.ReasonNoUpstream, "no node has a backend server of the service that takes work")
@@ -168,7 +168,7 @@
 		attempts++
 		o.ran = append(o.ran, p.node)
 		if end.outcome == call.Unknown {
-			lost = end
+			uncertain = end
 		}
 		if end.outcome == call.Unknown && r.kind != config.Idempotent || attempts >= route.Attempts() || !i.budget.take(r.service) {
 			return end
