--- a/hop/hop_test.go
+++ b/hop/hop_test.go
@@ -164,7 +164,7 @@
 	// Connections beyond the queue of a listener that accepts none stay open half.
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
 	must.NoError(t, err)
-	defer unix.Close(fd)
+	t.Cleanup(func() { must.NoError(t, unix.Close(fd)) })
 	must.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
 	must.NoError(t, unix.Listen(fd, 0))
 	bound, err := unix.Getsockname(fd)
