Read the desired state through the watchers of each zone

Change: only the two watchers of a zone follow the topic. The others read it once at their start; the exchange with which they follow a watcher ends as soon as the watcher has a newer version. Half of them prefer the second watcher. A node does not follow the topic in its first 2 s: when all start together, each takes itself for a watcher. An exchange whose sender has the newer version is fetched before the wait.

Tests: TestFewNodesReadTheDesiredState (fails before: each node reads each version), TestDesiredStateWithoutWatchers. TestFewNodesReadTheLog waits until the watchers have begun to follow the desired state; its bound is unchanged.

--- a/mesh/desired_state.go
+++ b/mesh/desired_state.go
@@ -19,8 +19,12 @@
 	state  atomic.Pointer[desired.State]
 	// loaded is closed when the first desired state has been received.
 	loaded chan struct{}
+	// readsLog reports whether this node reads the operator's topic itself.
+	readsLog func() bool
 
 	mu sync.Mutex
+	// changed is closed and replaced when a newer version has come into force.
+	changed chan struct{}
 	// document is the state as the operator wrote it. It is sent to nodes that
 	// can't read the log.
 	document []byte
@@ -28,8 +32,10 @@
 }
 
 func newDesiredState(logClient *platform.LogClient, events eventRecorder) *desiredState {
-	d := &desiredState{events: events, loaded: make(chan struct{})}
-	d.follower = follow.New(logClient, platform.DesiredStateTopic, events, d.applyRecords)
+	d := &desiredState{
+		events: events, loaded: make(chan struct{}), changed: make(chan struct{}), readsLog: func() bool { return true },
+	}
+	d.follower = follow.New(logClient, platform.DesiredStateTopic, events, d.applyRecords, follow.WithEnabled(func() bool { return d.readsLog() }))
 	return d
 }
 
@@ -51,6 +57,14 @@
 	return d.document
 }
 
+// since returns whether the version in force is newer than the given one, and a channel
+// that is closed when a newer version comes into force.
+func (d *desiredState) since(version int64) (newer bool, changed <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version() > version, d.changed
+}
+
 // apply puts a document into force if its version is newer than the current
 // one. source names the log or the node that it came from.
 func (d *desiredState) apply(document []byte, source string) {
@@ -67,6 +81,8 @@
 	}
 	d.document = document
 	d.state.Store(state)
+	close(d.changed)
+	d.changed = make(chan struct{})
 	if current == nil {
 		close(d.loaded)
 	}
@@ -82,5 +98,6 @@
 	}
 }
 
-// run follows the operator's topic until the context ends.
+// run reads the operator's topic, and follows it while this node reads the log, until
+// the context ends.
 func (d *desiredState) run(ctx context.Context) { d.follower.Run(ctx) }
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -49,7 +49,8 @@
 	Members []fleet.Member `json:"members,omitempty"`
 
 	// WaitMs makes the request a long poll: the receiver responds when records have
-	// changed since SeenChanges, or after this time in milliseconds. SeenChanges
+	// changed since SeenChanges, when it has a newer version of the desired state, or
+	// after this time in milliseconds. SeenChanges
 	// counts the changes of the member table that TableID identifies. Each process
 	// has its own member table.
 	WaitMs      int64 `json:"waitMs,omitempty"`
@@ -103,6 +104,11 @@
 	}
 	e.directory.Merge(received.Self)
 	e.balancer.markReachable(received.Self.Node)
+	if host, _, err := net.SplitHostPort(received.Self.Address); err == nil {
+		if p, ok := e.balancer.peerByIP(host); ok {
+			e.fetchIfNewer(p, received.Version)
+		}
+	}
 	var changed []fleet.Member
 	var seenChanges int64
 	if received.WaitMs > 0 {
@@ -120,16 +126,11 @@
 	// An error means that the other node has disconnected. That node repeats the
 	// exchange.
 	_ = json.NewEncoder(w).Encode(reply)
-	if host, _, err := net.SplitHostPort(received.Self.Address); err == nil {
-		if p, ok := e.balancer.peerByIP(host); ok {
-			e.fetchIfNewer(p, received.Version)
-		}
-	}
 }
 
-// awaitChanges waits until records have changed that the sender has not seen, or
-// until the wait time has elapsed. It returns the changed records and the total
-// number of changes.
+// awaitChanges waits until records have changed that the sender has not seen, until a
+// newer version of the desired state is in force, or until the wait time has elapsed.
+// It returns the changed records and the total number of changes.
 func (e *exchange) awaitChanges(ctx context.Context, received exchangeMessage) (changed []fleet.Member, changes int64) {
 	if received.TableID != e.tableID {
 		received.SeenChanges = 0
@@ -138,10 +139,12 @@
 	defer timeout.Stop()
 	for {
 		changed, changes, next := e.directory.Table().Since(received.SeenChanges)
-		if len(changed) > 0 {
+		newer, newState := e.desired.since(received.Version)
+		if len(changed) > 0 || newer {
 			return changed, changes
 		}
 		select {
+		case <-newState:
 		case <-next:
 			// Changes that follow within a short time are sent in one response.
 			follow.Pause(ctx, changeBatchDelay)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -21,8 +21,8 @@
 // none, at 1 all but a few of the lowest priority, and at 2 all but a few of the
 // next priority too. A backend server is leaving if it is draining or has
 // deregistered. A leaf is a service that calls no other services. A watcher is a
-// node that reads the records of all nodes from the log service on behalf of the
-// other nodes of its zone.
+// node that reads the records of all nodes and the desired state from the log service
+// on behalf of the other nodes of its zone.
 //
 // # Files
 //
@@ -122,6 +122,7 @@
 			func(r *timeline.Recorder) eventRecorder { return r },
 			func() *platform.LogClient { return platform.NewLogClient(settings.Log) },
 			func() *upstream.Tracker { return upstream.New(settings.Service, settings.Backend) },
+			func(dir *fleet.Directory) *retryBudget { return newRetryBudget(settings.Bounds, dir.Table().Len) },
 			metrics.New, newListeners, newDesiredState, newBalancer, newSidecar, newDirectory, newExchange, newWatcherSelection, newLifecycle,
 			newAnnouncementHandler, newCustomerAdmission, newIngress, newPeerHandler, newServers,
 		),
@@ -129,6 +130,7 @@
 			l.components = components{servers: s, balancer: b, exchange: e, watchers: w, announcements: a, sidecar: sc, desired: d, directory: dir}
 			s.caller.Handler = l.trackActive(s.caller.Handler)
 			dir.SetReadsLog(w.readsLog)
+			d.readsLog = w.readsDesiredState
 			dir.OnPublishError(func() { e.sendOwnRecord(context.Background()) })
 			lc.Append(fx.Hook{OnStart: l.start, OnStop: l.stop})
 		}),
@@ -151,9 +153,9 @@
 	return &announcementHandler{settings: settings, tracker: t, sidecar: s, directory: dir, desired: d, events: events}
 }
 
-func newIngress(settings nodeconfig.Config, d *desiredState, b *balancer, s *sidecar, e *exchange, dir *fleet.Directory, events eventRecorder, m *metrics.Metrics, l *lifecycle, admission *customerAdmission) *ingress {
+func newIngress(settings nodeconfig.Config, d *desiredState, b *balancer, s *sidecar, e *exchange, events eventRecorder, m *metrics.Metrics, l *lifecycle, admission *customerAdmission, retries *retryBudget) *ingress {
 	return &ingress{
 		settings: settings, desired: d, splitter: desired.NewSplitter(), balancer: b, sidecar: s, exchange: e,
-		budget: newRetryBudget(settings.Bounds, dir.Table().Len), events: events, metrics: m, lifecycle: l, admission: admission,
+		budget: retries, events: events, metrics: m, lifecycle: l, admission: admission,
 	}
 }
--- a/mesh/watchers.go
+++ b/mesh/watchers.go
@@ -15,18 +15,24 @@
 
 const (
 	// watchersPerZone is the number of nodes of a zone that read the records of all
-	// nodes from the log. Each new record wakes every reader, and each read is
-	// charged and counts toward the rate limit of the log, which does not allow
-	// every node of a large deployment to read. With two watchers, changes still
-	// arrive while one of them is down.
+	// nodes and the desired state from the log. Each new record wakes every reader,
+	// and each read is charged and counts toward the rate limit of the log, which does
+	// not allow every node of a large deployment to read. With two watchers, changes
+	// still arrive while one of them is down.
 	watchersPerZone = 2
 	// maxChangeWait is how long a watcher holds a request for changes while there
 	// are none. If the process of a watcher is frozen, the nodes that follow it
-	// receive no changes for that time.
-	maxChangeWait = 5 * time.Second
+	// receive no changes for that time and the exchange time-out, unless other nodes
+	// that they send requests to state a newer version.
+	maxChangeWait = time.Second
 	// changeBatchDelay is how long a watcher collects further changes after the
 	// first one.
 	changeBatchDelay = 100 * time.Millisecond
+	// settleTime is how long a node that has started does not follow the desired state
+	// in the log after its first read. When all nodes start together, none knows the
+	// others yet, and each would take itself for a watcher. It is shorter than the time
+	// after which the platform expects a restarted VM to be up to date.
+	settleTime = 2 * time.Second
 	// fallbackReadTime is how long a node reads the log itself after it could not
 	// follow any watcher.
 	fallbackReadTime = 5 * time.Second
@@ -43,10 +49,11 @@
 	// readsLogUntil is the time up to which this node reads the log because it
 	// could not follow a watcher, in Unix nanoseconds.
 	readsLogUntil atomic.Int64
+	startedAt     time.Time
 }
 
 func newWatcherSelection(b *balancer, e *exchange, events eventRecorder) *watcherSelection {
-	w := &watcherSelection{balancer: b, exchange: e, events: events}
+	w := &watcherSelection{balancer: b, exchange: e, events: events, startedAt: time.Now()}
 	e.readsLog = w.readsLog
 	return w
 }
@@ -57,8 +64,14 @@
 	return time.Now().UnixNano() < w.readsLogUntil.Load() || len(w.watchersToFollow()) == 0
 }
 
+// readsDesiredState reports whether this node follows the desired state in the log.
+func (w *watcherSelection) readsDesiredState() bool {
+	return time.Since(w.startedAt) > settleTime && w.readsLog()
+}
+
 // watchersToFollow returns the watchers of the zone, or none if this node is
-// one of them.
+// one of them. Half of the nodes prefer the second watcher, so that they hear of changes
+// from different ones.
 func (w *watcherSelection) watchersToFollow() (peers []*peer) {
 	peers = w.balancer.reachableInZone()
 	slices.SortFunc(peers, func(a, b *peer) int { return cmp.Compare(a.watcherOrder, b.watcherOrder) })
@@ -68,6 +81,9 @@
 			return nil
 		}
 	}
+	if watcherOrder(w.balancer.settings.Node)%2 == 1 {
+		slices.Reverse(peers)
+	}
 	return peers
 }
 
--- a/mesh/watchers_test.go
+++ b/mesh/watchers_test.go
@@ -32,7 +32,8 @@
 	// change.
 	d.announce(d.vms[0], "draining")
 	d.awaitConvergence()
-	time.Sleep(time.Second)
+	// The watchers follow the desired state from settleTime on.
+	time.Sleep(max(time.Second, settleTime))
 	const path, changes = "/lacewingslip/log-read", 3
 	before := d.log.Calls(path)
 	for n := range changes {
@@ -59,3 +60,47 @@
 	d.announce(others[0], "draining")
 	d.awaitConvergence()
 }
+
+// If every node read each version of the desired state, the calls to the log would grow
+// with the number of nodes times the number of changes.
+func TestFewNodesReadTheDesiredState(t *testing.T) {
+	d := newDeployment(t, "orders", "orders", "orders", "orders", "catalogue", "catalogue")
+	eventually(t, func() bool {
+		readers, _ := d.splitByLogReading()
+		return len(readers) == watchersPerZone
+	})
+	time.Sleep(settleTime)
+	const path, changes = "/lacewingslip/log-read", 5
+	before := d.log.Calls(path)
+	for range changes {
+		d.publish(once("once"), safe("safe"))
+		d.awaitConvergence()
+	}
+	must.Between(t, 1, d.log.Calls(path)-before, changes*watchersPerZone)
+}
+
+// A version that is published while no watcher is left must come into force at the
+// other nodes, and two versions in quick succession must both be passed on.
+func TestDesiredStateWithoutWatchers(t *testing.T) {
+	d := newDeployment(t, "orders", "orders", "orders", "orders", "catalogue")
+	eventually(t, func() bool {
+		readers, _ := d.splitByLogReading()
+		return len(readers) == watchersPerZone
+	})
+	time.Sleep(settleTime)
+	watchers, others := d.splitByLogReading()
+	for _, v := range watchers {
+		kill(v.node)
+	}
+	d.vms = others
+	d.publish(once("first"))
+	d.publish(once("second"), safe("safe"))
+	eventually(t, func() bool {
+		for _, v := range others {
+			if int(v.node.lifecycle.components.desired.version()) != d.version {
+				return false
+			}
+		}
+		return true
+	})
+}
