Count the retry budget exactly over its window, repeats of repeated runs included

Change: - budget.Window counts requests and repeats in steps and grants a retry if the rule holds in each window that contains it, even if no request follows. Unused budget of the window is there at once. - Each request states the probability that it repeats work; a call of a backend server takes the share of repeats among the requests that run there. These repeats count against the budget of the called service, so leaves may use 0.9 of it and services that call others stay at 0.2. Old nodes read and send the field as before. - A request that no server has run is sent again to the first server that refused it once MaxAttempts servers have received it. MaxAttempts bounds the servers; after an attempt that may have run nothing changes. - Weights count relative to the best server of a service. When all refuse alike, calls no longer leave their zone and region. - Customer requests above the lowest priority go before calls in the slot queue, and not only those of the highest one.

TestRetryBudgetOfLeaves had an upper bound of half of the budget for leaves, from the time when repeats were not counted. It now checks that retries and repeats together stay within the whole budget, and a bound for services that make calls that is half of the earlier one.

--- a/mesh/customer_admission.go
+++ b/mesh/customer_admission.go
@@ -93,9 +93,12 @@
 	targetRegion string
 	// level is the pressure level of the route in the region of this node.
 	level float64
-	// topPriority is true for customer requests of the highest priority, if there
-	// are several priorities.
-	topPriority bool
+	// aboveLowest is true for customer requests above the lowest priority. They go
+	// before the calls of backend servers, which may belong to a request of any
+	// priority. At the service at the bottom of a call tree, a lookup that customers
+	// make there directly would otherwise wait behind the eight calls of each less
+	// important request.
+	aboveLowest bool
 	admitted    bool
 }
 
@@ -111,7 +114,7 @@
 	now := time.Now()
 	key := pressure.Target{Route: route.Name(), Region: a.ownRegion}
 	decision.level = a.regionPressure.Level(now, key)
-	decision.topPriority = fromCustomers && priorityIndex == 0 && priorityCount > 1
+	decision.aboveLowest = fromCustomers && priorityIndex >= 0 && priorityIndex < priorityCount-1
 	if !fromCustomers || priorityIndex < 0 || a.regionPressure.Admit(now, key, priorityIndex, priorityCount) {
 		decision.admitted = true
 		return decision
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -18,12 +18,12 @@
 )
 
 const (
-	// topPriorityRank is the queue rank of admitted customer requests of the
-	// highest priority. defaultRank is the rank of all other admitted customer
+	// preferredRank is the queue rank of admitted customer requests above the
+	// lowest priority. defaultRank is the rank of all other admitted customer
 	// requests and of all calls that backend servers make, because a call does not
 	// show which customer request it belongs to.
-	topPriorityRank = 0
-	defaultRank     = 1
+	preferredRank = 0
+	defaultRank   = 1
 	// responseGrace is how much longer this node waits than the nodes and backend
 	// servers that it sends requests to, so that the result that they report
 	// arrives before this node times out.
@@ -79,12 +79,16 @@
 		i.respond(w, req, notRunResult(call.ReasonDraining, "the node is stopping"), receivedAt, state.Version())
 		return
 	}
+	if origin != calltree.Customers {
+		req.repeatShare = i.sidecar.repeats.share()
+	}
+	i.budget.recordRequest(req.service, req.repeatShare)
 	decision := i.admission.admit(route)
 	req.targetRegion, req.fromCustomer = decision.targetRegion, origin == calltree.Customers
 	if origin != calltree.Unknown {
 		req.rank = defaultRank
-		if decision.topPriority {
-			req.rank = topPriorityRank
+		if decision.aboveLowest {
+			req.rank = preferredRank
 		}
 	}
 	if !decision.admitted {
@@ -135,11 +139,10 @@
 // dispatch sends a request to one node after another until a backend server
 // responds. After an attempt that reached a backend server, the request is sent
 // again only if the server did not run it or the request is idempotent, and if
-// both the route and the retry budget allow another attempt.
+// both the route and the retry budget allow another attempt. The route limits the
+// number of backend servers, not the attempts that a server did not run.
 func (i *ingress) dispatch(ctx context.Context, req *request, route *desired.Route, version int64) (res *result) {
-	i.budget.addRequest(req.service)
-	selector := &nodeSelector{balancer: i.balancer, admission: i.admission, request: req}
-	backendAttempts := 0
+	selector := &nodeSelector{balancer: i.balancer, admission: i.admission, request: req, maxBackends: route.Attempts()}
 	// uncertain is the result of the last attempt that may have run. It takes
 	// precedence over a later refusal, because the refusal says nothing about the
 	// earlier attempt.
@@ -171,14 +174,14 @@
 			selector.refused = append(selector.refused, p.node)
 			continue
 		}
-		backendAttempts++
-		selector.reachedBackend = append(selector.reachedBackend, p.node)
+		selector.recordBackend(p, res.outcome == call.NotRun)
 		if res.outcome == call.Unknown {
 			uncertain = res
 		}
-		if res.outcome == call.Unknown && req.kind != desired.Idempotent || backendAttempts >= route.Attempts() || !i.budget.trySpend(req.service) {
+		if res.outcome == call.Unknown && req.kind != desired.Idempotent || !selector.hasNext() || !i.budget.trySpend(req.service) {
 			return res
 		}
+		req.repeatShare = 1
 		i.metrics.Retried(metrics.Ingress, req.service)
 		i.events.Record(event.CallRetried, attrRequest(req.id), attrRoute(req.route), attrPeer(p.node),
 			attrReason(res.reason), attrDetail(res.detail), attrCallerDeadline(req.callerDeadline), attrTimeLeft(req))
--- a/mesh/node_selector.go
+++ b/mesh/node_selector.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 )
 
@@ -11,7 +12,7 @@
 	homeRegionAttempts = 2
 	// maxNodeAttempts limits the attempts of a request at all nodes, including
 	// retries.
-	maxNodeAttempts = 6
+	maxNodeAttempts = 8
 	// firstQueueTimeout is how long a request waits for a slot at the first node,
 	// while other nodes may have a free one. The round trip to the next zone takes
 	// 1 ms.
@@ -29,9 +30,16 @@
 	balancer  *balancer
 	admission *customerAdmission
 	request   *request
+	// maxBackends is the number of backend servers that may receive the request.
+	maxBackends int
 	// refused lists the nodes that refused the request. reachedBackend lists those
 	// whose backend server received the request or may have received it.
 	refused, reachedBackend []string
+	// shedBy is the first node whose backend server received the request and stated
+	// that it did not run it, or nil. mayHaveRun is true after an attempt that may have
+	// run.
+	shedBy     *peer
+	mayHaveRun bool
 	// attempts is the number of nodes selected so far.
 	attempts int
 	// stage is the stage of the next selection.
@@ -59,9 +67,17 @@
 )
 
 // next returns the node for the next attempt and sets the queue timeout of the
-// request there. ok is false if no node is left.
+// request there. ok is false if no node is left. Once the request has been sent to as
+// many backend servers as its route allows, and none of them has run it, it is sent
+// again to the first of them: a server that refuses a share of its requests is as
+// likely to accept the next one as any other.
 func (s *nodeSelector) next() (p *peer, ok bool) {
 	s.request.sentBefore = s.attempts > 0
+	if s.attempts < maxNodeAttempts && len(s.reachedBackend) >= s.maxBackends {
+		s.attempts++
+		s.request.queueTimeout = s.lastQueueTimeout()
+		return s.shedBy, !s.mayHaveRun
+	}
 	for s.attempts++; s.attempts <= maxNodeAttempts && s.stage < stageEnd; s.stage++ {
 		if p, ok = s.choose(s.stage); ok {
 			if s.stage != stageHomeRegion {
@@ -73,10 +89,33 @@
 	return nil, false
 }
 
+// recordBackend records that the backend server beside a node received the request.
+// shed is true if it stated that it did not run the request.
+func (s *nodeSelector) recordBackend(p *peer, shed bool) {
+	if !slices.Contains(s.reachedBackend, p.node) {
+		s.reachedBackend = append(s.reachedBackend, p.node)
+	}
+	if shed && s.shedBy == nil {
+		s.shedBy = p
+	}
+	s.mayHaveRun = s.mayHaveRun || !shed
+}
+
+// hasNext reports whether another attempt at a backend server is allowed.
+func (s *nodeSelector) hasNext() bool {
+	return s.attempts < maxNodeAttempts && (len(s.reachedBackend) < s.maxBackends || !s.mayHaveRun)
+}
+
+// lastQueueTimeout returns how long the request may wait at the last node that it is
+// sent to.
+func (s *nodeSelector) lastQueueTimeout() time.Duration {
+	return time.Duration(lastQueueTimeoutShare * float64(time.Until(s.request.deadline)))
+}
+
 // choose selects a node for the stage.
 func (s *nodeSelector) choose(stage selectionStage) (p *peer, ok bool) {
 	r, b := s.request, s.balancer
-	lastQueueTimeout := time.Duration(lastQueueTimeoutShare * float64(time.Until(r.deadline)))
+	lastQueueTimeout := s.lastQueueTimeout()
 	switch stage {
 	case stageHomeRegion:
 		if len(s.refused) >= homeRegionAttempts {
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -61,6 +61,10 @@
 	targetRegion string
 	// sentBefore is true if this is not the first attempt.
 	sentBefore bool
+	// repeatShare is the probability, from 0 to 1, that running this request repeats
+	// work: because it was sent to a backend server before, or because a repeated run
+	// has made it.
+	repeatShare float64
 	// queueTimeout is how long the request may wait for a slot at the next node.
 	queueTimeout time.Duration
 }
--- a/mesh/retry_budget.go
+++ b/mesh/retry_budget.go
@@ -4,19 +4,19 @@
 	"sync"
 	"time"
 
+	"github.com/lacewingslip/lacewingslip/budget"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 )
 
 const (
-	// budgetShare is the part of the deployment's retry budget that nodes spend.
-	// When a request runs again, the calls that it makes count as retries too: in
-	// chains of three hops that each retry, they added up to three times the
-	// retries that the nodes had granted.
-	budgetShare = 0.2
-	// leafShare is the part for leaf services. Their own retries, and the calls of
-	// requests that are retried with budgetShare at the two hops above, add up to
-	// 0.85 of the budget.
-	leafShare = 0.45
+	// repeatLimitShare is the part of the deployment's retry budget for the retries of
+	// a service and the calls that repeated runs make to it. The rest is a margin: the
+	// budgets of the nodes add up only if the traffic of all of them rises and falls
+	// at the same time.
+	repeatLimitShare = 0.9
+	// callerShare is the part that services which call others may spend on retries. A
+	// retry there can repeat all calls below it.
+	callerShare = 0.2
 	// leafIdleTime is how long a service must have made no calls to count as a
 	// leaf.
 	leafIdleTime = 5 * time.Second
@@ -30,37 +30,28 @@
 	nodeCount func() int
 
 	mu       sync.Mutex
-	services map[string]*retryTokens
+	services map[string]*serviceBudget
 }
 
-// retryTokens is a token bucket that is filled by requests and by time.
-type retryTokens struct {
-	tokens  float64
-	updated time.Time
+// serviceBudget is the retry budget of one service at this node.
+type serviceBudget struct {
+	window *budget.Window
 	// lastCallAt is when the service was last known to make calls. Until that is
-	// known, it is the creation time of the bucket.
+	// known, it is the time of the first request.
 	lastCallAt time.Time
 }
 
-// share returns the part of the deployment's budget that nodes spend on the
-// service.
-func (t *retryTokens) share() float64 {
-	if t.updated.Sub(t.lastCallAt) > leafIdleTime {
-		return leafShare
-	}
-	return budgetShare
-}
-
 func newRetryBudget(bounds nodeconfig.Bounds, nodeCount func() int) *retryBudget {
-	return &retryBudget{bounds: bounds, nodeCount: nodeCount, services: make(map[string]*retryTokens)}
+	return &retryBudget{bounds: bounds, nodeCount: nodeCount, services: make(map[string]*serviceBudget)}
 }
 
-// addRequest adds the tokens for one request to the bucket of its service.
-func (b *retryBudget) addRequest(service string) {
+// recordRequest counts a request for the service. repeatShare is the probability that
+// a repeated run has made it.
+func (b *retryBudget) recordRequest(service string, repeatShare float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t := b.bucket(service)
-	t.tokens = min(t.tokens+t.share()*b.bounds.RetryRatio, b.capacity(t))
+	now := time.Now()
+	b.service(now, service).window.RecordRequest(now, repeatShare)
 }
 
 // recordLeaf records whether a node of the service reported its backend server
@@ -71,46 +62,38 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t := b.bucket(service)
-	t.lastCallAt = t.updated
+	now := time.Now()
+	b.service(now, service).lastCallAt = now
 }
 
-// trySpend takes a token and reports whether there was one, so that the request
-// may be retried.
+// trySpend counts a retry and returns true if the budget allows one.
 func (b *retryBudget) trySpend(service string) (ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t := b.bucket(service)
-	if t.tokens < 1 {
-		return false
-	}
-	t.tokens--
-	return true
+	now := time.Now()
+	s := b.service(now, service)
+	return s.window.Spend(now, b.limit(now, s))
 }
 
-// slack returns this node's part of the slack for a service.
-func (b *retryBudget) slack(t *retryTokens) float64 {
-	return t.share() * b.bounds.RetrySlack / float64(max(b.nodeCount(), 1))
+// limit returns the part of the deployment's budget for the service that this node may
+// spend.
+func (b *retryBudget) limit(now time.Time, s *serviceBudget) budget.Limit {
+	limit := budget.Limit{
+		RetryRatio: repeatLimitShare * b.bounds.RetryRatio, RepeatRatio: repeatLimitShare * b.bounds.RetryRatio,
+		Slack: repeatLimitShare * b.bounds.RetrySlack / float64(max(b.nodeCount(), 1)),
+	}
+	if now.Sub(s.lastCallAt) <= leafIdleTime {
+		limit.RetryRatio = callerShare * b.bounds.RetryRatio
+		limit.Slack = callerShare * b.bounds.RetrySlack / float64(max(b.nodeCount(), 1))
+	}
+	return limit
 }
 
-// capacity returns the maximum number of tokens in a bucket: the part of the
-// slack, but at least one, so that fractions from several requests can add up
-// to one retry.
-func (b *retryBudget) capacity(t *retryTokens) float64 { return max(b.slack(t), 1) }
-
-func (b *retryBudget) bucket(service string) *retryTokens {
-	now := time.Now()
-	t := b.services[service]
-	if t == nil {
-		// A whole token for each node would exceed the slack in a large deployment.
-		t = &retryTokens{updated: now, lastCallAt: now}
-		t.tokens = b.slack(t)
-		b.services[service] = t
-	}
-	if window := b.bounds.RetryWindow; window > 0 {
-		// The slack is granted once per window.
-		t.tokens = min(t.tokens+b.slack(t)*float64(now.Sub(t.updated))/float64(window), b.capacity(t))
+func (b *retryBudget) service(now time.Time, name string) *serviceBudget {
+	s := b.services[name]
+	if s == nil {
+		s = &serviceBudget{window: budget.NewWindow(b.bounds.RetryWindow), lastCallAt: now}
+		b.services[name] = s
 	}
-	t.updated = now
-	return t
+	return s
 }
--- a/mesh/retry_budget_test.go
+++ b/mesh/retry_budget_test.go
@@ -24,7 +24,7 @@
 					b := newRetryBudget(budgetBounds, func() int { return nodes })
 					for n := range max(requests/nodes, 10) {
 						if n < requests/nodes {
-							b.addRequest("orders")
+							b.recordRequest("orders", 0)
 						}
 						if b.trySpend("orders") {
 							retries++
@@ -38,26 +38,38 @@
 	}
 }
 
-// Most lost responses belong to calls to leaf services. A retry there causes no
-// further calls, so these services may use more of the budget. Services that
-// make calls may not.
+// Guards against retries that leave most of the budget unused, and against retries
+// that exceed it together with the calls of repeated runs. A retry of a leaf service
+// causes no further calls, so it may use what those calls leave. A retry of a service
+// that makes calls may repeat all of them, so it may use only a small part.
 func TestRetryBudgetOfLeaves(t *testing.T) {
-	for name, leaf := range map[string]bool{"leaf": true, "with calls": false} {
+	for name, c := range map[string]struct {
+		leaf        bool
+		repeatShare float64
+		minShare    float64
+		maxShare    float64
+	}{
+		"leaf":                      {leaf: true, minShare: 0.7, maxShare: 1},
+		"leaf below repeated runs":  {leaf: true, repeatShare: 0.1, minShare: 0.2, maxShare: 0.5},
+		"leaf, budget used by runs": {leaf: true, repeatShare: 0.2, maxShare: 0},
+		"with calls":                {maxShare: 0.25},
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := newRetryBudget(budgetBounds, func() int { return 1100 })
 				const requests = 10000
 				retries := 0
 				for range requests {
-					b.addRequest("orders")
-					b.recordLeaf("orders", leaf)
+					b.recordRequest("orders", c.repeatShare)
+					b.recordLeaf("orders", c.leaf)
 					if time.Sleep(10 * time.Millisecond); b.trySpend("orders") {
 						retries++
 					}
 				}
 				share := float64(retries) / requests
-				must.Eq(t, leaf, share > 0.4*budgetBounds.RetryRatio)
-				must.Less(t, 0.5*budgetBounds.RetryRatio, share)
+				must.GreaterEq(t, c.minShare*budgetBounds.RetryRatio, share)
+				must.LessEq(t, c.maxShare*budgetBounds.RetryRatio, share)
+				must.LessEq(t, budgetBounds.RetryRatio, share+c.repeatShare)
 			})
 		})
 	}
@@ -69,7 +81,7 @@
 	b := newRetryBudget(budgetBounds, func() int { return 1100 })
 	must.False(t, b.trySpend("orders"))
 	for range 30 {
-		b.addRequest("orders")
+		b.recordRequest("orders", 0)
 	}
 	must.True(t, b.trySpend("orders"))
 	must.False(t, b.trySpend("orders"))
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -65,6 +65,8 @@
 	// routePressure holds the pressure levels of the routes that the backend server
 	// calls.
 	routePressure *pressure.Shedder
+	// repeats estimates which calls of the backend server belong to repeated runs.
+	repeats repeatTracker
 	// lastCallAt is when the backend server last made a call as far as is known, in
 	// Unix nanoseconds.
 	lastCallAt atomic.Int64
@@ -198,6 +200,8 @@
 	})
 	run := s.links.Start(req.route, req.deadline)
 	defer s.links.End(run)
+	s.repeats.start(req.repeatShare)
+	defer s.repeats.end(req.repeatShare)
 	s.silence.requestSent(time.Now())
 	resp, err := s.backend.Do(ctx, httpReq, matchesRequest(req.id))
 	// A time-out or the end of the context does not show that the server responds.
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -34,6 +35,10 @@
 	requestFieldCount  = 9
 	responseFieldCount = 11
 
+	// The last field of a request is 1 if it was sent before, plus repeatScale for each
+	// percent of its repeat share. Nodes of earlier versions send and expect 0 or 1.
+	repeatScale = 2
+
 	kindAtMostOnce, kindIdempotent = "o", "i"
 	// emptyReason stands for an empty reason. An empty last field would leave a
 	// trailing space, which HTTP strips from header values.
@@ -66,7 +71,7 @@
 		strconv.FormatInt(req.queueTimeout.Milliseconds(), 10),
 		strconv.FormatInt(time.Until(req.deadline).Milliseconds(), 10),
 		strconv.FormatInt(version, 10),
-		strconv.FormatInt(boolToInt(req.sentBefore), 10),
+		strconv.FormatInt(boolToInt(req.sentBefore)+repeatScale*int64(math.Round(100*req.repeatShare)), 10),
 	}, " "))
 }
 
@@ -97,7 +102,8 @@
 	req.rank = int(numbers[0])
 	req.queueTimeout = time.Duration(numbers[1]) * time.Millisecond
 	req.deadline = receivedAt.Add(time.Duration(numbers[2]) * time.Millisecond)
-	req.sentBefore = numbers[4] == 1
+	req.sentBefore = numbers[4]%repeatScale == 1
+	req.repeatShare = min(float64(numbers[4]/repeatScale)/100, 1)
 	return req, numbers[3], nil
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -352,9 +352,10 @@
 // end. If spareOnly is true, it includes only those with spare capacity.
 func (t *Table) collect(s *service, start, end int, q Query, now time.Time, spareOnly bool) {
 	t.candidates = t.candidates[:0]
+	bestWeight := s.bestWeight(now)
 	for i := start; i < end; i++ {
 		state := &s.upstreams[i]
-		if slices.Contains(q.Tried, state.Node) || q.Region != "" && state.Region != q.Region || spareOnly && !state.hasSpareCapacity(now) {
+		if slices.Contains(q.Tried, state.Node) || q.Region != "" && state.Region != q.Region || spareOnly && !state.hasSpareCapacity(now, bestWeight) {
 			continue
 		}
 		t.candidates = append(t.candidates, i)
@@ -466,10 +467,20 @@
 	return max(u.Slots, 1)
 }
 
+// bestWeight returns the highest weight of the upstreams.
+func (s *service) bestWeight(now time.Time) (weight float64) {
+	for i := range s.upstreams {
+		weight = max(weight, s.upstreams[i].currentWeight(now))
+	}
+	return weight
+}
+
 // hasSpareCapacity reports whether the upstream can run another call at once. A
-// reduced weight reduces its limit in proportion.
-func (u *upstreamState) hasSpareCapacity(now time.Time) bool {
-	return float64(u.estimatedCalls(now)) < u.currentWeight(now)*float64(u.currentLimit(now))
+// weight below the best one of the service reduces its limit in proportion. If all
+// upstreams refuse calls alike, for example during an overload that their load does not
+// show, calls stay near: a distant upstream is no more likely to accept them.
+func (u *upstreamState) hasSpareCapacity(now time.Time, bestWeight float64) bool {
+	return float64(u.estimatedCalls(now)) < u.currentWeight(now)/max(bestWeight, minWeight)*float64(u.currentLimit(now))
 }
 
 // score returns the load of the upstream including another call of the given cost, as
