Bound the heads of answers, and believe no late copy of a refusal

- A backend server that sends header lines or informational responses without end filled the memory of its node.
The head of an answer is now at most 32 KiB; the answer ends as 502 and its connection is reset.
- A second copy of a refusal without request ID, late on a connection in use again, was taken for the answer to the next request.
That request was reported as not run, and sent elsewhere, although it ran: TestLateCopyOfRefusal fails before with a 503 for a request that ran.
A refusal without ID on a reused connection now ends as unknown.
- A request that is sent again could read a copy of the answer to its earlier attempt, which has the same ID.
Connections remember their last four requests and do not carry one of them again.

--- a/hop/hop.go
+++ b/hop/hop.go
@@ -22,6 +22,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -32,6 +33,12 @@
 
 const (
 	bufferBytes = 4 << 10
+	// maxHeadBytes bounds the status line and the headers of an answer, and each
+	// informational response before it. A receiver in trouble may send bytes without
+	// end, and a node has a few hundred connections and little memory.
+	maxHeadBytes = 32 << 10
+	// recentIDCount is the number of requests that a connection remembers.
+	recentIDCount = 4
 	// maxSkippedAnswers bounds how many answers to earlier requests are skipped
 	// while waiting for the answer to the current one.
 	maxSkippedAnswers = 4
@@ -107,8 +114,33 @@
 	return p
 }
 
+// errHeadTooLong is returned if the head of an answer exceeds maxHeadBytes.
+var errHeadTooLong = eris.Errorf("the head of the answer exceeds %d bytes", maxHeadBytes)
+
+// headReader limits the number of bytes that are read for the head of an answer.
+type headReader struct {
+	net.Conn
+	// left is the number of bytes that may still be read. The limit does not apply to
+	// bodies.
+	left   int
+	inHead bool
+}
+
+func (r *headReader) Read(b []byte) (n int, err error) {
+	if !r.inHead {
+		return r.Conn.Read(b)
+	}
+	if r.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err = r.Conn.Read(b[:min(len(b), r.left)])
+	r.left -= n
+	return n, err
+}
+
 type conn struct {
 	net.Conn
+	head     *headReader
 	raw      syscall.RawConn
 	reader   *bufio.Reader
 	writer   *bufio.Writer
@@ -118,8 +150,27 @@
 	// reused is false for the first request of the connection.
 	idleTime time.Duration
 	reused   bool
+	// recentIDs are the IDs of the latest requests, see ForRequest. nextID is the
+	// position of the next one.
+	recentIDs [recentIDCount]string
+	nextID    int
 }
 
+// hasServed reports whether the request with the ID was sent on the connection not
+// long ago.
+func (c *conn) hasServed(id string) bool { return id != "" && slices.Contains(c.recentIDs[:], id) }
+
+// DoOption changes how a request is sent.
+type DoOption func(*doOptions)
+
+type doOptions struct{ id string }
+
+// ForRequest gives the ID of the request that is sent, by which matches recognizes its
+// answer. If the request is sent again, it uses another connection. Otherwise a late
+// second copy of the answer to the earlier attempt would pass for the answer to the
+// later one.
+func ForRequest(id string) DoOption { return func(o *doOptions) { o.id = id } }
+
 // Answer is a response whose body has not been read yet. Close must be called.
 type Answer struct {
 	StatusCode int
@@ -141,11 +192,17 @@
 // Do sends a request and returns the first answer for which matches is true.
 // Answers to earlier requests that arrive first are skipped. When ctx ends, the
 // connection is reset, so that bytes in flight are not delivered later.
-func (p *Pool) Do(ctx context.Context, request *http.Request, matches func(status int, h http.Header) bool) (answer *Answer, err error) {
-	c, err := p.acquire(ctx)
+func (p *Pool) Do(ctx context.Context, request *http.Request, matches func(status int, h http.Header) bool, opts ...DoOption) (answer *Answer, err error) {
+	var o doOptions
+	for _, opt := range opts {
+		opt(&o)
+	}
+	c, err := p.acquire(ctx, o.id)
 	if err != nil {
 		return nil, &RequestError{cause: eris.Wrapf(err, "connect to %s", p.address)}
 	}
+	c.recentIDs[c.nextID] = o.id
+	c.nextID = (c.nextID + 1) % recentIDCount
 	answer = &Answer{pool: p, conn: c, stopAbort: context.AfterFunc(ctx, c.abort)}
 	started := time.Now()
 	defer func() {
@@ -190,6 +247,10 @@
 	return body, true, nil
 }
 
+// OnReusedConnection reports whether the connection has carried earlier requests, to
+// which a late answer could belong.
+func (a *Answer) OnReusedConnection() bool { return a.conn.reused }
+
 // MarkBodyRead records that the caller has read the body to its end.
 func (a *Answer) MarkBodyRead() { a.bodyRead = true }
 
@@ -228,7 +289,9 @@
 
 func (c *conn) read(request *http.Request, matches func(status int, h http.Header) bool) (response *http.Response, err error) {
 	for range maxSkippedAnswers {
+		c.head.left, c.head.inHead = maxHeadBytes, true
 		response, err = http.ReadResponse(c.reader, request)
+		c.head.inHead = false
 		if err != nil {
 			return nil, err
 		}
@@ -272,9 +335,9 @@
 	return err == nil && usable
 }
 
-func (p *Pool) acquire(ctx context.Context) (c *conn, err error) {
+func (p *Pool) acquire(ctx context.Context, id string) (c *conn, err error) {
 	for {
-		if c = p.popIdle(); c == nil {
+		if c = p.popIdle(id); c == nil {
 			return p.dial(ctx)
 		}
 		now := time.Now()
@@ -308,16 +371,18 @@
 	return p.maxIdle
 }
 
-func (p *Pool) popIdle() *conn {
+// popIdle returns the most recently used idle connection that has not served the
+// request with the ID, or nil.
+func (p *Pool) popIdle(id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for n := len(p.idle) - 1; n >= 0; n-- {
+		if c := p.idle[n]; !c.hasServed(id) {
+			p.idle = slices.Delete(p.idle, n, n+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context) (c *conn, err error) {
@@ -330,9 +395,10 @@
 		netConn.Close()
 		return nil, err
 	}
+	head := &headReader{Conn: netConn}
 	return &conn{
-		Conn: netConn, raw: raw,
-		reader: bufio.NewReaderSize(netConn, bufferBytes),
+		Conn: netConn, raw: raw, head: head,
+		reader: bufio.NewReaderSize(head, bufferBytes),
 		writer: bufio.NewWriterSize(netConn, bufferBytes),
 	}, nil
 }
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -16,6 +16,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,6 +49,19 @@
 	Fail
 	// Hang runs the request, sends no response and closes the connection after a minute.
 	Hang
+	// ShedTwice responds that the request was not run, without the ID of the request, and
+	// sends the response again once the next request on the connection has arrived.
+	ShedTwice
+	// ShedTwiceWithID is ShedTwice with the ID of the request.
+	ShedTwiceWithID
+	// EndlessHead runs the request and sends header lines until the connection is
+	// closed.
+	EndlessHead
+	// EndlessInformational runs the request and sends informational responses until the
+	// connection is closed.
+	EndlessInformational
+	// EndlessBody runs the request and sends a body until the connection is closed.
+	EndlessBody
 )
 
 // Server is a stand-in backend server. It is safe for concurrent use.
@@ -189,7 +203,7 @@
 		defer s.mu.Unlock()
 		delete(s.openConns, c)
 	}()
-	reader := bufio.NewReader(c)
+	reader, late := bufio.NewReader(c), ""
 	for {
 		idleSince := time.Now()
 		r, err := http.ReadRequest(reader)
@@ -200,14 +214,18 @@
 			hop.Reset(c)
 			return
 		}
-		if _, err = io.Copy(io.Discard, r.Body); err != nil || !s.handle(c, r) {
+		if _, err = io.Copy(io.Discard, r.Body); err != nil || !s.handle(c, r, &late) {
 			return
 		}
 	}
 }
 
-// handle handles one request. ok is false if the connection must be closed.
-func (s *Server) handle(c net.Conn, r *http.Request) (ok bool) {
+// handle handles one request. late holds what is sent before the response to the next
+// request. ok is false if the connection must be closed.
+func (s *Server) handle(c net.Conn, r *http.Request, late *string) (ok bool) {
+	// An error is ignored as in writeResponse.
+	_, _ = io.WriteString(c, *late)
+	*late = ""
 	id := r.Header.Get("X-Request-Id")
 	if id == "" {
 		return s.answerHealthCheck(c)
@@ -224,13 +242,29 @@
 	time.Sleep(serviceTime)
 	idHeader := "X-Request-Id: " + id + "\r\n"
 	signedHeaders := idHeader + "X-Server-Signature: signed\r\n"
-	if behaviour != Shed && runHook != nil && !runHook(r) {
+	if !behaviour.refuses() && runHook != nil && !runHook(r) {
 		writeResponse(c, "500 Internal Server Error", signedHeaders, "a call failed")
 		return true
 	}
 	switch behaviour {
 	case Shed:
 		writeResponse(c, "503 Service Unavailable", "X-Not-Executed: 1\r\n", "")
+	case ShedTwice, ShedTwiceWithID:
+		refusal := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n"
+		if behaviour == ShedTwiceWithID {
+			refusal += idHeader
+		}
+		*late = refusal + "\r\n"
+		_, _ = io.WriteString(c, *late)
+	case EndlessHead:
+		writeEndlessly(c, "HTTP/1.1 200 OK\r\n"+signedHeaders, "X-Filler: "+strings.Repeat("x", 100)+"\r\n")
+		return false
+	case EndlessInformational:
+		writeEndlessly(c, "", "HTTP/1.1 103 Early Hints\r\n\r\n")
+		return false
+	case EndlessBody:
+		writeEndlessly(c, "HTTP/1.1 200 OK\r\n"+signedHeaders+"\r\n", strings.Repeat("x", 1000))
+		return false
 	case LoseAnswer:
 		return false
 	case CutAnswer:
@@ -276,7 +310,7 @@
 	s.maxRunning = max(s.maxRunning, s.running)
 	behaviour := s.chooseBehaviour(r)
 	s.headers[id] = r.Header
-	if behaviour != Shed {
+	if !behaviour.refuses() {
 		s.runs[id]++
 	}
 	return behaviour
@@ -288,6 +322,18 @@
 	s.running--
 }
 
+// refuses reports whether the server does not run the request.
+func (b Behaviour) refuses() bool { return b == Shed || b == ShedTwice || b == ShedTwiceWithID }
+
+// writeEndlessly writes the start, and then the repeated part until the connection is
+// closed.
+func writeEndlessly(c net.Conn, start, repeated string) {
+	_, err := io.WriteString(c, start)
+	for err == nil {
+		_, err = io.WriteString(c, repeated)
+	}
+}
+
 func writeResponse(c net.Conn, status, headers, body string) {
 	// Errors are ignored: a client that has disconnected does not need the response.
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
--- /dev/null
+++ b/mesh/late_answer_test.go
@@ -0,0 +1,68 @@
+package mesh
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/internal/standin/server"
+)
+
+// Guards against a late second copy of a refusal that passes for the answer to the next
+// request on the connection, or to the next attempt of the same request. That request
+// would be reported as not run, and sent elsewhere, although it runs.
+func TestLateCopyOfRefusal(t *testing.T) {
+	for name, behaviour := range map[string]server.Behaviour{
+		"without ID": server.ShedTwice, "with ID": server.ShedTwiceWithID,
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, "orders", "orders", "catalogue")
+			for _, v := range d.vms {
+				n := 0
+				v.server.SetBehaviour(func(*http.Request) server.Behaviour {
+					if n++; n%2 == 0 {
+						return behaviour
+					}
+					return server.Answer
+				})
+			}
+			for n := range 30 {
+				id := fmt.Sprintf("a%d", n)
+				r := d.call(d.vms[2], http.MethodPost, "/once/", id)
+				must.NoError(t, r.err)
+				runs := d.runs(id)
+				must.LessEq(t, 1, runs)
+				if r.status == http.StatusServiceUnavailable {
+					must.Eq(t, 0, runs)
+				}
+			}
+		})
+	}
+}
+
+// A backend server in trouble may send bytes without end. Its caller gets a definite
+// answer well before the time-out, or an answer that does not look complete.
+func TestEndlessAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		behaviour server.Behaviour
+		complete  bool
+	}{
+		"head":                    {server.EndlessHead, true},
+		"informational responses": {server.EndlessInformational, true},
+		"body":                    {server.EndlessBody, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, "orders", "catalogue")
+			d.vms[0].server.SetBehaviour(func(*http.Request) server.Behaviour { return c.behaviour })
+			r := d.call(d.vms[1], http.MethodPost, "/once/", "a")
+			if c.complete {
+				must.NoError(t, r.err)
+				must.Eq(t, http.StatusBadGateway, r.status)
+				return
+			}
+			must.Error(t, r.err)
+		})
+	}
+}
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -203,7 +203,7 @@
 	s.repeats.start(req.repeatShare)
 	defer s.repeats.end(req.repeatShare)
 	s.silence.requestSent(time.Now())
-	resp, err := s.backend.Do(ctx, httpReq, matchesRequest(req.id))
+	resp, err := s.backend.Do(ctx, httpReq, matchesRequest(req.id), hop.ForRequest(req.id))
 	// A time-out or the end of the context does not show that the server responds.
 	// Any other error does, such as a connection that the server has reset.
 	s.silence.requestEnded(time.Now(), err == nil || !isTimeout(err) && ctx.Err() == nil)
@@ -287,7 +287,7 @@
 }
 
 // matchesRequest returns a function that accepts the responses to the request
-// with the ID. A response that states that nothing was run has no ID and is
+// with the ID. A response that states that nothing was run may have no ID and is
 // accepted too.
 func matchesRequest(id string) func(status int, h http.Header) bool {
 	return func(status int, h http.Header) bool {
@@ -316,6 +316,10 @@
 // also be signed and have no content encoding.
 func resultOfResponse(resp *hop.Answer) *result {
 	res := &result{status: resp.StatusCode, header: endToEndHeader(resp.Header)}
+	if platform.RequestID(resp.Header) == "" && resp.OnReusedConnection() {
+		resp.Close()
+		return unknownResult(call.ReasonLost, "a refusal without request ID on a reused connection may belong to an earlier request")
+	}
 	if platform.NotRun(resp.StatusCode, resp.Header) {
 		// The error is ignored: its only consequence is that the connection is not
 		// reused.
