Do not wait for a node that refuses a request its server has refused before

Found while reading the change: a request that MaxAttempts servers have refused goes back to the first of them. If the node there had become unreachable or was stopping, it was tried up to eight times, 300 ms each. The node is now left out once it has refused. TestRequestIsSentAgainToServerThatRefusedIt fails before in one case.

--- a/mesh/node_selector.go
+++ b/mesh/node_selector.go
@@ -76,7 +76,7 @@
 	if s.attempts < maxNodeAttempts && len(s.reachedBackend) >= s.maxBackends {
 		s.attempts++
 		s.request.queueTimeout = s.lastQueueTimeout()
-		return s.shedBy, !s.mayHaveRun
+		return s.shedBy, !s.mayHaveRun && !slices.Contains(s.refused, s.shedBy.node)
 	}
 	for s.attempts++; s.attempts <= maxNodeAttempts && s.stage < stageEnd; s.stage++ {
 		if p, ok = s.choose(s.stage); ok {
--- /dev/null
+++ b/mesh/node_selector_test.go
@@ -0,0 +1,38 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Replays a request that as many backend servers as its route allows have refused.
+// Guards against giving up while a server may still accept it, against sending it to
+// further servers, and against trying a node again that has become unreachable.
+func TestRequestIsSentAgainToServerThatRefusedIt(t *testing.T) {
+	first, second := &peer{node: "first"}, &peer{node: "second"}
+	for name, c := range map[string]struct {
+		secondMayHaveRun bool
+		refused          []string
+		want             bool
+	}{
+		"both refused it":         {want: true},
+		"the second may run it":   {secondMayHaveRun: true},
+		"the first node refuses":  {refused: []string{"first"}},
+		"another node refused it": {refused: []string{"third"}, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &nodeSelector{request: &request{deadline: time.Now().Add(time.Second)}, maxBackends: 2, attempts: 2}
+			s.recordBackend(first, true)
+			s.recordBackend(second, !c.secondMayHaveRun)
+			must.Eq(t, !c.secondMayHaveRun, s.hasNext())
+			s.refused = c.refused
+			p, ok := s.next()
+			must.Eq(t, c.want, ok)
+			if ok {
+				must.Eq(t, first, p)
+			}
+		})
+	}
+}
