Believe refusals of a wrong instance, and let the stand-in name the request it refuses

Cause, traced: the stand-in's refusals had no request ID. When the connection had carried the node's health request before, the refusal counted as a possible late copy, and the request as one that may have run.

TestLateCopyOfRefusal keeps refusals without ID. A refusal with status 421 is believed without ID on any connection: the server is the wrong one for each request there.

--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -248,7 +248,7 @@
 	}
 	switch behaviour {
 	case Shed:
-		writeResponse(c, "503 Service Unavailable", "X-Not-Executed: 1\r\n", "")
+		writeResponse(c, "503 Service Unavailable", idHeader+"X-Not-Executed: 1\r\n", "")
 	case ShedTwice, ShedTwiceWithID:
 		refusal := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n"
 		if behaviour == ShedTwiceWithID {
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -316,7 +316,10 @@
 // also be signed and have no content encoding.
 func resultOfResponse(resp *hop.Answer) *result {
 	res := &result{status: resp.StatusCode, header: endToEndHeader(resp.Header)}
-	if platform.RequestID(resp.Header) == "" && resp.OnReusedConnection() {
+	// A server that is not the expected instance refuses each request on the connection,
+	// so a late copy of that refusal is true for the present request as well.
+	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
+	if platform.RequestID(resp.Header) == "" && resp.OnReusedConnection() && !misdirected {
 		resp.Close()
 		return unknownResult(call.ReasonLost, "a refusal without request ID on a reused connection may belong to an earlier request")
 	}
