--- a/budget/budget.go
+++ b/budget/budget.go
@@ -26,8 +26,9 @@
 const (
 	// stepsPerWindow is the resolution of the counts.
 	stepsPerWindow = 40
-	// historySteps is the number of steps that are kept. The budget of a window may
-	// rely on the requests of the window before it.
+	// historySteps is the number of steps that are kept. The budget of a window counts
+	// the requests in it, in the window before it, or in the one half a window before it,
+	// whichever has most.
 	historySteps = 2 * stepsPerWindow
 	// partialSteps is the number of steps that a bound of a window may lie in: the
 	// current step has passed only in part, and the window ends at any time of a step.
@@ -64,9 +65,12 @@
 	startedAt time.Time
 }
 
+// minStep is the shortest step. It applies if the length of the window is not known.
+const minStep = time.Millisecond
+
 // NewWindow returns a window of the given length without any requests.
 func NewWindow(length time.Duration) *Window {
-	return &Window{step: max(length/stepsPerWindow, time.Millisecond)}
+	return &Window{step: max(length/stepsPerWindow, minStep)}
 }
 
 // RecordRequest counts a request. repeatShare is the probability, from 0 to 1, that a
@@ -90,18 +94,20 @@
 // Available returns the number of retries that the limit allows at this moment.
 func (w *Window) Available(now time.Time, limit Limit) (retries float64) {
 	w.advance(now)
-	var before [historySteps + 1]counts
+	// latest[n] holds the sums over the latest n steps.
+	var latest [historySteps + 1]counts
 	for n, c := range w.steps {
-		before[n+1] = before[n].add(c)
+		latest[n+1] = latest[n].add(c)
 	}
-	// requestsIn returns the requests from the step that is the given number of steps
-	// old up to, but not including, a newer one. Steps in the future have none.
+	// requestsIn returns the requests of the steps with indexes from newest to below
+	// oldest. Negative indexes are steps in the future, which have none yet.
 	requestsIn := func(oldest, newest int) float64 {
-		return before[min(oldest, historySteps)].requests - before[min(max(newest, 0), historySteps)].requests
+		return latest[oldest].requests - latest[max(newest, 0)].requests
 	}
-	// Each round is for the windows that end in the step that is the given number of
-	// steps ahead. Their bounds lie within steps, so requests count only in steps that
-	// are in all of these windows, and retries in steps that are in any.
+	// Each round is for the windows that end up to the given number of steps ahead, and
+	// contain the given length of steps up to now. Their bounds lie within steps, so
+	// requests count only in steps that are in all of these windows, and retries in steps
+	// that are in any.
 	for ahead := range stepsPerWindow + 1 {
 		length := stepsPerWindow - ahead
 		requests := max(
@@ -109,7 +115,7 @@
 			requestsIn(length+stepsPerWindow/2, length-stepsPerWindow/2+partialSteps),
 			requestsIn(length+stepsPerWindow, length+partialSteps),
 		)
-		spent := before[length+partialSteps]
+		spent := latest[length+partialSteps]
 		left := min(
 			limit.RetryRatio*requests+limit.Slack-spent.retries,
 			limit.RepeatRatio*requests+limit.Slack-spent.repeats,
--- a/hop/endless_test.go
+++ b/hop/endless_test.go
@@ -42,7 +42,7 @@
 		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://example/x", http.NoBody)
 		must.NoError(t, err)
 		request.Header.Set(idHeader, "a")
-		answer, err := pool.Do(t.Context(), request, func(_ int, h http.Header) bool { return h.Get(idHeader) == "a" }, hop.ForRequest("a"))
+		answer, err := pool.Do(t.Context(), request, "a", func(_ int, h http.Header) bool { return h.Get(idHeader) == "a" })
 		must.NoError(t, err)
 		_, _, err = answer.ReadAll(1 << 20)
 		must.NoError(t, err)
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	pool := hop.New("10.1.0.8:8301")
-//	answer, err := pool.Do(ctx, request, matches)
+//	answer, err := pool.Do(ctx, request, id, matches)
 //	if err != nil && !hop.MayHaveRun(err) {
 //		// the request can be sent to another receiver
 //	}
@@ -37,7 +37,8 @@
 	// informational response before it. A receiver in trouble may send bytes without
 	// end, and a node has a few hundred connections and little memory.
 	maxHeadBytes = 32 << 10
-	// recentIDCount is the number of requests that a connection remembers.
+	// recentIDCount is the number of requests whose IDs a connection remembers. A late
+	// copy of an answer arrives with one of the next answers.
 	recentIDCount = 4
 	// maxSkippedAnswers bounds how many answers to earlier requests are skipped
 	// while waiting for the answer to the current one.
@@ -150,7 +151,7 @@
 	// reused is false for the first request of the connection.
 	idleTime time.Duration
 	reused   bool
-	// recentIDs are the IDs of the latest requests, see ForRequest. nextID is the
+	// recentIDs are the IDs of the latest requests on the connection. nextID is the
 	// position of the next one.
 	recentIDs [recentIDCount]string
 	nextID    int
@@ -160,17 +161,6 @@
 // long ago.
 func (c *conn) hasServed(id string) bool { return id != "" && slices.Contains(c.recentIDs[:], id) }
 
-// DoOption changes how a request is sent.
-type DoOption func(*doOptions)
-
-type doOptions struct{ id string }
-
-// ForRequest gives the ID of the request that is sent, by which matches recognizes its
-// answer. If the request is sent again, it uses another connection. Otherwise a late
-// second copy of the answer to the earlier attempt would pass for the answer to the
-// later one.
-func ForRequest(id string) DoOption { return func(o *doOptions) { o.id = id } }
-
 // Answer is a response whose body has not been read yet. Close must be called.
 type Answer struct {
 	StatusCode int
@@ -192,16 +182,16 @@
 // Do sends a request and returns the first answer for which matches is true.
 // Answers to earlier requests that arrive first are skipped. When ctx ends, the
 // connection is reset, so that bytes in flight are not delivered later.
-func (p *Pool) Do(ctx context.Context, request *http.Request, matches func(status int, h http.Header) bool, opts ...DoOption) (answer *Answer, err error) {
-	var o doOptions
-	for _, opt := range opts {
-		opt(&o)
-	}
-	c, err := p.acquire(ctx, o.id)
+//
+// id is the ID by which matches recognizes the answer, or "" if it has none. A request
+// that is sent again uses another connection, because a late second copy of the answer to
+// its earlier attempt has the same ID.
+func (p *Pool) Do(ctx context.Context, request *http.Request, id string, matches func(status int, h http.Header) bool) (answer *Answer, err error) {
+	c, err := p.acquire(ctx, id)
 	if err != nil {
 		return nil, &RequestError{cause: eris.Wrapf(err, "connect to %s", p.address)}
 	}
-	c.recentIDs[c.nextID] = o.id
+	c.recentIDs[c.nextID] = id
 	c.nextID = (c.nextID + 1) % recentIDCount
 	answer = &Answer{pool: p, conn: c, stopAbort: context.AfterFunc(ctx, c.abort)}
 	started := time.Now()
--- a/hop/hop_test.go
+++ b/hop/hop_test.go
@@ -39,7 +39,7 @@
 	request := &http.Request{
 		Method: method, URL: &url.URL{Opaque: "/x"}, Host: "example", Header: http.Header{idHeader: {id}},
 	}
-	answer, err := pool.Do(ctx, request, func(_ int, h http.Header) bool { return h.Get(idHeader) == id })
+	answer, err := pool.Do(ctx, request, "", func(_ int, h http.Header) bool { return h.Get(idHeader) == id })
 	if err != nil {
 		return "", err
 	}
--- a/internal/matrix/exchange.go
+++ b/internal/matrix/exchange.go
@@ -164,8 +164,8 @@
 	return failedReply(call.Unknown, call.ReasonNoTokens)
 }
 
-// resolveKey returns the issued key of a request. It claims a key that was chosen
-// by the caller, and returns a reply if that fails.
+// resolveKey returns the issued key of a request. For a key that the caller supplies
+// itself, it claims an issued one. It returns a reply if that fails.
 func (i *instance) resolveKey(r request) (k booking.Key, failed *reply) {
 	if booking.IsIssued(r.key) {
 		k, err := booking.ParseKey(r.key)
--- a/membership/table.go
+++ b/membership/table.go
@@ -1,15 +1,11 @@
 package membership
 
 import (
-	"encoding/binary"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/lacewingslip/lacewingslip/event"
 )
 
@@ -24,17 +20,8 @@
 	// assumed to have been paused. The excess is not counted towards suspicionTimeout.
 	pauseThreshold = 3 * time.Second
 
-	// clockDriftDivisor is the inverse of the largest relative difference between the
-	// clock rates of two VMs.
-	clockDriftDivisor = 1000
-
-	bucketCount        = 64
-	transmissionFactor = 3
-	// confirmationsToStop is the number of times that a change must be received from
-	// other nodes, or of exchanges between equal tables, until the change is no longer
-	// sent. A node that missed the change receives it when digests are compared.
-	confirmationsToStop = 3
-	maxRecords          = 16_384
+	bucketCount = 64
+	maxRecords  = 16_384
 )
 
 // Change is a change of a table that is reported as an event.
@@ -68,22 +55,6 @@
 	peersStale             bool
 }
 
-type record struct {
-	fields
-	health Health
-	// healthSince is the time of the last change of health, by the local clock.
-	healthSince time.Time
-	// remainingSends is the number of times that the record is still to be sent.
-	remainingSends int
-	// removed marks a tombstone, which is retained only to reject older updates.
-	removed bool
-	// lastAgeSeconds is the last known age of the incarnation, from its entry or
-	// from the node itself, and lastAgeAt is the local time at which it was received.
-	lastAgeSeconds uint32
-	lastAgeAt      time.Time
-	hash           uint64
-}
-
 // NewTable returns a table that holds only the node itself.
 func NewTable(now time.Time, self Self, random *rand.Rand) *Table {
 	t := &Table{
@@ -338,24 +309,6 @@
 	t.pending[r.Node] = r
 }
 
-// observeAge stores a received age if it is above the local lower bound.
-func (r *record) observeAge(now time.Time, seconds uint32) {
-	if seconds > r.minAge(now) {
-		r.lastAgeSeconds, r.lastAgeAt = seconds, now
-	}
-}
-
-// minAge returns a lower bound of the incarnation's age in seconds, which holds
-// even if the node's clock is slower than the local one.
-func (r *record) minAge(now time.Time) (seconds uint32) {
-	since := now.Sub(r.lastAgeAt)
-	since -= since/clockDriftDivisor + time.Second
-	if since <= 0 {
-		return r.lastAgeSeconds
-	}
-	return r.lastAgeSeconds + uint32(since/time.Second)
-}
-
 func (t *Table) remove(now time.Time, r *record) {
 	t.buckets[bucketOf(r.Node)] ^= r.hash
 	r.removed, r.healthSince = true, now
@@ -364,123 +317,6 @@
 	delete(t.pending, r.Node)
 }
 
-// transmissions returns how many times each node sends a change.
-func (t *Table) transmissions() int {
-	return int(math.Ceil(transmissionFactor * math.Log2(float64(len(t.records)+1))))
-}
-
-// deltas returns the pending records that were sent least often, up to about
-// the given number of bytes, and counts them as sent. It omits the nodes in
-// exclude.
-func (t *Table) deltas(now time.Time, budget int, exclude []update) (updates []update) {
-	skip := make(map[string]bool, len(exclude))
-	for _, u := range exclude {
-		skip[u.Node] = true
-	}
-	pending := make([]*record, 0, len(t.pending))
-	for node, r := range t.pending {
-		if !skip[node] {
-			pending = append(pending, r)
-		}
-	}
-	slices.SortFunc(pending, func(a, b *record) int {
-		if a.remainingSends != b.remainingSends {
-			return b.remainingSends - a.remainingSends
-		}
-		return strings.Compare(a.Node, b.Node)
-	})
-	for _, r := range pending {
-		u := r.update(now)
-		if u.Health != Alive {
-			u = u.healthOnly()
-		}
-		if budget -= u.estimatedSize(); budget < 0 && len(updates) > 0 {
-			break
-		}
-		updates = append(updates, u)
-		t.countSent(r, 1)
-	}
-	return updates
-}
-
-// countSent reduces the remaining transmissions of a record by n.
-func (t *Table) countSent(r *record, n int) {
-	if r.remainingSends -= n; r.remainingSends <= 0 {
-		delete(t.pending, r.Node)
-	}
-}
-
-// countEqualTables reduces the remaining transmissions of all pending records
-// after an exchange with a node that has the same table.
-func (t *Table) countEqualTables() {
-	for _, r := range t.pending {
-		t.countSent(r, t.confirmationWeight())
-	}
-}
-
-// confirmationWeight returns the number of transmissions that are saved when
-// another node is known to have a record.
-func (t *Table) confirmationWeight() int {
-	return (t.transmissions() + confirmationsToStop - 1) / confirmationsToStop
-}
-
-// checksum returns one hash of the whole table.
-func (t *Table) checksum() (sum uint64) {
-	for _, bucket := range t.buckets {
-		sum ^= bucket
-	}
-	return sum
-}
-
-// allUpdates returns every record, up to about the given number of bytes.
-func (t *Table) allUpdates(now time.Time, budget int) (updates []update) {
-	for _, r := range t.records {
-		if r.removed {
-			continue
-		}
-		u := r.update(now)
-		if budget -= u.estimatedSize(); budget < 0 {
-			break
-		}
-		updates = append(updates, u)
-	}
-	return updates
-}
-
-// bucketTags returns the hashes of a bucket's records by node.
-func (t *Table) bucketTags(bucket int) (tags map[string]uint32) {
-	tags = map[string]uint32{}
-	for node, r := range t.records {
-		if !r.removed && bucketOf(node) == bucket {
-			tags[node] = uint32(r.hash)
-		}
-	}
-	return tags
-}
-
-// compareBucket compares a bucket with the tags that another node has sent for
-// it. It returns the records that are missing or different on the other node,
-// and the nodes that only the other node knows.
-func (t *Table) compareBucket(now time.Time, bucket int, theirs map[string]uint32) (updates []update, missing []string) {
-	ours := t.bucketTags(bucket)
-	for node, tag := range ours {
-		theirTag, known := theirs[node]
-		switch u := t.records[node].update(now); {
-		case !known || theirTag != tag && u.Health == Alive:
-			updates = append(updates, u)
-		case theirTag != tag:
-			updates = append(updates, u.healthOnly())
-		}
-	}
-	for node := range theirs {
-		if _, known := ours[node]; !known {
-			missing = append(missing, node)
-		}
-	}
-	slices.Sort(missing)
-	return updates, missing
-}
-
 // pickReachable returns up to n different random nodes that can be reached. It
 // omits the local node and the nodes in exclude.
 func (t *Table) pickReachable(n int, exclude ...string) (members []Member) {
@@ -526,46 +362,6 @@
 	}
 }
 
-func (r *record) member() Member { return Member{Entry{r.fields}, r.health} }
-
-func (r *record) update(now time.Time) update {
-	u := update{fields: r.fields, Health: r.health}
-	// The age of a suspicion is not sent: each node starts suspicionTimeout when
-	// it receives the suspicion. This distributes the last probes of all nodes
-	// over the time in which the suspicion reaches them.
-	if r.health > Suspect {
-		u.HealthSeconds = max(0, int64(now.Sub(r.healthSince)/time.Second))
-	}
-	if r.removed {
-		u.HealthSeconds += int64(retention(r.health) / time.Second)
-	}
-	return u
-}
-
-// computeHash hashes the fields that order the updates of one node.
-func (r *record) computeHash() uint64 {
-	data := append([]byte(r.Node), 0)
-	data = binary.BigEndian.AppendUint64(data, uint64(r.StartedMS))
-	data = binary.BigEndian.AppendUint64(data, r.Incarnation)
-	data = binary.BigEndian.AppendUint64(data, r.Version)
-	return max(1, xxhash.Sum64(append(data, byte(r.health))))
-}
-
-func (u update) healthAge() time.Duration { return time.Duration(u.HealthSeconds) * time.Second }
-
-// estimatedSize returns the approximate number of bytes of the update in a
-// message.
-func (u update) estimatedSize() int {
-	const fixedBytes = 150
-	if u.isHealthOnly() {
-		return fixedBytes/2 + len(u.Node)
-	}
-	return fixedBytes + len(u.Node) + len(u.Peer) + len(u.Caller) + len(u.Operator) +
-		len(u.Region) + len(u.Zone) + len(u.Service)
-}
-
-func bucketOf(node string) int { return int(xxhash.Sum64String(node) % bucketCount) }
-
 func healthEvent(h Health) event.ID {
 	switch h {
 	case Suspect:
--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -302,7 +302,7 @@
 // of the desired state at that node.
 func (b *balancer) send(ctx context.Context, p *peer, req *request, version int64) (res *result, peerVersion int64) {
 	httpReq := req.httpRequest(func(h http.Header) { setRequestHeaders(h, req, version) })
-	resp, err := p.pool.Do(ctx, httpReq, func(_ int, h http.Header) bool { return isResponseTo(h, req.id) })
+	resp, err := p.pool.Do(ctx, httpReq, req.id, func(_ int, h http.Header) bool { return isResponseTo(h, req.id) })
 	if err != nil {
 		return resultOfError(ctx, err), 0
 	}
--- a/mesh/customer_admission.go
+++ b/mesh/customer_admission.go
@@ -93,13 +93,36 @@
 	targetRegion string
 	// level is the pressure level of the route in the region of this node.
 	level float64
-	// aboveLowest is true for customer requests above the lowest priority. They go
-	// before the calls of backend servers, which may belong to a request of any
-	// priority. At the service at the bottom of a call tree, a lookup that customers
-	// make there directly would otherwise wait behind the eight calls of each less
-	// important request.
-	aboveLowest bool
-	admitted    bool
+	// rank orders the request in the slot queue.
+	rank     int
+	admitted bool
+}
+
+const (
+	// preferredRank is the queue rank of customer requests above the lowest priority.
+	// defaultRank is the rank of all other customer requests and of all calls that
+	// backend servers make.
+	preferredRank = 0
+	defaultRank   = 1
+)
+
+// queueRank returns the rank of a request in the slot queue, where lower ranks go
+// first. priorities holds the priorities of the routes that customers call, the highest
+// first.
+//
+// It answers the load of a full service at the bottom of a call tree, which customers
+// also call directly. A call does not show which customer request it belongs to, and most
+// belong to the least important ones. Its own time limit is short, so by deadline alone
+// a direct request would wait behind all calls.
+func queueRank(origin calltree.Origin, priority int, priorities []int) int {
+	switch {
+	case origin == calltree.Unknown:
+		return priority
+	case origin == calltree.Customers && len(priorities) > 0 && priority < priorities[len(priorities)-1]:
+		return preferredRank
+	default:
+		return defaultRank
+	}
 }
 
 // admit decides on a request. Calls of backend servers are always admitted,
@@ -108,14 +131,14 @@
 // region as a whole: it then crosses regions once, and its child calls do not.
 func (a *customerAdmission) admit(route *desired.Route) (decision admissionDecision) {
 	a.mu.Lock()
-	fromCustomers := a.origins[route.Name()].Origin == calltree.Customers
+	origin := a.origins[route.Name()].Origin
 	priorityIndex, priorityCount := slices.Index(a.priorities, route.Priority()), len(a.priorities)
+	decision.rank = queueRank(origin, route.Priority(), a.priorities)
 	a.mu.Unlock()
 	now := time.Now()
 	key := pressure.Target{Route: route.Name(), Region: a.ownRegion}
 	decision.level = a.regionPressure.Level(now, key)
-	decision.aboveLowest = fromCustomers && priorityIndex >= 0 && priorityIndex < priorityCount-1
-	if !fromCustomers || priorityIndex < 0 || a.regionPressure.Admit(now, key, priorityIndex, priorityCount) {
+	if origin != calltree.Customers || priorityIndex < 0 || a.regionPressure.Admit(now, key, priorityIndex, priorityCount) {
 		decision.admitted = true
 		return decision
 	}
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -104,11 +104,7 @@
 	}
 	e.directory.Merge(received.Self)
 	e.balancer.markReachable(received.Self.Node)
-	if host, _, err := net.SplitHostPort(received.Self.Address); err == nil {
-		if p, ok := e.balancer.peerByIP(host); ok {
-			e.fetchIfNewer(p, received.Version)
-		}
-	}
+	e.fetchIfNewerAt(received.Self.Address, received.Version)
 	var changed []fleet.Member
 	var seenChanges int64
 	if received.WaitMs > 0 {
@@ -199,6 +195,15 @@
 	return reply, nil
 }
 
+// fetchIfNewerAt is fetchIfNewer for the node with the IP in the address.
+func (e *exchange) fetchIfNewerAt(address string, version int64) {
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		if p, ok := e.balancer.peerByIP(host); ok {
+			e.fetchIfNewer(p, version)
+		}
+	}
+}
+
 // fetchIfNewer fetches the desired state from a node in the background if the
 // version at that node is newer than the version at this node.
 func (e *exchange) fetchIfNewer(p *peer, version int64) {
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -18,12 +18,6 @@
 )
 
 const (
-	// preferredRank is the queue rank of admitted customer requests above the
-	// lowest priority. defaultRank is the rank of all other admitted customer
-	// requests and of all calls that backend servers make, because a call does not
-	// show which customer request it belongs to.
-	preferredRank = 0
-	defaultRank   = 1
 	// responseGrace is how much longer this node waits than the nodes and backend
 	// servers that it sends requests to, so that the result that they report
 	// arrives before this node times out.
@@ -84,13 +78,7 @@
 	}
 	i.budget.recordRequest(req.service, req.repeatShare)
 	decision := i.admission.admit(route)
-	req.targetRegion, req.fromCustomer = decision.targetRegion, origin == calltree.Customers
-	if origin != calltree.Unknown {
-		req.rank = defaultRank
-		if decision.aboveLowest {
-			req.rank = preferredRank
-		}
-	}
+	req.targetRegion, req.rank, req.fromCustomer = decision.targetRegion, decision.rank, origin == calltree.Customers
 	if !decision.admitted {
 		res := notRunResult(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is overloaded: pressure level %.2f", decision.level))
 		i.respond(w, req, res, receivedAt, state.Version())
@@ -112,7 +100,7 @@
 	req = &request{
 		id: platform.RequestID(r.Header), method: r.Method, host: r.Host, target: r.RequestURI,
 		header: endToEndHeader(r.Header), service: i.splitter.Next(route), caller: i.settings.Service,
-		route: route.Name(), kind: route.Kind(), priority: route.Priority(), rank: route.Priority(), deadline: receivedAt.Add(timeout), callerDeadline: receivedAt.Add(callerTimeout(r.Header)),
+		route: route.Name(), kind: route.Kind(), priority: route.Priority(), deadline: receivedAt.Add(timeout), callerDeadline: receivedAt.Add(callerTimeout(r.Header)),
 	}
 	req.header.Del("Content-Length")
 	var err error
--- a/mesh/late_answer_test.go
+++ b/mesh/late_answer_test.go
@@ -18,19 +18,17 @@
 		"without ID": server.ShedTwice, "with ID": server.ShedTwiceWithID,
 	} {
 		t.Run(name, func(t *testing.T) {
-			d := newDeployment(t, "orders", "orders", "catalogue")
-			for _, v := range d.vms {
-				n := 0
-				v.server.SetBehaviour(func(*http.Request) server.Behaviour {
-					if n++; n%2 == 0 {
-						return behaviour
-					}
-					return server.Answer
-				})
-			}
+			d := newDeployment(t, "orders", "catalogue")
+			n := 0
+			d.vms[0].server.SetBehaviour(func(*http.Request) server.Behaviour {
+				if n++; n%2 == 0 {
+					return behaviour
+				}
+				return server.Answer
+			})
 			for n := range 30 {
 				id := fmt.Sprintf("a%d", n)
-				r := d.call(d.vms[2], http.MethodPost, "/once/", id)
+				r := d.call(d.vms[1], http.MethodPost, "/once/", id)
 				must.NoError(t, r.err)
 				runs := d.runs(id)
 				must.LessEq(t, 1, runs)
@@ -42,27 +40,28 @@
 	}
 }
 
-// A backend server in trouble may send bytes without end. Its caller gets a definite
-// answer well before the time-out, or an answer that does not look complete.
+// A backend server in trouble may send bytes without end. Its caller gets 502, and not
+// 504 when the time-out of the route has passed, or an answer that does not look
+// complete.
 func TestEndlessAnswers(t *testing.T) {
 	for name, c := range map[string]struct {
 		behaviour server.Behaviour
-		complete  bool
+		cut       bool
 	}{
-		"head":                    {server.EndlessHead, true},
-		"informational responses": {server.EndlessInformational, true},
-		"body":                    {server.EndlessBody, false},
+		"head":                    {behaviour: server.EndlessHead},
+		"informational responses": {behaviour: server.EndlessInformational},
+		"body":                    {behaviour: server.EndlessBody, cut: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t, "orders", "catalogue")
 			d.vms[0].server.SetBehaviour(func(*http.Request) server.Behaviour { return c.behaviour })
 			r := d.call(d.vms[1], http.MethodPost, "/once/", "a")
-			if c.complete {
-				must.NoError(t, r.err)
-				must.Eq(t, http.StatusBadGateway, r.status)
+			if c.cut {
+				must.Error(t, r.err)
 				return
 			}
-			must.Error(t, r.err)
+			must.NoError(t, r.err)
+			must.Eq(t, http.StatusBadGateway, r.status)
 		})
 	}
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -28,8 +28,9 @@
 //
 // The path of a request is ingress.go (accepts requests and decides on
 // attempts), customer_admission.go (refuses customer requests under pressure),
-// node_selector.go and balancer.go (choose the next node), and sidecar.go (runs
-// requests at the backend server). announcements.go tracks the backend server,
+// node_selector.go and balancer.go (choose the next node), retry_budget.go (decides
+// whether a failed request is sent again), and sidecar.go (runs requests at the backend
+// server). repeats.go estimates which calls belong to repeated runs. announcements.go tracks the backend server,
 // desired_state.go the operator's desired state, and exchange.go and watchers.go
 // other nodes. lifecycle.go starts and stops everything.
 package mesh
--- a/mesh/node_selector.go
+++ b/mesh/node_selector.go
@@ -67,18 +67,17 @@
 )
 
 // next returns the node for the next attempt and sets the queue timeout of the
-// request there. ok is false if no node is left. Once the request has been sent to as
-// many backend servers as its route allows, and none of them has run it, it is sent
-// again to the first of them: a server that refuses a share of its requests is as
-// likely to accept the next one as any other.
+// request there. ok is false if no node is left.
 func (s *nodeSelector) next() (p *peer, ok bool) {
+	if s.attempts >= maxNodeAttempts {
+		return nil, false
+	}
 	s.request.sentBefore = s.attempts > 0
-	if s.attempts < maxNodeAttempts && len(s.reachedBackend) >= s.maxBackends {
-		s.attempts++
-		s.request.queueTimeout = s.lastQueueTimeout()
-		return s.shedBy, !s.mayHaveRun && !slices.Contains(s.refused, s.shedBy.node)
+	s.attempts++
+	if len(s.reachedBackend) >= s.maxBackends {
+		return s.chooseAgain()
 	}
-	for s.attempts++; s.attempts <= maxNodeAttempts && s.stage < stageEnd; s.stage++ {
+	for ; s.stage < stageEnd; s.stage++ {
 		if p, ok = s.choose(s.stage); ok {
 			if s.stage != stageHomeRegion {
 				s.stage++
@@ -86,7 +85,19 @@
 			return p, true
 		}
 	}
-	return nil, false
+	return s.chooseAgain()
+}
+
+// chooseAgain returns the first node whose backend server refused the request without
+// running it, unless the request may have run elsewhere. A server that refuses a share of
+// its requests is as likely to accept the next one as any other, and the route limits the
+// number of servers and not that of refusals.
+func (s *nodeSelector) chooseAgain() (p *peer, ok bool) {
+	if s.mayHaveRun || s.shedBy == nil || slices.Contains(s.refused, s.shedBy.node) {
+		return nil, false
+	}
+	s.request.queueTimeout = s.lastQueueTimeout()
+	return s.shedBy, true
 }
 
 // recordBackend records that the backend server beside a node received the request.
--- a/mesh/node_selector_test.go
+++ b/mesh/node_selector_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/nodeconfig"
 )
 
 // Replays a request that as many backend servers as its route allows have refused.
@@ -15,15 +17,20 @@
 	for name, c := range map[string]struct {
 		secondMayHaveRun bool
 		refused          []string
+		maxBackends      int
 		want             bool
 	}{
-		"both refused it":         {want: true},
-		"the second may run it":   {secondMayHaveRun: true},
-		"the first node refuses":  {refused: []string{"first"}},
-		"another node refused it": {refused: []string{"third"}, want: true},
+		"both refused it":            {maxBackends: 2, want: true},
+		"the second may run it":      {maxBackends: 2, secondMayHaveRun: true},
+		"the first node refuses":     {maxBackends: 2, refused: []string{"first"}},
+		"another node refused it":    {maxBackends: 2, refused: []string{"third"}, want: true},
+		"there are no other servers": {maxBackends: 3, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := &nodeSelector{request: &request{deadline: time.Now().Add(time.Second)}, maxBackends: 2, attempts: 2}
+			s := &nodeSelector{
+				balancer: newBalancer(nodeconfig.Config{}, nil), admission: newCustomerAdmission(nodeconfig.Config{}),
+				request: &request{deadline: time.Now().Add(time.Second)}, maxBackends: c.maxBackends, attempts: 2,
+			}
 			s.recordBackend(first, true)
 			s.recordBackend(second, !c.secondMayHaveRun)
 			must.Eq(t, !c.secondMayHaveRun, s.hasNext())
--- a/mesh/servers.go
+++ b/mesh/servers.go
@@ -198,11 +198,7 @@
 		// The sender disconnected and does not wait for a response.
 		panic(http.ErrAbortHandler)
 	}
-	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
-		if sender, ok := p.exchange.balancer.peerByIP(host); ok {
-			p.exchange.fetchIfNewer(sender, version)
-		}
-	}
+	p.exchange.fetchIfNewerAt(r.RemoteAddr, version)
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline.Add(responseGrace/2))
 	defer cancel()
 	res := p.sidecar.run(ctx, req)
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -203,7 +203,7 @@
 	s.repeats.start(req.repeatShare)
 	defer s.repeats.end(req.repeatShare)
 	s.silence.requestSent(time.Now())
-	resp, err := s.backend.Do(ctx, httpReq, matchesRequest(req.id), hop.ForRequest(req.id))
+	resp, err := s.backend.Do(ctx, httpReq, req.id, matchesRequest(req.id))
 	// A time-out or the end of the context does not show that the server responds.
 	// Any other error does, such as a connection that the server has reset.
 	s.silence.requestEnded(time.Now(), err == nil || !isTimeout(err) && ctx.Err() == nil)
@@ -268,7 +268,7 @@
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	req := &request{method: http.MethodGet, host: s.settings.Backend, target: path, header: http.Header{}}
-	resp, err := s.backend.Do(ctx, req.httpRequest(func(http.Header) {}), func(int, http.Header) bool { return true })
+	resp, err := s.backend.Do(ctx, req.httpRequest(func(http.Header) {}), "", func(int, http.Header) bool { return true })
 	if err != nil {
 		return nil, 0, err
 	}
@@ -311,15 +311,20 @@
 	}
 }
 
+// mayBeLateCopy reports whether a response without request ID, which must be a refusal,
+// may be a second copy of the response to an earlier request on the connection. A server
+// that is not the expected instance refuses all requests on the connection, so its refusal
+// holds for the present request in any case.
+func mayBeLateCopy(resp *hop.Answer) bool {
+	return platform.RequestID(resp.Header) == "" && resp.OnReusedConnection() && resp.StatusCode != http.StatusMisdirectedRequest
+}
+
 // resultOfResponse reads a response of the backend server. The result is
 // answered only if the response is complete. A response with a success status must
 // also be signed and have no content encoding.
 func resultOfResponse(resp *hop.Answer) *result {
 	res := &result{status: resp.StatusCode, header: endToEndHeader(resp.Header)}
-	// A server that is not the expected instance refuses each request on the connection,
-	// so a late copy of that refusal is true for the present request as well.
-	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
-	if platform.RequestID(resp.Header) == "" && resp.OnReusedConnection() && !misdirected {
+	if mayBeLateCopy(resp) {
 		resp.Close()
 		return unknownResult(call.ReasonLost, "a refusal without request ID on a reused connection may belong to an earlier request")
 	}
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -103,7 +103,7 @@
 	req.queueTimeout = time.Duration(numbers[1]) * time.Millisecond
 	req.deadline = receivedAt.Add(time.Duration(numbers[2]) * time.Millisecond)
 	req.sentBefore = numbers[4]%repeatScale == 1
-	req.repeatShare = min(float64(numbers[4]/repeatScale)/100, 1)
+	req.repeatShare = min(max(float64(numbers[4]/repeatScale)/100, 0), 1)
 	return req, numbers[3], nil
 }
 
--- a/mesh/wire_test.go
+++ b/mesh/wire_test.go
@@ -22,15 +22,19 @@
 	})
 }
 
-// Guards against the same crash as FuzzParseResponseHop.
+// Guards against the same crash as FuzzParseResponseHop, and against a repeat share that
+// would add to the retry budget.
 func FuzzReadRequest(f *testing.F) {
 	f.Add("orders catalogue book o 0 10 1500 7 0")
 	f.Add("orders%20x catalogue look i 1 0 -5 7 1")
+	f.Add("orders catalogue look i 1 0 1500 7 -40")
+	f.Add("orders catalogue look i 1 0 1500 7 401")
 	f.Add("a b c")
 	f.Fuzz(func(t *testing.T, value string) {
 		r := &http.Request{Method: http.MethodGet, Host: "example", RequestURI: "/x", Header: http.Header{headerHop: {value}}}
 		if req, _, err := readRequest(r, time.Now()); err == nil {
 			must.Eq(t, "", req.header.Get(headerHop))
+			must.Between(t, 0, req.repeatShare, 1)
 		}
 	})
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -352,7 +352,10 @@
 // end. If spareOnly is true, it includes only those with spare capacity.
 func (t *Table) collect(s *service, start, end int, q Query, now time.Time, spareOnly bool) {
 	t.candidates = t.candidates[:0]
-	bestWeight := s.bestWeight(now)
+	bestWeight := 0.0
+	if spareOnly {
+		bestWeight = s.bestWeight(now)
+	}
 	for i := start; i < end; i++ {
 		state := &s.upstreams[i]
 		if slices.Contains(q.Tried, state.Node) || q.Region != "" && state.Region != q.Region || spareOnly && !state.hasSpareCapacity(now, bestWeight) {
