Record each connection that ends without an answer, and why

Recorded were closes by the idle limit (1006), cut answers (2006) and the end of a request's context (2003). Not recorded were a handler that crashes (net/http closes the connection and writes to standard error), an answer that could not be written, the abort at the end of a stop, a request that is dropped because its connection expired, a body of another node that can't be read, net/http's own answers 400, 408, 431 and 501 and its time limit for a head, and bytes that arrive while a connection is closed.

Events 1007 requestNotRead, 1008 serverError, 2009 callCrashed and 2010 answerNotSent cover these, with the side that closed, the cause and the version of the desired state. Nothing else changes.

--- a/event/calls.go
+++ b/event/calls.go
@@ -12,6 +12,8 @@
 	AnswerCut        ID = 2006
 	AnswerMismatched ID = 2007
 	CallFailed       ID = 2008
+	CallCrashed      ID = 2009
+	AnswerNotSent    ID = 2010
 )
 
 var callEvents = []Description{
@@ -23,4 +25,6 @@
 	{ID: AnswerCut, Name: "answerCut", Level: slog.LevelWarn, Meaning: "The answer was truncated. The connection to the receiver was aborted."},
 	{ID: AnswerMismatched, Name: "answerMismatched", Level: slog.LevelError, Meaning: "An answer had the ID of another call and was discarded."},
 	{ID: CallFailed, Name: "callFailed", Level: slog.LevelWarn, Meaning: "The backend server answered with an error, which was forwarded to the caller. A frequent cause is the failure of a call that the backend server made, since such calls expire with the request that they belong to."},
+	{ID: CallCrashed, Name: "callCrashed", Level: slog.LevelError, Meaning: "The node failed while it handled a call, because of a fault in its program. The caller gets status 502 unless the answer had begun. The attributes are the cause and the stack."},
+	{ID: AnswerNotSent, Name: "answerNotSent", Level: slog.LevelInfo, Meaning: "A connection ended after a call had been read from it and before its whole answer had been sent. The attribute closedBy is node or peer; detail is the cause, and version that of the desired state in force."},
 }
--- a/event/node.go
+++ b/event/node.go
@@ -10,6 +10,8 @@
 	StopDeadlineExceeded  ID = 1004
 	NodeReloaded          ID = 1005
 	IdleConnectionsClosed ID = 1006
+	RequestNotRead        ID = 1007
+	ServerError           ID = 1008
 	BackendAnnounced      ID = 1101
 	BackendDraining       ID = 1102
 	BackendDrained        ID = 1103
@@ -33,4 +35,6 @@
 	{ID: AnnouncementRejected, Name: "announcementRejected", Level: slog.LevelWarn, Meaning: "A message to the announcement address could not be decoded and was ignored."},
 	{ID: NodeReloaded, Name: "nodeReloaded", Level: slog.LevelInfo, Meaning: "The node reloaded its settings. New time and retry limits take effect; addresses remain unchanged."},
 	{ID: IdleConnectionsClosed, Name: "idleConnectionsClosed", Level: slog.LevelInfo, Meaning: "Connections of callers were idle for longer than the limit in the desired state and were closed. The attributes are their number, the longest idle time, the limit, and the version that has the limit."},
+	{ID: RequestNotRead, Name: "requestNotRead", Level: slog.LevelInfo, Meaning: "A connection ended after a part of a request had arrived, but before its whole head had been read. The request was not passed on. The attributes are the time since the first part was read, the bytes that had arrived unread, the error of the read, the status line that was sent, if any, and the version in force."},
+	{ID: ServerError, Name: "serverError", Level: slog.LevelWarn, Meaning: "The HTTP server of the node reported an error. The attribute detail is its message."},
 }
--- a/mesh/connections.go
+++ b/mesh/connections.go
@@ -4,16 +4,22 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/hop"
+	"github.com/lacewingslip/lacewingslip/metrics"
+	"github.com/lacewingslip/lacewingslip/platform"
 )
 
 // clientCloseTimeout bounds how long a node waits for the client to close a connection
@@ -48,6 +54,9 @@
 	// expired is true while a read deadline in the past asks the reading goroutine to end
 	// the connection. ended is true once it has.
 	expired, ended bool
+	// progress describes the request in progress, for the event at the end of the
+	// connection.
+	progress requestProgress
 }
 
 // Read implements net.Conn. After it has returned an error because the connection
@@ -60,6 +69,7 @@
 			c.recordRead(b[:n], len(b) == 1)
 		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.mayReadOn() {
+			c.recordReadError(err)
 			return n, err
 		}
 	}
@@ -72,7 +82,9 @@
 	if c.hasEnded() {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(b)
+	n, err = c.Conn.Write(b)
+	c.recordWrite(b, err)
+	return n, err
 }
 
 // CloseWrite closes the sending side. net/http uses it to let the client read an answer to
@@ -89,6 +101,7 @@
 // the part of the answer that it has not sent. After an answer, Close therefore reads on
 // until the client has closed the connection.
 func (c *serverConn) Close() error {
+	c.recordUnread()
 	if c.hasAnswered() && c.CloseWrite() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(clientCloseTimeout))
 		// An error means that the client has reset the connection or does not close it.
@@ -119,6 +132,9 @@
 	defer c.mu.Unlock()
 	c.clearExpiry()
 	if len(bytes.Trim(b, "\r\n")) > 0 {
+		if c.idle && !c.reading {
+			c.progress.firstRead = time.Now()
+		}
 		c.reading = c.reading || c.idle
 		c.readAhead = c.readAhead || !c.idle && single
 	}
@@ -149,6 +165,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.reading = false, false
+	c.progress = requestProgress{firstRead: c.progress.firstRead, readErr: c.progress.readErr}
 	c.clearExpiry()
 }
 
@@ -157,6 +174,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.reading, c.readAhead, c.idleSince = true, c.readAhead, false, time.Now()
+	c.progress = requestProgress{firstRead: c.idleSince}
 }
 
 // expire asks the reading goroutine to end the connection if it is idle. It is called
@@ -242,29 +260,74 @@
 
 // connections holds the open connections of a server.
 type connections struct {
+	// record records an event about a connection.
+	record func(id event.ID, attrs ...slog.Attr)
+
 	mu   sync.Mutex
 	open map[*serverConn]struct{}
 }
 
+// connectionsOption configures [trackConnections].
+type connectionsOption func(*connections)
+
+// withConnectionEvents records the connections that end with a request in progress, and
+// the version of the desired state at that time.
+func withConnectionEvents(events eventRecorder, hop metrics.Hop, version func() int64) connectionsOption {
+	return func(s *connections) {
+		s.record = func(id event.ID, attrs ...slog.Attr) {
+			events.Record(id, append(attrs, attrHop(hop), slog.Int64("version", version()))...)
+		}
+	}
+}
+
 type serverConnKey struct{}
 
 // trackConnections makes the server register its connections, and drop requests on those
 // that have ended. It replaces ConnState and ConnContext of the server. The listener that
 // it returns must be used to serve.
-func trackConnections(server *http.Server, listener net.Listener) (*connections, net.Listener) {
-	s := &connections{open: make(map[*serverConn]struct{})}
+func trackConnections(server *http.Server, listener net.Listener, opts ...connectionsOption) (*connections, net.Listener) {
+	s := &connections{open: make(map[*serverConn]struct{}), record: func(event.ID, ...slog.Attr) {}}
+	for _, opt := range opts {
+		opt(s)
+	}
 	server.ConnState = s.onStateChange
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, serverConnKey{}, c)
 	}
-	next := server.Handler
-	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(serverConnKey{}).(*serverConn); ok && c.hasEnded() {
+	server.Handler = s.trackRequests(server.Handler)
+	return s, serverListener{listener}
+}
+
+// trackRequests wraps a handler to record its progress at the connection.
+func (s *connections) trackRequests(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(serverConnKey{}).(*serverConn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		id := platform.RequestID(r.Header)
+		c.startHandler(id)
+		if c.hasEnded() {
 			panic(http.ErrAbortHandler)
 		}
+		defer s.recordCrash(id)
 		next.ServeHTTP(w, r)
+		c.endHandler()
 	})
-	return s, serverListener{listener}
+}
+
+// recordCrash records the panic of a handler and aborts the connection. It must be
+// deferred.
+func (s *connections) recordCrash(id string) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler { //nolint:errorlint // The value is compared as net/http does.
+		s.record(event.CallCrashed, attrRequest(id), attrDetail(fmt.Sprint(cause)), slog.String("stack", string(debug.Stack())))
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // connectionAborted reports whether this node closed the connection of a request.
@@ -289,6 +352,7 @@
 	case http.StateIdle:
 		conn.endRequest()
 	case http.StateClosed, http.StateHijacked:
+		s.recordEnd(conn)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.open, conn)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -33,7 +33,8 @@
 // server). repeats.go estimates which calls belong to repeated runs. announcements.go
 // tracks the backend server, desired_state.go the operator's desired state, and
 // exchange.go and watchers.go other nodes. servers.go serves callers and other nodes, and
-// connections.go decides when their connections are closed. lifecycle.go starts and stops
+// connections.go decides when their connections are closed, and connection_ends.go
+// records those that end without an answer. lifecycle.go starts and stops
 // everything.
 package mesh
 
--- a/mesh/servers.go
+++ b/mesh/servers.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/gorilla/mux"
 	"github.com/rotisserie/eris"
 
+	"github.com/lacewingslip/lacewingslip/call"
 	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/follow"
 	"github.com/lacewingslip/lacewingslip/metrics"
@@ -92,10 +95,11 @@
 
 func newServers(l *listeners, i *ingress, peer *peerHandler, a *announcementHandler, lc *lifecycle, m *metrics.Metrics, events *timeline.Recorder) *servers {
 	s := &servers{listeners: l, caller: newServer(i)}
-	s.callerConnections, l.caller = trackConnections(s.caller, l.caller)
+	version := peer.desired.version
+	s.callerConnections, l.caller = trackConnections(s.caller, l.caller, withConnectionEvents(events, metrics.Ingress, version))
 	peers := newServer(peer)
 	peers.IdleTimeout = peerServerIdleTimeout
-	s.peerConnections, l.peer = trackConnections(peers, l.peer)
+	s.peerConnections, l.peer = trackConnections(peers, l.peer, withConnectionEvents(events, metrics.Sidecar, version))
 
 	ready := mux.NewRouter()
 	ready.HandleFunc(platform.ReadyPath, lc.serveReadiness).Methods(http.MethodGet)
@@ -105,6 +109,10 @@
 	operator.Handle(metricsPath, m.Handler()).Methods(http.MethodGet)
 	operator.Handle(timeline.EventsPath, events.Handler()).Methods(http.MethodGet)
 	s.all = []*http.Server{s.caller, peers, newServer(ready), newServer(announce), newServer(operator)}
+	errorLog := log.New(serverErrorWriter{events}, "", 0)
+	for _, server := range s.all {
+		server.ErrorLog = errorLog
+	}
 	return s
 }
 
@@ -112,6 +120,15 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
+// serverErrorWriter records the messages of net/http as events.
+type serverErrorWriter struct{ events eventRecorder }
+
+// Write implements io.Writer.
+func (w serverErrorWriter) Write(message []byte) (n int, err error) {
+	w.events.Record(event.ServerError, attrDetail(strings.TrimSpace(string(message))))
+	return len(message), nil
+}
+
 func (s *servers) start() {
 	for n, listener := range s.listeners.all() {
 		s.running.Go(func() {
@@ -178,12 +195,14 @@
 	defer p.active.Add(-1)
 	req, version, err := readRequest(r, time.Now())
 	if err != nil {
+		p.recordNotRead(r, err)
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	req.header.Del("Content-Length")
 	if req.body, req.stream, err = readBody(r, 0); err != nil {
 		// The sender disconnected and does not wait for a response.
+		p.recordNotRead(r, err)
 		panic(http.ErrAbortHandler)
 	}
 	p.exchange.fetchIfNewerAt(r.RemoteAddr, version)
@@ -204,3 +223,8 @@
 	}
 	req.closeBody(w)
 }
+
+// recordNotRead records that a request of another node could not be read.
+func (p *peerHandler) recordNotRead(r *http.Request, err error) {
+	p.events.Record(event.CallNotRun, attrRequest(platform.RequestID(r.Header)), attrHop(metrics.Sidecar), attrReason(call.ReasonBadRequest), attrDetail(err.Error()))
+}
