--- a/desired/desired.go
+++ b/desired/desired.go
@@ -65,7 +65,7 @@
 
 // NewRoute returns a route from a host and path prefix to the targets.
 func NewRoute(name, host, prefix string, targets []Target, opts ...RouteOption) *Route {
-	r := &Route{name: name, host: canonicalHost(host), prefix: prefix, targets: targets, attempts: 1}
+	r := &Route{name: name, host: CanonicalHost(host), prefix: prefix, targets: targets, attempts: 1}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -159,7 +159,7 @@
 // Match returns the route of a request: among the routes of the host, the one with
 // the longest prefix of the path.
 func (s *State) Match(host, path string) (route *Route, ok bool) {
-	for _, r := range s.byHost[canonicalHost(host)] {
+	for _, r := range s.byHost[CanonicalHost(host)] {
 		if strings.HasPrefix(path, r.prefix) {
 			return r, true
 		}
@@ -167,7 +167,9 @@
 	return nil, false
 }
 
-func canonicalHost(host string) string {
+// CanonicalHost returns the form of a host in which routes are matched: in lower case and
+// without port.
+func CanonicalHost(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
