Refuse requests that crash the backend servers that run them

The node beside a server tells its end from a broken response by a refused connection, or by the announcement of a new incarnation, and records what was running. The first node and the node beside the server refuse a convicted request with a Retry-After of the time that is left; an isolated one goes to one node, one at a time, and is not sent again. One attempt ends two servers at most.

--- a/call/reason.go
+++ b/call/reason.go
@@ -32,6 +32,11 @@
 	// ReasonLost means that the connection broke before the answer was
 	// complete.
 	ReasonLost Reason = "lost"
+	// ReasonCrashed means that the backend server ended while it ran the call.
+	ReasonCrashed Reason = "crashed"
+	// ReasonQuarantined means that the call was not sent, because such calls have
+	// crashed backend servers.
+	ReasonQuarantined Reason = "quarantined"
 	// ReasonCanceled means that the caller canceled the call or disconnected.
 	ReasonCanceled Reason = "canceled"
 	// ReasonUnknownService means that the settings have no such service.
@@ -93,7 +98,7 @@
 		return http.StatusUnprocessableEntity
 	case ReasonOwnerGone, ReasonAnswerNotKept, ReasonRepeated:
 		return http.StatusConflict
-	case ReasonLost:
+	case ReasonLost, ReasonCrashed:
 		return http.StatusBadGateway
 	case ReasonLogUnavailable:
 		return http.StatusServiceUnavailable
--- a/event/admission.go
+++ b/event/admission.go
@@ -9,6 +9,8 @@
 	SheddingStopped ID = 4003
 	PressureChanged ID = 4004
 	UpstreamAvoided ID = 4101
+	// QuarantineChanged is about calls that crash backend servers.
+	QuarantineChanged ID = 4102
 )
 
 var admissionEvents = []Description{
@@ -16,5 +18,6 @@
 	{ID: SheddingStarted, Name: "sheddingStarted", Level: slog.LevelWarn, Meaning: "The sidecar started to refuse calls because its queue was full."},
 	{ID: SheddingStopped, Name: "sheddingStopped", Level: slog.LevelInfo, Meaning: "The sidecar stopped refusing calls."},
 	{ID: UpstreamAvoided, Name: "upstreamAvoided", Level: slog.LevelInfo, Meaning: "An upstream refused a call or failed, and receives fewer calls for a short time."},
+	{ID: QuarantineChanged, Name: "quarantineChanged", Level: slog.LevelWarn, Meaning: "The number of different calls that are refused because they crash backend servers changed. Such a call has ended at least three servers that ran it and was completed by none. Refused calls are recorded as callNotRun with the reason quarantined."},
 	{ID: PressureChanged, Name: "pressureChanged", Level: slog.LevelInfo, Meaning: "The level at which customer requests for this backend server's service are refused changed by 0.1 or more. The attribute demand shows the cause: the demand as a share of the slots."},
 }
--- a/event/node.go
+++ b/event/node.go
@@ -17,6 +17,7 @@
 	BackendReachable      ID = 1105
 	AnnouncementTaken     ID = 1106
 	AnnouncementRejected  ID = 1107
+	BackendCrashed        ID = 1109
 )
 
 var nodeEvents = []Description{
@@ -31,6 +32,7 @@
 	{ID: BackendDrained, Name: "backendDrained", Level: slog.LevelInfo, Meaning: "The last call in progress at the draining backend server ended. The server may exit."},
 	{ID: AnnouncementTaken, Name: "announcementTaken", Level: slog.LevelInfo, Meaning: "The backend server beside this node sent an announcement or a deregistration. The attribute change says whether it changed the known state, was outdated, or was for another server."},
 	{ID: AnnouncementRejected, Name: "announcementRejected", Level: slog.LevelWarn, Meaning: "A message to the announcement address could not be decoded and was ignored."},
+	{ID: BackendCrashed, Name: "backendCrashed", Level: slog.LevelWarn, Meaning: "The backend server ended or stopped responding while it ran calls, without having announced that it leaves. The attributes are the number of these calls, how many of them are suspect of having caused it, and the sign by which that was detected."},
 	{ID: NodeReloaded, Name: "nodeReloaded", Level: slog.LevelInfo, Meaning: "The node reloaded its settings. New time and retry limits take effect; addresses remain unchanged."},
 	{ID: IdleConnectionsClosed, Name: "idleConnectionsClosed", Level: slog.LevelInfo, Meaning: "Connections of callers were idle for longer than the limit in the desired state and were closed. The attributes are their number, the longest idle time, the limit, and the version that has the limit."},
 }
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -40,6 +40,9 @@
 	// TakesWork is false until the backend server is ready and once it is shutting
 	// down.
 	TakesWork bool `json:"takesWork"`
+	// Blocked holds requests that have crashed backend servers, in the encoding of package
+	// mesh.
+	Blocked string `json:"blocked,omitempty"`
 }
 
 // Check returns an error if a required field is missing.
@@ -51,8 +54,10 @@
 }
 
 // Outdates reports whether the records are of the same node and other would be ignored
-// where m is known, although they differ.
+// where m is known, although they differ. Nodes of earlier versions drop Blocked, so it does
+// not count.
 func (m Member) Outdates(other Member) bool {
+	m.Blocked, other.Blocked = "", ""
 	return m.Node == other.Node && m.Epoch >= other.Epoch && m != other
 }
 
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -388,6 +388,17 @@
 	}, nil
 }
 
+// CheckListening opens a connection and closes it. An error means that the receiver accepts
+// none.
+func (p *Pool) CheckListening(ctx context.Context) (err error) {
+	defer func() { err = eris.Wrapf(err, "connect to %s", p.address) }()
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 func (p *Pool) release(c *conn) {
 	c.lastUsed = time.Now()
 	p.mu.Lock()
--- a/mesh/announcements.go
+++ b/mesh/announcements.go
@@ -47,6 +47,7 @@
 		return
 	}
 	announcement := report.Announcement
+	before := a.tracker.Server()
 	var change upstream.Change
 	if report.Deregistered {
 		change = a.tracker.Deregister(announcement.Instance, announcement.StartMs)
@@ -60,10 +61,19 @@
 	}
 	if change == upstream.Changed {
 		a.applyServerState()
+		if after := a.tracker.Server(); before.TakesWork() && !isSameIncarnation(before, after) {
+			a.sidecar.crashes.serverReplaced(before)
+		}
 	}
 	platform.Acknowledge(w)
 }
 
+// isSameIncarnation reports whether two states can be of the same incarnation. The start
+// time is unknown if the earlier state results from a health request.
+func isSameIncarnation(before, after upstream.Server) bool {
+	return before.Instance() == after.Instance() && (before.StartMs() == 0 || before.StartMs() == after.StartMs())
+}
+
 // applyServerState applies the state of the backend server at this node and
 // publishes it.
 func (a *announcementHandler) applyServerState() {
--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,6 +72,12 @@
 	leavingEpoch int64
 }
 
+// acceptsRequests reports whether the node can be sent requests, as far as is known. The
+// balancer's mutex must be held.
+func (p *peer) acceptsRequests() bool {
+	return !p.unreachable && p.member.TakesWork && p.leavingEpoch < p.member.Epoch
+}
+
 func newBalancer(settings nodeconfig.Config, events eventRecorder) *balancer {
 	return &balancer{
 		settings: settings, events: events, peers: make(map[string]*peer),
@@ -122,7 +130,7 @@
 	for _, p := range b.peers {
 		m := p.member
 		b.services[m.Service] = struct{}{}
-		if p.unreachable || !m.TakesWork || p.leavingEpoch >= m.Epoch {
+		if !p.acceptsRequests() {
 			continue
 		}
 		byService[m.Service] = append(byService[m.Service], routing.Upstream{
@@ -151,6 +159,32 @@
 	return b.peers[u.Node], true
 }
 
+// isolationNode returns the node that runs the requests of this kind while they are
+// isolated: among the nodes of the service that accept requests and are not excluded, the
+// one with the highest hash of its name and the fingerprint.
+func (b *balancer) isolationNode(req *request, excluded []string) (p *peer, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var highest uint64
+	for _, candidate := range b.peers {
+		if candidate.member.Service != req.service || !candidate.acceptsRequests() || slices.Contains(excluded, candidate.node) {
+			continue
+		}
+		h := fnv.New64a()
+		// Writing to a hash never fails.
+		_, _ = h.Write(req.fingerprint[:])
+		_, _ = h.Write([]byte(candidate.node))
+		if sum := h.Sum64(); p == nil || sum > highest {
+			p, highest = candidate, sum
+		}
+	}
+	if p == nil {
+		return nil, false
+	}
+	b.table.RecordSent(time.Now(), req.service, p.node, int64(len(req.body)))
+	return p, true
+}
+
 // recordResult updates the routing table with the result of an attempt.
 func (b *balancer) recordResult(req *request, node string, res *result) {
 	b.mu.Lock()
@@ -164,9 +198,9 @@
 		report.Result = routing.Succeeded
 	case res.reason == call.ReasonUnreachable:
 		report.Result = routing.Unreachable
-	case res.outcome == call.NotRun && res.reason == call.ReasonOverloaded:
-		// A refusal for overload does not indicate a faulty node. The reported load
-		// is enough for the next choice of a node.
+	case res.outcome == call.NotRun && (res.reason == call.ReasonOverloaded || res.reason == call.ReasonQuarantined):
+		// Neither refusal indicates a faulty node. After one for overload, the reported
+		// load is enough for the next choice of a node.
 		report.Result = routing.Succeeded
 	case res.outcome == call.NotRun:
 		report.Result = routing.Refused
@@ -254,6 +288,19 @@
 	return peers
 }
 
+// reachablePeers returns the reachable nodes of a service, or of all services if it is "",
+// except this one.
+func (b *balancer) reachablePeers(service string) (peers []*peer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for node, p := range b.peers {
+		if node != b.settings.Node && !p.unreachable && (service == "" || p.member.Service == service) {
+			peers = append(peers, p)
+		}
+	}
+	return peers
+}
+
 // reachableInZone returns the reachable nodes of this zone, including this one.
 func (b *balancer) reachableInZone() (peers []*peer) {
 	b.mu.Lock()
--- a/mesh/balancer_test.go
+++ b/mesh/balancer_test.go
@@ -13,8 +13,10 @@
 	"github.com/lacewingslip/lacewingslip/call"
 	"github.com/lacewingslip/lacewingslip/fleet"
 	"github.com/lacewingslip/lacewingslip/follow"
+	"github.com/lacewingslip/lacewingslip/metrics"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 	"github.com/lacewingslip/lacewingslip/platform"
+	"github.com/lacewingslip/lacewingslip/quarantine"
 	"github.com/lacewingslip/lacewingslip/timeline"
 )
 
@@ -25,7 +27,11 @@
 	settings := nodeconfig.Config{Node: "self", Service: "orders", Listen: nodeconfig.Listen{Peer: "127.0.0.1:1"}}
 	events := timeline.NewRecorder(settings.Node)
 	b := newBalancer(settings, events)
-	d := newDirectory(settings, platform.NewLogClient("127.0.0.1:1"), follow.NewEraTracker(), b, events)
+	m, err := metrics.New()
+	must.NoError(t, err)
+	q := newQuarantineSync(quarantine.New(), b, events, m)
+	d := newDirectory(settings, platform.NewLogClient("127.0.0.1:1"), follow.NewEraTracker(), b, q, events)
+	q.directory = d
 	nodes := []string{"a", "b", "c", "d"}
 	for epoch := int64(1); epoch <= rounds; epoch++ {
 		var merged sync.WaitGroup
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -76,6 +76,8 @@
 	WaitMs      int64 `json:"waitMs,omitempty"`
 	TableID     int64 `json:"table,omitempty"`
 	SeenChanges int64 `json:"seen,omitempty"`
+	// Suspects is the evidence against requests that crash backend servers.
+	Suspects []suspectRequest `json:"suspects,omitempty"`
 	// ReadsLog is true if the sender reads the log itself.
 	ReadsLog bool `json:"watches,omitempty"`
 }
@@ -84,12 +86,13 @@
 // can't read the log, and distributes the records of nodes that can't write to
 // it.
 type exchange struct {
-	balancer  *balancer
-	directory *fleet.Directory
-	desired   *desiredState
-	era       *follow.EraTracker
-	events    eventRecorder
-	client    *http.Client
+	balancer   *balancer
+	directory  *fleet.Directory
+	desired    *desiredState
+	era        *follow.EraTracker
+	events     eventRecorder
+	client     *http.Client
+	quarantine *quarantineSync
 	// readsLog reports whether this node reads the log itself.
 	readsLog func() bool
 	// tableID identifies the member table of this process.
@@ -110,14 +113,17 @@
 	fetching map[string]bool
 }
 
-func newExchange(b *balancer, directory *fleet.Directory, d *desiredState, era *follow.EraTracker, events eventRecorder) *exchange {
+func newExchange(b *balancer, directory *fleet.Directory, d *desiredState, era *follow.EraTracker, q *quarantineSync, events eventRecorder) *exchange {
 	stopping := make(chan struct{})
-	return &exchange{
-		stopping: stopping, endWaits: sync.OnceFunc(func() { close(stopping) }),
+	e := &exchange{
+		quarantine: q,
+		stopping:   stopping, endWaits: sync.OnceFunc(func() { close(stopping) }),
 		balancer: b, directory: directory, desired: d, era: era, events: events, fetching: make(map[string]bool),
 		readsLog: func() bool { return true }, tableID: rand.Int64(), ownRecordFetched: make(chan struct{}), ownRecordWait: defaultOwnRecordWait, startedAt: time.Now(),
 		client: &http.Client{Transport: &http.Transport{DialContext: hop.Dialer().DialContext, MaxIdleConnsPerHost: -1}},
 	}
+	q.send, q.ownMessage, q.directory = e.send, e.ownMessage, directory
+	return e
 }
 
 // ownMessage returns a message with the state of this node.
@@ -125,7 +131,7 @@
 	table := e.directory.Table()
 	return exchangeMessage{
 		Self: e.directory.Self(), Version: e.desired.version(), Era: e.era.Known(), Digest: table.Digest(),
-		TableID: e.tableID, ReadsLog: e.readsLog(),
+		TableID: e.tableID, ReadsLog: e.readsLog(), Suspects: encodeEvidence(e.quarantine.list.Restricting(time.Now())),
 	}
 }
 
@@ -137,6 +143,7 @@
 		return
 	}
 	e.era.Observe(received.Era)
+	outdated := e.quarantine.merge(received.Suspects)
 	e.directory.Merge(append(received.Members, received.Self)...)
 	e.balancer.markReachable(received.Self.Node)
 	e.fetchIfNewerAt(received.Self.Address, received.Version)
@@ -147,6 +154,7 @@
 	}
 	reply := e.ownMessage()
 	reply.SeenChanges, reply.Members = seenChanges, changed
+	reply.Suspects = append(reply.Suspects, outdated...)
 	if received.Version < reply.Version {
 		reply.State = e.desired.currentDocument()
 	}
@@ -240,6 +248,7 @@
 		return reply, eris.Errorf("the address now belongs to node %q", reply.Self.Node)
 	}
 	e.era.Observe(reply.Era)
+	e.quarantine.merge(reply.Suspects)
 	if len(reply.State) > 0 {
 		e.desired.apply(reply.State, reply.Self.Node)
 	}
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/lacewingslip/lacewingslip/metrics"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 	"github.com/lacewingslip/lacewingslip/platform"
+	"github.com/lacewingslip/lacewingslip/quarantine"
 )
 
 const (
@@ -26,6 +27,9 @@
 	// up to retryAfterSpread.
 	minRetryAfter    = 400 * time.Millisecond
 	retryAfterSpread = 600 * time.Millisecond
+	// maxCrashesPerRequest is the number of backend servers that may crash under a request
+	// before it is not sent again. Most requests that a crash has ended did not cause it.
+	maxCrashesPerRequest = 1
 )
 
 // ingress accepts requests of callers on this VM, which include its backend
@@ -42,6 +46,8 @@
 	metrics   *metrics.Metrics
 	lifecycle *lifecycle
 	admission *customerAdmission
+	// quarantine holds the requests that crash backend servers.
+	quarantine *quarantine.List
 }
 
 // ServeHTTP handles one request of a caller.
@@ -76,6 +82,10 @@
 	if origin != calltree.Customers {
 		req.repeatShare = i.sidecar.repeats.share()
 	}
+	if verdict := i.quarantine.Verdict(receivedAt, req.fingerprint); verdict.Level == quarantine.Blocked {
+		i.respond(w, req, quarantinedResult(verdict), receivedAt, state.Version())
+		return
+	}
 	i.budget.recordRequest(req.service, req.repeatShare)
 	decision := i.admission.admit(route)
 	req.targetRegion, req.rank, req.fromCustomer = decision.targetRegion, decision.rank, origin == calltree.Customers
@@ -125,6 +135,7 @@
 		i.reject(w, r, notRunResult(call.ReasonBadRequest, "the request body is incomplete: "+err.Error()))
 		return nil, false
 	}
+	req.setFingerprint()
 	return req, true
 }
 
@@ -135,6 +146,12 @@
 // number of backend servers, not the attempts that a server did not run.
 func (i *ingress) dispatch(ctx context.Context, req *request, route *desired.Route, version int64) (res *result) {
 	selector := &nodeSelector{balancer: i.balancer, admission: i.admission, request: req, maxBackends: route.Attempts()}
+	isolated := i.quarantine.Verdict(time.Now(), req.fingerprint).Level != quarantine.Free
+	if isolated {
+		selector.isolate()
+	}
+	// crashes counts the attempts that ended with a crash of the backend server.
+	crashes := 0
 	// uncertain is the result of the last attempt that may have run. It takes
 	// precedence over a later refusal, because the refusal says nothing about the
 	// earlier attempt.
@@ -162,6 +179,8 @@
 			return res
 		case ctx.Err() != nil, req.stream != nil:
 			return res
+		case res.reason == call.ReasonQuarantined:
+			return res
 		case res.outcome == call.NotRun && res.reason != call.ReasonShed:
 			i.updatePeer(p, epoch, res)
 			selector.refused = append(selector.refused, p.node)
@@ -171,6 +190,12 @@
 		if res.outcome == call.Unknown {
 			uncertain = res
 		}
+		if res.reason == call.ReasonCrashed {
+			crashes++
+		}
+		if isolated || crashes > maxCrashesPerRequest || i.quarantine.Verdict(time.Now(), req.fingerprint).Level != quarantine.Free {
+			return res
+		}
 		if res.outcome == call.Unknown && req.kind != desired.Idempotent || !selector.hasNext() || !i.budget.trySpend(req.service) {
 			return res
 		}
@@ -244,6 +269,9 @@
 func (i *ingress) writeError(w http.ResponseWriter, res *result) {
 	w.Header().Set("Content-Length", "0")
 	switch {
+	case res.outcome == call.NotRun && res.retryAfter > 0:
+		platform.SetRetryAfter(w.Header(), res.retryAfter)
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case res.outcome == call.NotRun:
 		platform.SetRetryAfter(w.Header(), minRetryAfter+time.Duration(rand.Int64N(int64(retryAfterSpread))))
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/mesh/lifecycle.go
+++ b/mesh/lifecycle.go
@@ -87,6 +87,7 @@
 	sidecar       *sidecar
 	desired       *desiredState
 	directory     interface{ Run(ctx context.Context) }
+	quarantine    *quarantineSync
 }
 
 func newLifecycle(settings nodeconfig.Config, m *metrics.Metrics, events eventRecorder) *lifecycle {
@@ -227,6 +228,7 @@
 		case now := <-ticker.C:
 			l.components.balancer.tick(now)
 			l.components.sidecar.tick(now, l.components.balancer.countServices())
+			l.components.quarantine.tick(now)
 			l.closeIdleConnections(now)
 			l.components.exchange.probeUnreachable(ctx, now)
 			l.updateMetrics()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -30,7 +30,8 @@
 // attempts), customer_admission.go (refuses customer requests under pressure),
 // node_selector.go and balancer.go (choose the next node), retry_budget.go (decides
 // whether a failed request is sent again), and sidecar.go (runs requests at the backend
-// server). repeats.go estimates which calls belong to repeated runs. announcements.go
+// server). crash.go detects that the server has crashed under a request, and quarantine.go
+// shares with other nodes which requests do that. repeats.go estimates which calls belong to repeated runs. announcements.go
 // tracks the backend server, desired_state.go the operator's desired state, and
 // exchange.go and watchers.go other nodes. servers.go serves callers and other nodes, and
 // connections.go decides when their connections are closed. lifecycle.go starts and stops
@@ -52,6 +53,7 @@
 	"github.com/lacewingslip/lacewingslip/metrics"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 	"github.com/lacewingslip/lacewingslip/platform"
+	"github.com/lacewingslip/lacewingslip/quarantine"
 	"github.com/lacewingslip/lacewingslip/timeline"
 	"github.com/lacewingslip/lacewingslip/upstream"
 )
@@ -131,10 +133,11 @@
 			func() *upstream.Tracker { return upstream.New(settings.Service, settings.Backend) },
 			func(dir *fleet.Directory) *retryBudget { return newRetryBudget(settings.Bounds, dir.Table().Len) },
 			metrics.New, newListeners, newDesiredState, newBalancer, newSidecar, newDirectory, newExchange, newWatcherSelection, newLifecycle,
-			newAnnouncementHandler, newCustomerAdmission, newIngress, newPeerHandler, newServers,
+			newAnnouncementHandler, newCustomerAdmission, quarantine.New, newQuarantineSync, newIngress, newPeerHandler, newServers,
 		),
-		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle, s *servers, b *balancer, e *exchange, w *watcherSelection, a *announcementHandler, sc *sidecar, d *desiredState, dir *fleet.Directory) {
-			l.components = components{servers: s, balancer: b, exchange: e, watchers: w, announcements: a, sidecar: sc, desired: d, directory: dir}
+		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle, s *servers, b *balancer, e *exchange, w *watcherSelection, a *announcementHandler, sc *sidecar, d *desiredState, dir *fleet.Directory, q *quarantineSync) {
+			l.components = components{servers: s, balancer: b, exchange: e, watchers: w, announcements: a, sidecar: sc, desired: d, directory: dir, quarantine: q}
+			sc.crashes.onSuspects, sc.crashes.onReleased = q.serverCrashed, q.requestReleased
 			s.caller.Handler = l.trackActive(s.caller.Handler)
 			dir.SetReadsLog(w.readsLog)
 			d.readsLog, d.maxWait = w.readsDesiredState, w.maxWaitForDesiredState
@@ -144,7 +147,7 @@
 	)
 }
 
-func newDirectory(settings nodeconfig.Config, logClient *platform.LogClient, era *follow.EraTracker, b *balancer, events eventRecorder) *fleet.Directory {
+func newDirectory(settings nodeconfig.Config, logClient *platform.LogClient, era *follow.EraTracker, b *balancer, q *quarantineSync, events eventRecorder) *fleet.Directory {
 	table := fleet.NewTable()
 	address := settings.Listen.Peer
 	if settings.Listen.Advertised != "" {
@@ -153,16 +156,19 @@
 	self := fleet.Member{
 		Node: settings.Node, Address: address, Region: settings.Region, Zone: settings.Zone, Service: settings.Service,
 	}
-	return fleet.NewDirectory(self, table, logClient, events, func() { b.setMembers(table.Members) }, fleet.WithEra(era))
+	return fleet.NewDirectory(self, table, logClient, events, func() {
+		b.setMembers(table.Members)
+		q.restore(table.Members())
+	}, fleet.WithEra(era))
 }
 
 func newAnnouncementHandler(settings nodeconfig.Config, t *upstream.Tracker, s *sidecar, dir *fleet.Directory, e *exchange, d *desiredState, events eventRecorder) *announcementHandler {
 	return &announcementHandler{settings: settings, tracker: t, sidecar: s, directory: dir, exchange: e, desired: d, events: events}
 }
 
-func newIngress(settings nodeconfig.Config, d *desiredState, b *balancer, s *sidecar, e *exchange, events eventRecorder, m *metrics.Metrics, l *lifecycle, admission *customerAdmission, retries *retryBudget) *ingress {
+func newIngress(settings nodeconfig.Config, d *desiredState, b *balancer, s *sidecar, e *exchange, events eventRecorder, m *metrics.Metrics, l *lifecycle, admission *customerAdmission, retries *retryBudget, list *quarantine.List) *ingress {
 	return &ingress{
 		settings: settings, desired: d, splitter: desired.NewSplitter(), balancer: b, sidecar: s, exchange: e,
-		budget: retries, events: events, metrics: m, lifecycle: l, admission: admission,
+		budget: retries, events: events, metrics: m, lifecycle: l, admission: admission, quarantine: list,
 	}
 }
--- a/mesh/node_selector.go
+++ b/mesh/node_selector.go
@@ -13,6 +13,9 @@
 	// maxNodeAttempts limits the attempts of a request at all nodes, including
 	// retries.
 	maxNodeAttempts = 8
+	// maxIsolationNodes limits the nodes to which an isolated request is sent until one of
+	// them does not refuse it.
+	maxIsolationNodes = 3
 	// firstQueueTimeout is how long a request waits for a slot at the first node,
 	// while other nodes may have a free one. The round trip to the next zone takes
 	// 1 ms.
@@ -42,6 +45,8 @@
 	mayHaveRun bool
 	// attempts is the number of nodes selected so far.
 	attempts int
+	// isolated is true if all requests of this kind go to the same node.
+	isolated bool
 	// stage is the stage of the next selection.
 	stage selectionStage
 }
@@ -66,6 +71,10 @@
 	stageEnd
 )
 
+// isolate restricts the request to the node that runs all requests of its kind. If that node
+// can't run it, the next one in order does.
+func (s *nodeSelector) isolate() { s.isolated = true }
+
 // next returns the node for the next attempt and sets the queue timeout of the
 // request there. ok is false if no node is left.
 func (s *nodeSelector) next() (p *peer, ok bool) {
@@ -74,6 +83,13 @@
 	}
 	s.request.sentBefore = s.attempts > 0
 	s.attempts++
+	if s.isolated {
+		if s.attempts > maxIsolationNodes {
+			return nil, false
+		}
+		s.request.queueTimeout = s.lastQueueTimeout()
+		return s.balancer.isolationNode(s.request, s.refused)
+	}
 	if len(s.reachedBackend) >= s.maxBackends {
 		return s.chooseAgain()
 	}
--- /dev/null
+++ b/mesh/quarantine.go
@@ -0,0 +1,345 @@
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/fleet"
+	"github.com/lacewingslip/lacewingslip/follow"
+	"github.com/lacewingslip/lacewingslip/metrics"
+	"github.com/lacewingslip/lacewingslip/quarantine"
+)
+
+const (
+	// spreadAttempts is how often evidence is sent to a node that does not receive it, with
+	// spreadPause between two attempts. Later exchanges of state also have it, if it
+	// restricts a request.
+	spreadAttempts = 4
+	spreadPause    = 300 * time.Millisecond
+	// maxSpreadMessages bounds the nodes to which evidence is sent at the same time.
+	maxSpreadMessages = 64
+	// maxPublishedConvictions bounds the convictions in the record of a node.
+	maxPublishedConvictions = 8
+	// quarantineScanInterval is the interval at which old evidence is forgotten and the
+	// number of blocked requests is determined.
+	quarantineScanInterval = time.Second
+)
+
+// recordUpdater changes the record of this node.
+type recordUpdater interface {
+	Self() fleet.Member
+	Update(change func(m *fleet.Member))
+}
+
+// quarantineSync shares the list of suspect requests with other nodes: directly, so that it
+// does not depend on the log, and through the records of nodes, so that blocked requests are
+// known after all nodes have restarted.
+//
+// A single crash restricts no request, so only the nodes beside servers of the same service
+// are told of it, and nobody that its suspects have completed. A node that knows better
+// says so in its response. Evidence that restricts a request goes to all nodes.
+type quarantineSync struct {
+	node, service string
+	list          *quarantine.List
+	events        eventRecorder
+	metrics       *metrics.Metrics
+	// peers returns the other reachable nodes of a service, or of all services if it is "".
+	peers func(service string) []*peer
+	send  func(ctx context.Context, p *peer, msg exchangeMessage) (reply exchangeMessage, err error)
+	// ownMessage returns a message with the state of this node.
+	ownMessage func() exchangeMessage
+	directory  recordUpdater
+	// sending holds a token for each message on its way.
+	sending  chan struct{}
+	lastScan time.Time
+
+	mu sync.Mutex
+	// pending has the requests that each node is to be told of, by its name. A goroutine
+	// sends them while there is an entry.
+	pending map[string]map[quarantine.Fingerprint]struct{}
+	// witnessed holds the requests under which the backend server of this node has crashed.
+	// The record of the node has their convictions.
+	witnessed map[quarantine.Fingerprint]struct{}
+	published string
+	blocked   int
+}
+
+func newQuarantineSync(list *quarantine.List, b *balancer, events eventRecorder, m *metrics.Metrics) *quarantineSync {
+	return &quarantineSync{
+		node: b.settings.Node, service: b.settings.Service, list: list, events: events, metrics: m, peers: b.reachablePeers,
+		sending: make(chan struct{}, maxSpreadMessages),
+		pending: make(map[string]map[quarantine.Fingerprint]struct{}), witnessed: make(map[quarantine.Fingerprint]struct{}),
+	}
+}
+
+// serverCrashed shares the evidence against requests that are suspect of a crash of the
+// backend server.
+func (q *quarantineSync) serverCrashed(requests []quarantine.Fingerprint) {
+	q.mu.Lock()
+	for _, request := range requests {
+		q.witnessed[request] = struct{}{}
+	}
+	q.mu.Unlock()
+	now := time.Now()
+	var restricted []quarantine.Fingerprint
+	for _, request := range requests {
+		if q.list.Verdict(now, request).Level != quarantine.Free {
+			restricted = append(restricted, request)
+		}
+	}
+	q.spread(requests, q.peers(q.service))
+	q.spread(restricted, q.peers(""))
+	q.update(now)
+}
+
+// requestReleased tells the other nodes that a restricted request has completed.
+func (q *quarantineSync) requestReleased(request quarantine.Fingerprint) {
+	q.spread([]quarantine.Fingerprint{request}, q.peers(""))
+}
+
+// merge adds the evidence of another node. It returns evidence that the other node does not
+// have: that requests have completed since.
+func (q *quarantineSync) merge(evidence []suspectRequest) (newer []suspectRequest) {
+	if len(evidence) == 0 {
+		return nil
+	}
+	now := time.Now()
+	completed := q.list.Merge(now, decodeEvidence(evidence))
+	q.update(now)
+	return encodeEvidence(q.list.Evidence(now, completed))
+}
+
+// restore adds the convictions in the records of nodes. Those in the record that an earlier
+// process of this node has written are kept there.
+func (q *quarantineSync) restore(members []fleet.Member) {
+	now := time.Now()
+	for _, m := range members {
+		if m.Blocked == "" {
+			continue
+		}
+		convictions := decodeConvictions(m.Blocked)
+		q.list.Restore(now, convictions)
+		if m.Node == q.node {
+			q.addWitnessed(convictions)
+		}
+	}
+}
+
+func (q *quarantineSync) addWitnessed(convictions []quarantine.Conviction) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, c := range convictions {
+		q.witnessed[c.Request] = struct{}{}
+	}
+}
+
+// tick does the periodic work.
+func (q *quarantineSync) tick(now time.Time) {
+	if now.Sub(q.lastScan) < quarantineScanInterval {
+		return
+	}
+	q.lastScan = now
+	q.list.Tick(now)
+	q.mu.Lock()
+	for request := range q.witnessed {
+		if !q.list.IsSuspect(request) {
+			delete(q.witnessed, request)
+		}
+	}
+	q.mu.Unlock()
+	q.update(now)
+}
+
+// update publishes the convictions of this node and records how many requests are blocked.
+func (q *quarantineSync) update(now time.Time) {
+	convictions, blocked := q.list.Convictions(), q.list.Blocked(now)
+	q.metrics.SetBlockedRequests(blocked)
+	// A process that has not published a record yet must not replace that of an earlier one,
+	// which may say that the backend server is leaving.
+	mayPublish := q.directory.Self().Epoch > 0
+	q.mu.Lock()
+	if blocked != q.blocked {
+		q.blocked = blocked
+		q.events.Record(event.QuarantineChanged, slog.Int("blocked", blocked))
+	}
+	encoded := q.encodeWitnessed(convictions)
+	changed := mayPublish && encoded != q.published
+	if changed {
+		q.published = encoded
+	}
+	q.mu.Unlock()
+	if changed {
+		q.directory.Update(func(m *fleet.Member) { m.Blocked = q.currentPublished() })
+	}
+}
+
+// currentPublished returns the convictions for the record of this node.
+func (q *quarantineSync) currentPublished() string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.published
+}
+
+// spread sends the evidence on the requests to nodes. What is to be sent to a node while a
+// message to it is on its way follows in one message.
+func (q *quarantineSync) spread(requests []quarantine.Fingerprint, peers []*peer) {
+	if len(requests) == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, p := range peers {
+		waiting, sending := q.pending[p.node]
+		if !sending {
+			waiting = make(map[quarantine.Fingerprint]struct{})
+			q.pending[p.node] = waiting
+			go q.deliver(p)
+		}
+		for _, request := range requests {
+			waiting[request] = struct{}{}
+		}
+	}
+}
+
+// deliver sends the pending evidence to a node until there is none, or the node can't be
+// reached.
+func (q *quarantineSync) deliver(p *peer) {
+	for {
+		requests := q.takePending(p.node)
+		if len(requests) == 0 {
+			return
+		}
+		for attempt := range spreadAttempts {
+			if attempt > 0 {
+				follow.Pause(context.Background(), spreadPause)
+			}
+			if q.sendEvidence(p, requests) == nil {
+				break
+			}
+		}
+	}
+}
+
+// takePending returns the requests that a node is to be told of. If there are none, a
+// further one starts a new goroutine.
+func (q *quarantineSync) takePending(node string) (requests []quarantine.Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for request := range q.pending[node] {
+		requests = append(requests, request)
+	}
+	if len(requests) == 0 {
+		delete(q.pending, node)
+	}
+	clear(q.pending[node])
+	return requests
+}
+
+func (q *quarantineSync) sendEvidence(p *peer, requests []quarantine.Fingerprint) (err error) {
+	q.sending <- struct{}{}
+	defer func() { <-q.sending }()
+	msg := q.ownMessage()
+	msg.Suspects = encodeEvidence(q.list.Evidence(time.Now(), requests))
+	_, err = q.send(context.Background(), p, msg)
+	return err
+}
+
+// suspectRequest is the evidence on a request in a message to another node. Times are in
+// milliseconds before the message.
+type suspectRequest struct {
+	Request quarantine.Fingerprint `json:"request"`
+	Crashes []suspectCrash         `json:"crashes,omitempty"`
+	// Restored is the number of crashes of an earlier conviction, the last one RestoredMs ago.
+	Restored   int    `json:"restored,omitempty"`
+	RestoredMs int64  `json:"restoredMs,omitempty"`
+	ClearedMs  *int64 `json:"clearedMs,omitempty"`
+}
+
+type suspectCrash struct {
+	ID        quarantine.CrashID `json:"id"`
+	AgeMs     int64              `json:"ageMs"`
+	RunTimeMs int64              `json:"runMs"`
+	Isolated  bool               `json:"isolated,omitempty"`
+}
+
+func encodeEvidence(evidence []quarantine.Evidence) (encoded []suspectRequest) {
+	for _, e := range evidence {
+		s := suspectRequest{Request: e.Request, Restored: e.Restored, RestoredMs: e.RestoredAge.Milliseconds()}
+		if e.Cleared {
+			ms := e.ClearedAge.Milliseconds()
+			s.ClearedMs = &ms
+		}
+		for _, c := range e.Crashes {
+			s.Crashes = append(s.Crashes, suspectCrash{ID: c.ID, AgeMs: c.Age.Milliseconds(), RunTimeMs: c.RunTime.Milliseconds(), Isolated: c.Isolated})
+		}
+		encoded = append(encoded, s)
+	}
+	return encoded
+}
+
+func decodeEvidence(encoded []suspectRequest) (evidence []quarantine.Evidence) {
+	for _, s := range encoded {
+		e := quarantine.Evidence{Request: s.Request, Restored: s.Restored, RestoredAge: milliseconds(s.RestoredMs)}
+		if s.ClearedMs != nil {
+			e.Cleared, e.ClearedAge = true, milliseconds(*s.ClearedMs)
+		}
+		for _, c := range s.Crashes {
+			e.Crashes = append(e.Crashes, quarantine.Crash{ID: c.ID, Age: milliseconds(c.AgeMs), RunTime: milliseconds(c.RunTimeMs), Isolated: c.Isolated})
+		}
+		evidence = append(evidence, e)
+	}
+	return evidence
+}
+
+// milliseconds converts an age in a message. Ages beyond a day do not differ in effect.
+func milliseconds(ms int64) time.Duration {
+	const day = 24 * time.Hour
+	return time.Duration(min(max(ms, 0), day.Milliseconds())) * time.Millisecond
+}
+
+// encodeWitnessed returns the convictions of witnessed requests as they are stored in the
+// record of a node: the fingerprint, the number of crashes in isolation and the time of the last one in
+// Unix milliseconds, separated by colons, and commas between them. The mutex must be held.
+func (q *quarantineSync) encodeWitnessed(convictions []quarantine.Conviction) string {
+	var parts []string
+	for _, c := range convictions {
+		if _, ok := q.witnessed[c.Request]; ok && len(parts) < maxPublishedConvictions {
+			parts = append(parts, c.Request.String()+":"+strconv.Itoa(c.Crashes)+":"+strconv.FormatInt(c.At.UnixMilli(), 10))
+		}
+	}
+	return strings.Join(parts, ",")
+}
+
+// decodeConvictions decodes convictions in the record of a node. Those that can't be
+// decoded are left out.
+func decodeConvictions(encoded string) (convictions []quarantine.Conviction) {
+	for part := range strings.SplitSeq(encoded, ",") {
+		if c, err := decodeConviction(part); err == nil && len(convictions) < maxPublishedConvictions {
+			convictions = append(convictions, c)
+		}
+	}
+	return convictions
+}
+
+func decodeConviction(part string) (c quarantine.Conviction, err error) {
+	fields := strings.Split(part, ":")
+	if len(fields) != 3 {
+		return c, eris.Errorf("got %d fields, expected 3", len(fields))
+	}
+	if err = c.Request.UnmarshalText([]byte(fields[0])); err != nil {
+		return c, err
+	}
+	if c.Crashes, err = strconv.Atoi(fields[1]); err != nil {
+		return c, err
+	}
+	unixMs, err := strconv.ParseInt(fields[2], 10, 64)
+	c.At = time.UnixMilli(unixMs)
+	return c, err
+}
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -14,6 +14,7 @@
 	"github.com/lacewingslip/lacewingslip/desired"
 	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/platform"
+	"github.com/lacewingslip/lacewingslip/quarantine"
 )
 
 const (
@@ -65,6 +66,8 @@
 	// work: because it was sent to a backend server before, or because a repeated run
 	// has made it.
 	repeatShare float64
+	// fingerprint identifies the request in the list of those that crash backend servers.
+	fingerprint quarantine.Fingerprint
 	// queueTimeout is how long the request may wait for a slot at the next node.
 	queueTimeout time.Duration
 }
@@ -81,6 +84,8 @@
 	body   []byte
 	// stream is the response if its body continues after body, and nil otherwise.
 	stream *hop.Answer
+	// retryAfter is when a refused caller may come again, or 0 for the default.
+	retryAfter time.Duration
 	// node is the node that returned the result.
 	node string
 	// report is the load that the node beside the backend server reported.
@@ -103,6 +108,14 @@
 	}
 }
 
+// setFingerprint must be called once the body, or the first part of a long one, has been
+// read.
+func (r *request) setFingerprint() {
+	r.fingerprint = quarantine.Request{
+		Method: r.method, Host: desired.CanonicalHost(r.host), Target: r.target, Caller: r.caller, Body: r.body, Truncated: r.stream != nil,
+	}.Fingerprint()
+}
+
 // httpRequest returns the HTTP request for the next attempt. Its body can be
 // read once.
 func (r *request) httpRequest(setHeaders func(h http.Header)) *http.Request {
--- a/mesh/servers.go
+++ b/mesh/servers.go
@@ -186,6 +186,7 @@
 		// The sender disconnected and does not wait for a response.
 		panic(http.ErrAbortHandler)
 	}
+	req.setFingerprint()
 	p.exchange.fetchIfNewerAt(r.RemoteAddr, version)
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline.Add(responseGrace/2))
 	defer cancel()
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -19,6 +19,7 @@
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 	"github.com/lacewingslip/lacewingslip/platform"
 	"github.com/lacewingslip/lacewingslip/pressure"
+	"github.com/lacewingslip/lacewingslip/quarantine"
 	"github.com/lacewingslip/lacewingslip/slot"
 	"github.com/lacewingslip/lacewingslip/upstream"
 )
@@ -72,11 +73,15 @@
 	lastCallAt atomic.Int64
 	// reportedLevel is the pressure level in the last event. Only tick uses it.
 	reportedLevel float64
+	// quarantine holds the requests that crash backend servers, and crashes detects when
+	// the server has crashed.
+	quarantine *quarantine.List
+	crashes    *crashDetector
 	// stopping makes run refuse all requests. It is set during a planned stop.
 	stopping atomic.Bool
 }
 
-func newSidecar(settings nodeconfig.Config, tracker *upstream.Tracker, admission *customerAdmission, m *metrics.Metrics, d *desiredState, events eventRecorder) *sidecar {
+func newSidecar(settings nodeconfig.Config, tracker *upstream.Tracker, admission *customerAdmission, m *metrics.Metrics, d *desiredState, list *quarantine.List, events eventRecorder) *sidecar {
 	s := &sidecar{
 		healthPath: func() string {
 			if state := d.current(); state != nil {
@@ -88,8 +93,9 @@
 		metrics: m, runTimes: newRunTimes(),
 		gauge: &pressure.Gauge{}, links: calltree.NewLinks(), callers: calltree.NewCallers(), routePressure: admission.routePressure,
 		settings: settings, tracker: tracker, slots: slot.New(), events: events,
-		backend: hop.New(settings.Backend, hop.WithMaxIdle(backendIdleTimeout)),
+		backend: hop.New(settings.Backend, hop.WithMaxIdle(backendIdleTimeout)), quarantine: list,
 	}
+	s.crashes = newCrashDetector(list, events, s.backend.CheckListening, tracker.Server)
 	// Whether the server makes calls is unknown at the start, so it does not count
 	// as a leaf until leafIdleTime has passed.
 	s.recordCall(time.Now())
@@ -151,6 +157,9 @@
 	case s.silence.isSilent():
 		return notRunResult(call.ReasonSilent, "the backend server has stopped responding")
 	}
+	if verdict := s.quarantine.Verdict(time.Now(), req.fingerprint); verdict.Level == quarantine.Blocked {
+		return quarantinedResult(verdict)
+	}
 	if !req.sentBefore {
 		// Each request counts toward the demand once, at the first node that was
 		// chosen for it.
@@ -172,7 +181,7 @@
 		return notRunResult(call.ReasonOverloaded, err.Error())
 	}
 	started := time.Now()
-	res := s.forward(ctx, req)
+	res := s.forwardUnlessQuarantined(ctx, req)
 	runTime := time.Since(started)
 	switch {
 	case res.outcome != call.Answered:
@@ -186,8 +195,31 @@
 	return res
 }
 
-// forward sends a request that holds a slot to the backend server.
-func (s *sidecar) forward(ctx context.Context, req *request) *result {
+// forwardUnlessQuarantined forwards a request that holds a slot, unless such requests crash
+// backend servers. An isolated one runs alone.
+func (s *sidecar) forwardUnlessQuarantined(ctx context.Context, req *request) *result {
+	verdict := s.quarantine.Verdict(time.Now(), req.fingerprint)
+	if verdict.Level == quarantine.Free {
+		return s.forward(ctx, req, false)
+	}
+	trial, allowed := s.quarantine.StartTrial(time.Now(), req.fingerprint)
+	if !allowed {
+		return quarantinedResult(verdict)
+	}
+	defer s.quarantine.EndTrial(trial)
+	return s.forward(ctx, req, true)
+}
+
+// quarantinedResult returns the result of a request that is refused for the verdict.
+func quarantinedResult(verdict quarantine.Verdict) *result {
+	res := notRunResult(call.ReasonQuarantined, "such requests have crashed backend servers")
+	res.retryAfter = verdict.RetryAfter
+	return res
+}
+
+// forward sends a request that holds a slot to the backend server. isolated is true if it
+// is the only isolated one there.
+func (s *sidecar) forward(ctx context.Context, req *request, isolated bool) *result {
 	server := s.tracker.Server()
 	timeLeft := time.Until(req.deadline)
 	if minLeft := s.runTimes.minTimeLeft(req.route); timeLeft < minLeft {
@@ -205,14 +237,32 @@
 	s.repeats.start(req.repeatShare)
 	defer s.repeats.end(req.repeatShare)
 	s.silence.requestSent(time.Now())
-	resp, err := s.backend.Do(ctx, httpReq, req.id, matchesRequest(req.id))
+	execution := s.crashes.start(req.fingerprint, isolated)
+	res, err := s.exchange(ctx, httpReq, req)
 	// A time-out or the end of the context does not show that the server responds.
 	// Any other error does, such as a connection that the server has reset.
 	s.silence.requestEnded(time.Now(), err == nil || !isTimeout(err) && ctx.Err() == nil)
+	switch {
+	case res.outcome == call.Answered:
+		s.crashes.complete(execution)
+	case res.reason == call.ReasonLost && ctx.Err() == nil && !isTimeout(err):
+		if s.crashes.breakOff(ctx, execution) {
+			res.reason, res.detail = call.ReasonCrashed, "the backend server crashed: "+res.detail
+		}
+	default:
+		s.crashes.drop(execution)
+	}
+	return res
+}
+
+// exchange sends a request to the backend server and returns its response. err is the error
+// if there was none.
+func (s *sidecar) exchange(ctx context.Context, httpReq *http.Request, req *request) (res *result, err error) {
+	resp, err := s.backend.Do(ctx, httpReq, req.id, matchesRequest(req.id))
 	if err != nil {
-		return resultOfError(ctx, err)
+		return resultOfError(ctx, err), err
 	}
-	return resultOfResponse(resp)
+	return resultOfResponse(resp), nil
 }
 
 // pressureLevel returns the highest pressure level among the services that
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -141,6 +141,9 @@
 	// date and knows the ID.
 	h["Date"] = nil
 	platform.DropRequestID(h)
+	if res.retryAfter > 0 {
+		platform.SetRetryAfter(h, res.retryAfter)
+	}
 	reason := res.reason
 	if reason == "" {
 		reason = emptyReason
@@ -204,6 +207,7 @@
 	res.node = node
 	if res.outcome != call.Answered {
 		res.detail = "reported by the node beside the backend server"
+		res.retryAfter = platform.RetryAfter(resp.Header)
 		// The body is discarded: the other node has logged the details.
 		_, _, _ = resp.ReadAll(maxBufferedBytes)
 		resp.Close()
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -115,12 +115,16 @@
 		Name: "lacewingslip.desired.version", Exported: "lacewingslip_desired_version", Kind: Gauge, Unit: "{version}",
 		Meaning: "Version of the desired state in force at this node.",
 	}
+	blockedRequests = Instrument{
+		Name: "lacewingslip.blocked.requests", Exported: "lacewingslip_blocked_requests", Kind: Gauge, Unit: "{request}",
+		Meaning: "Number of different calls that this node refuses because they crash backend servers.",
+	}
 )
 
 // Catalogue returns all instruments in the order of docs/operate/metrics.md.
 func Catalogue() []Instrument {
 	return []Instrument{
 		calls, callDuration, retries, queueLength, running, limit,
-		bookings, crossRegionBytes, members, settingsOffset, pressure, desiredVersion,
+		bookings, crossRegionBytes, members, settingsOffset, pressure, desiredVersion, blockedRequests,
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -74,6 +74,7 @@
 	settingsOffset   metric.Int64Gauge
 	pressure         metric.Float64Gauge
 	desiredVersion   metric.Int64Gauge
+	blockedRequests  metric.Int64Gauge
 
 	// Label sets are cached per combination of values, because creating one sorts and
 	// allocates.
@@ -172,6 +173,12 @@
 	m.pressure.Record(context.Background(), level, set.record...)
 }
 
+// SetBlockedRequests records the number of different calls that are refused because they
+// crash backend servers.
+func (m *Metrics) SetBlockedRequests(requests int) {
+	m.blockedRequests.Record(context.Background(), int64(requests))
+}
+
 // SetDesiredVersion records the version of the desired state that is in effect.
 func (m *Metrics) SetDesiredVersion(version int64) {
 	m.desiredVersion.Record(context.Background(), version)
@@ -191,6 +198,7 @@
 	m.settingsOffset = c.gauge(settingsOffset)
 	m.pressure = c.floatGauge(pressure)
 	m.desiredVersion = c.gauge(desiredVersion)
+	m.blockedRequests = c.gauge(blockedRequests)
 	return c.err
 }
 
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -96,6 +96,7 @@
 	m.SetSettingsOffset(17)
 	m.SetPressure("orders", 0.5)
 	m.SetDesiredVersion(7)
+	m.SetBlockedRequests(1)
 
 	server := httptest.NewServer(m.Handler())
 	defer server.Close()
