Make the requests at a server that stops responding suspect

A request can also make each server that runs it hang. Its callers and all others at that server get no response until their time is up, and the server's connections stay open, so no crash was recorded.

The detector of silent servers now reports the requests that run there as suspects, like those at a server that ends. A server that was only slow completes them, which clears them.

TestRequestsAtSilentServerAreSuspect without the call: it fails after 10 s ('timeout exceeded'); with it, it passes.

--- a/mesh/crash.go
+++ b/mesh/crash.go
@@ -27,8 +27,8 @@
 	maxUnexplained = 128
 )
 
-// crashDetector detects that the backend server has crashed, and which requests it was
-// running. A server that has only broken off a response still accepts connections.
+// crashDetector detects that the backend server has crashed or hangs, and which requests it
+// was running. A server that has only broken off a response still accepts connections.
 type crashDetector struct {
 	list   *quarantine.List
 	events eventRecorder
@@ -146,6 +146,10 @@
 	d.unexplained = d.unexplained[max(len(d.unexplained)-maxUnexplained, 0):]
 }
 
+// serverSilent records that the server has stopped responding. A request can make a server
+// hang instead of ending it.
+func (d *crashDetector) serverSilent() { d.recordCrash(d.server(), d.endAll(), "no response") }
+
 // serverReplaced records that the server has announced a new incarnation although the
 // earlier one had not announced that it leaves. Runs that were broken off shortly before
 // have ended with it.
--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -382,6 +382,21 @@
 	must.True(t, list.IsSuspect(request))
 }
 
+// Guards against a request that makes server after server hang, which ends none of them.
+func TestRequestsAtSilentServerAreSuspect(t *testing.T) {
+	d := newDeployment(t, "orders", "catalogue")
+	d.vms[0].server.SetBehaviour(func(*http.Request) server.Behaviour { return server.Hang })
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for n := range 2 * minSilentRequests {
+		calls.Go(func() { d.call(d.vms[1], http.MethodGet, fmt.Sprintf("/safe/%d", n), strconv.Itoa(n)) })
+	}
+	sidecar := d.vms[0].node.lifecycle.components.sidecar
+	eventually(t, sidecar.silence.isSilent)
+	request := quarantine.Request{Method: http.MethodGet, Host: operator.Host, Target: "/safe/0", Caller: "catalogue"}.Fingerprint()
+	eventually(t, func() bool { return sidecar.quarantine.IsSuspect(request) })
+}
+
 // Nodes may be told of fingerprints, ages and convictions that make no sense.
 func TestDecodeConvictions(t *testing.T) {
 	fingerprint := quarantine.Request{Target: "/a"}.Fingerprint()
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -302,6 +302,7 @@
 	if s.silence.check(now, meanRun) {
 		s.events.Record(event.BackendUnreachable, slog.String("instance", s.tracker.Server().Instance()),
 			attrMs("meanRunMs", meanRun))
+		s.crashes.serverSilent()
 	}
 	path := s.healthPath()
 	if path == "" || !s.silence.probeDue(now) {
