--- a/mesh/servers.go
+++ b/mesh/servers.go
@@ -205,6 +205,7 @@
 		p.recordNotRead(r, err)
 		panic(http.ErrAbortHandler)
 	}
+	req.setFingerprint()
 	p.exchange.fetchIfNewerAt(r.RemoteAddr, version)
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline.Add(responseGrace/2))
 	defer cancel()
