Ignore records of nodes with values that no node writes

Operators of similar systems saw that one odd entry among those of the upstreams ended the machines that read the list, or stopped them from following it. Here no node ended, and records that JSON can't hold or that are nested more than 10,000 deep were ignored. But a record with the epoch, the port 99999 or -5 slots was taken, used to choose nodes, and passed on. With the highest epoch, every later record of that node was ignored, on all nodes, for good.

Cause: Member.Check only asked for the presence of fields.

It does not depend on a clock, so all nodes agree. Both ways into a table, the log and the messages of other nodes, use it, so nothing odd is passed on. The error names the field instead of the whole record.

Left: the owner of a record whose epoch is exactly the bound can't count above it.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -62,6 +62,9 @@
 
 func FuzzDecodeMember(f *testing.F) {
 	f.Add([]byte(`{"node":"a","epoch":1,"address":"a:1","service":"orders","slots":5,"takesWork":true}`))
+	for _, odd := range oddRecords {
+		f.Add([]byte(odd))
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if m, err := fleet.DecodeMember(data); err == nil {
 			must.NoError(t, m.Check())
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -19,8 +19,15 @@
 	"sync"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/lacewingslip/lacewingslip/hop"
+	"github.com/lacewingslip/lacewingslip/upstream"
 )
 
+// maxEpoch bounds the epoch of a record, which is usually a time in Unix milliseconds. Its
+// node must still be able to count above it.
+const maxEpoch = upstream.MaxStartMs
+
 // Member is a node's record of itself and its backend server. It is written to the
 // log service and sent between nodes as JSON.
 type Member struct {
@@ -42,12 +49,20 @@
 	TakesWork bool `json:"takesWork"`
 }
 
-// Check returns an error if a required field is missing.
+// Check returns an error if a required field is missing or a field has a value that no
+// node writes. All nodes must agree, so the result does not depend on the clock.
 func (m Member) Check() (err error) {
-	if m.Node == "" || m.Address == "" || m.Service == "" || m.Epoch <= 0 {
-		return eris.Errorf("invalid record of a node: expected node, address, service and a positive epoch, got %+v", m)
+	defer func() { err = eris.Wrap(err, "invalid record of a node") }()
+	if m.Node == "" || m.Service == "" {
+		return eris.Errorf("expected a node and a service, got %.80q and %.80q", m.Node, m.Service)
+	}
+	if m.Epoch <= 0 || m.Epoch > maxEpoch {
+		return eris.Errorf("expected an epoch of 1 to %d, got %d", maxEpoch, m.Epoch)
 	}
-	return nil
+	if err = hop.CheckAddress(m.Address); err != nil {
+		return err
+	}
+	return upstream.CheckBounds(m.StartMs, m.Slots, m.Node, m.Region, m.Zone, m.Service, m.Instance)
 }
 
 // Outdates reports whether the records are of the same node and other would be ignored
@@ -61,7 +76,10 @@
 	if err = json.Unmarshal(data, &m); err != nil {
 		return Member{}, eris.Wrap(err, "decode the record of a node")
 	}
-	return m, m.Check()
+	if err = m.Check(); err != nil {
+		return Member{}, err
+	}
+	return m, nil
 }
 
 // Table holds the newest record of each node. It is safe for concurrent use.
--- a/hop/dial.go
+++ b/hop/dial.go
@@ -2,9 +2,12 @@
 
 import (
 	"net"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 )
 
@@ -26,8 +29,21 @@
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
 	tcpUserTimeout    = 2500 * time.Millisecond
+	// maxAddressBytes is the length of the longest host name with a port.
+	maxAddressBytes = 253 + len(":65535")
 )
 
+// CheckAddress returns an error if no connection to the address is possible because it
+// does not have the form host:port with a port of 1 to 65535.
+func CheckAddress(address string) (err error) {
+	host, port, err := net.SplitHostPort(address)
+	if n, portErr := strconv.ParseUint(port, 10, 16); err != nil || portErr != nil || n == 0 ||
+		host == "" || len(address) > maxAddressBytes || strings.ContainsAny(address, "/?#@ \t\r\n") {
+		return eris.Errorf("expected an address host:port with a port of 1 to 65535, got %.160q", address)
+	}
+	return nil
+}
+
 // Dialer returns a dialer whose connections fail when the remote host stops
 // responding.
 func Dialer() *net.Dialer {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -18,8 +18,37 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
+const (
+	// MaxStartMs bounds a start time in Unix milliseconds. Later starts must still have a
+	// higher one, and a clock may be set wrong by years.
+	MaxStartMs int64 = 1 << 52
+	// maxSlots bounds how many requests a server can run at once.
+	maxSlots = 1 << 20
+	// maxTextBytes bounds each text of an announcement or a record.
+	maxTextBytes = 1 << 10
+)
+
+// CheckBounds returns an error if the start time, the slots or the texts of an announcement
+// or a record have values that no server has.
+func CheckBounds(startMs int64, slots int, texts ...string) (err error) {
+	if startMs < 0 || startMs > MaxStartMs {
+		return eris.Errorf("expected a start time of 0 to %d ms, got %d", MaxStartMs, startMs)
+	}
+	if slots < 0 || slots > maxSlots {
+		return eris.Errorf("expected 0 to %d slots, got %d", maxSlots, slots)
+	}
+	for _, text := range texts {
+		if len(text) > maxTextBytes {
+			return eris.Errorf("expected texts of at most %d bytes, got %.80q with %d", maxTextBytes, text, len(text))
+		}
+	}
+	return nil
+}
+
 // State is the state that a backend server announces.
 type State uint8
 
