Reject announcements with values that no server announces

After one announcement with the start time or the sequence number, all true announcements of the server counted as late, so a server that was draining stayed in use.

Left: a start time that is too late but within the bound, for the right service and address, still hides the true ones until the node's process is restarted.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -26,6 +26,8 @@
 	// MaxStartMs bounds a start time in Unix milliseconds. Later starts must still have a
 	// higher one, and a clock may be set wrong by years.
 	MaxStartMs int64 = 1 << 52
+	// maxSequence bounds the number of an announcement, so that later ones have a higher one.
+	maxSequence int64 = 1 << 52
 	// maxSlots bounds how many requests a server can run at once.
 	maxSlots = 1 << 20
 	// maxTextBytes bounds each text of an announcement or a record.
@@ -92,6 +94,14 @@
 	WarmUp time.Duration
 }
 
+// Check returns an error if the announcement has values that no server announces.
+func (a Announcement) Check() (err error) {
+	if a.Sequence < 0 || a.Sequence > maxSequence {
+		return eris.Errorf("expected a sequence number of 0 to %d, got %d", maxSequence, a.Sequence)
+	}
+	return CheckBounds(a.StartMs, a.Slots, a.Instance, a.Service, a.Address, a.Zone)
+}
+
 // Server is the last known state of the backend server.
 type Server struct {
 	instance  string
