Write a node's record again when another writer has replaced it

The log keeps the newest record of each key. When another writer had left something unreadable or out of bounds under the key of a node, or the record of another node, nodes that started later did not learn of that node from the log, until its record changed for another reason. A record under the key of a different node was taken for that node's.

Cause: a record that can't be decoded was only reported, also under the own key, and the key was not compared with the record.

A record under another key is unreadable now. A node that reads the log and meets such a record under its own name writes its record with the next epoch, once per batch, and records the new event 5109, memberOverwritten.

Left: a node that does not read the log itself does not learn of this. Others keep its record in memory and pass it on (pollPeers).

Test on the code before: --- FAIL: TestOverwrittenRecordIsWrittenAgain, all 4 cases, "expected condition to pass within wait context" after 10 s. After: passes under -race.

--- a/event/members.go
+++ b/event/members.go
@@ -18,6 +18,7 @@
 	PeerRefuses       ID = 5106
 	ExchangeFailed    ID = 5107
 	WatcherMissing    ID = 5108
+	MemberOverwritten ID = 5109
 )
 
 var memberEvents = []Description{
@@ -34,5 +35,6 @@
 	{ID: PeerBack, Name: "peerBack", Level: slog.LevelInfo, Meaning: "An unreachable node answers again and receives calls."},
 	{ID: ExchangeFailed, Name: "exchangeFailed", Level: slog.LevelWarn, Meaning: "Another node has a newer desired state but did not send it. It is asked again with the next call to it."},
 	{ID: WatcherMissing, Name: "watcherMissing", Level: slog.LevelWarn, Meaning: "This node could not receive updates from any node in its zone that reads the log, so it reads the log itself for a while."},
+	{ID: MemberOverwritten, Name: "memberOverwritten", Level: slog.LevelWarn, Meaning: "Another writer replaced this node's record in the log with one that is not this node's. The node writes its record again."},
 	{ID: PeerRefuses, Name: "peerRefuses", Level: slog.LevelInfo, Meaning: "A node answered that its backend server is shutting down. It receives no calls until it announces a change."},
 }
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/follow"
 	"github.com/lacewingslip/lacewingslip/platform"
@@ -223,14 +225,26 @@
 	}
 }
 
+// decodeRecord decodes a record of the log, whose key is the name of its node.
+func decodeRecord(record platform.Record) (m Member, err error) {
+	m, err = DecodeMember(record.Value)
+	if err == nil && m.Node != record.Key {
+		err = eris.Errorf("expected the record of node %q, got that of %q", record.Key, m.Node)
+	}
+	return m, err
+}
+
 func (d *Directory) applyRecords(records []platform.Record) {
-	changed := false
+	changed, ownOverwritten, ownName := false, false, d.Self().Node
 	for _, record := range records {
 		if record.Value == nil {
 			changed = d.table.Drop(record.Key) || changed
 			continue
 		}
-		m, err := DecodeMember(record.Value)
+		m, err := decodeRecord(record)
+		if record.Key == ownName {
+			ownOverwritten = err != nil
+		}
 		if err != nil {
 			d.events.Record(event.MemberUnreadable, slog.String("key", record.Key),
 				slog.Int64("offset", record.Offset), slog.String("error", err.Error()))
@@ -243,6 +257,10 @@
 				slog.Int64("epoch", m.Epoch), slog.Int64("offset", record.Offset))
 		}
 	}
+	if ownOverwritten && d.Self().Epoch > 0 {
+		d.Update(func(m *Member) { m.Epoch++ })
+		d.events.Record(event.MemberOverwritten, slog.Int64("epoch", d.Self().Epoch))
+	}
 	if changed {
 		d.onChange()
 	}
--- a/fleet/odd_record_test.go
+++ b/fleet/odd_record_test.go
@@ -86,3 +86,35 @@
 		})
 	}
 }
+
+// Guards against a node that later starters do not learn of, because another writer has
+// replaced its record in the log, and against a record that is taken for that of another node.
+func TestOverwrittenRecordIsWrittenAgain(t *testing.T) {
+	for name, odd := range map[string]string{
+		"unreadable":     "\x00\x01",
+		"largest epoch":  `{"node":"a","epoch":9223372036854775807,"address":"a:1","service":"orders"}`,
+		"port too large": `{"node":"a","epoch":5,"address":"a:99999","service":"orders"}`,
+		"another node":   `{"node":"b","epoch":4000000000000,"address":"b:1","service":"orders"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			log, client := startLog(t)
+			a, _ := startDirectory(t, client, "a")
+			inLog := func() bool {
+				m, err := fleet.DecodeMember(log.Newest(fleet.Topic, "a"))
+				return err == nil && m.Node == "a" && m.TakesWork
+			}
+			for range 2 {
+				a.Update(func(m *fleet.Member) { m.TakesWork, m.Slots = true, m.Slots+1 })
+				eventually(t, inLog)
+				log.Put(fleet.Topic, "a", []byte(odd))
+				eventually(t, inLog)
+			}
+			b, _ := startDirectory(t, client, "b")
+			<-b.Loaded()
+			must.Len(t, 1, b.Table().Members())
+			b.Update(func(m *fleet.Member) { m.TakesWork = true })
+			eventually(t, func() bool { return takesWork(a, "b")() && takesWork(b, "a")() })
+		})
+	}
+}
