--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -19,6 +19,7 @@
 	"github.com/lacewingslip/lacewingslip/fleet"
 	"github.com/lacewingslip/lacewingslip/follow"
 	"github.com/lacewingslip/lacewingslip/hop"
+	"github.com/lacewingslip/lacewingslip/platform"
 )
 
 const (
@@ -266,7 +267,7 @@
 // fetchIfNewer fetches the desired state from a node in the background if the
 // version at that node is newer than the version at this node.
 func (e *exchange) fetchIfNewer(p *peer, version int64) {
-	if version <= e.desired.version() {
+	if version <= e.desired.version() || version > platform.MaxVersion {
 		return
 	}
 	node := p.node
--- a/mesh/wire_test.go
+++ b/mesh/wire_test.go
@@ -38,3 +38,11 @@
 		}
 	})
 }
+
+// Guards against an exchange for each message of a node that states a version which no
+// node takes.
+func TestVersionOutOfBoundsIsNotFetched(t *testing.T) {
+	e := &exchange{desired: &desiredState{}, fetching: map[string]bool{}}
+	e.fetchIfNewer(&peer{node: "other"}, 1<<63-1)
+	must.MapEmpty(t, e.fetching)
+}
