Cut the long texts of events

The error of encoding/json repeats a number that does not fit its field, so one record with a number of 1 MiB of digits left an event of 1,048,683 bytes (measured), again with each reading of the record, and an announcement up to 64 KiB. A writer that goes on with such records fills the memory of all nodes that read the list; on the users' platform a node has 256 MB.

Cause: the recorder kept attributes as they were.

The recorder cuts texts at 2 KiB and adds their full length, in the log and in the timeline.

Test on the code before: --- FAIL: TestLongTextIsCut, "expected 3145986 < 16384". After: passes.

--- a/timeline/recorder.go
+++ b/timeline/recorder.go
@@ -2,14 +2,21 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/lacewingslip/lacewingslip/event"
 )
 
-const defaultCapacity = 8192
+const (
+	defaultCapacity = 8192
+	// maxAttrBytes bounds each text of an event. Some texts come from other processes, and
+	// the events of a node must fit into its memory.
+	maxAttrBytes = 2 << 10
+)
 
 // Recorder logs events and buffers the most recent ones. It is safe for concurrent
 // use.
@@ -71,7 +78,8 @@
 
 // Record logs and buffers an event.
 func (r *Recorder) Record(id event.ID, attrs ...slog.Attr) {
-	r.buffer(id, slices.Clone(attrs))
+	attrs = shorten(attrs)
+	r.buffer(id, attrs)
 
 	description, _ := id.Describe()
 	ctx := context.Background()
@@ -83,6 +91,20 @@
 	r.logger.LogAttrs(ctx, description.Level, id.String(), append(numbered, attrs...)...)
 }
 
+// shorten returns a copy of the attributes in which long texts are cut.
+func shorten(attrs []slog.Attr) []slog.Attr {
+	attrs = slices.Clone(attrs)
+	for i, attr := range attrs {
+		if attr.Value.Kind() != slog.KindString {
+			continue
+		}
+		if text := attr.Value.String(); len(text) > maxAttrBytes {
+			attrs[i] = slog.String(attr.Key, fmt.Sprintf("%s... (%d bytes)", strings.ToValidUTF8(text[:maxAttrBytes], ""), len(text)))
+		}
+	}
+	return attrs
+}
+
 // Events returns the buffered events after the timestamp, oldest first.
 func (r *Recorder) Events(since Timestamp) []Event {
 	buffered, _ := r.bufferedAfter(since)
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -188,3 +188,19 @@
 	}
 	return all
 }
+
+// Guards against a node whose memory fills with the texts of another process, such as a
+// record with a number of a million digits, which the error of its decoder repeats.
+func TestLongTextIsCut(t *testing.T) {
+	var log strings.Builder
+	r := timeline.NewRecorder("n", timeline.WithLogger(slog.New(slog.NewTextHandler(&log, nil))))
+	for range 3 {
+		r.Record(event.MemberUnreadable, slog.String("key", "a"), slog.String("error", strings.Repeat("9", 1<<20)))
+	}
+	must.Less(t, 16<<10, log.Len())
+	for _, e := range r.Events(timeline.Timestamp{}) {
+		must.Eq(t, timeline.Attribute{Key: "key", Value: "a"}, e.Attributes[0])
+		must.Less(t, 4<<10, len(e.Attributes[1].Value))
+		must.StrContains(t, e.Attributes[1].Value, "(1048576 bytes)")
+	}
+}
