Ignore an era of the log out of bounds

After a message of another node with the era, a node noticed no restore of the log through others any more, and did not write its record again after one: no era was higher.

Cause: the tracker took every number. It now ignores eras above 2^62. The bound is higher than those of epochs because the log service chooses the era, which may be a time in nanoseconds.

Test on the code before: --- FAIL: TestEraOutOfBoundsHidesNoRestore. After: passes.

--- a/follow/era.go
+++ b/follow/era.go
@@ -2,6 +2,10 @@
 
 import "sync"
 
+// maxEra bounds the era of the log, so that the next one is higher. An era may be a time in
+// nanoseconds.
+const maxEra = 1 << 62
+
 // EraTracker holds the highest known era of the log, which rises each time the log is
 // restored from an earlier copy. It is safe for concurrent use.
 type EraTracker struct {
@@ -13,11 +17,12 @@
 // NewEraTracker returns a tracker that knows of no era.
 func NewEraTracker() *EraTracker { return &EraTracker{risen: make(chan struct{})} }
 
-// Observe records an era that the log service or another node has stated.
+// Observe records an era that the log service or another node has stated. An era out of
+// bounds is ignored.
 func (e *EraTracker) Observe(era int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if era <= e.known {
+	if era <= e.known || era > maxEra {
 		return
 	}
 	e.known = era
