Write under another producer name when a foreign epoch bars a node's own

The log service rejects a write whose producer has written with a higher epoch. After another writer had used the name of a node as producer with the epoch, that node could not write its record any more. It raised its epoch by a minute with each attempt and sent the record to all nodes each time; nodes that started later did not find it in the log.

Cause: the only way out of a rejection was a higher epoch, in steps that suit a clock that was set back.

The step doubles now, so that six attempts cover an hour. Delayed writes under the name that was given up are rejected all the same, since its epoch is still the higher one.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -37,8 +38,13 @@
 	rewriteSpreadPerNode = 3 * time.Millisecond
 	minRewriteSpread     = 300 * time.Millisecond
 	// fencedEpochStep is added to an epoch that the log service has rejected as
-	// outdated. This happens after the system clock has been set back.
+	// outdated. This happens after the system clock has been set back. The step doubles
+	// with each further rejection.
 	fencedEpochStep = int64(time.Minute / time.Millisecond)
+	// maxFencedWrites is the number of rejections after which a node writes under another
+	// producer name, because a foreign writer may have used the name with an epoch that
+	// can't be exceeded.
+	maxFencedWrites = 6
 )
 
 // logClient is the part of the platform's log service that the directory uses.
@@ -72,7 +78,10 @@
 	publishedEpoch int64
 	// publishedEra is the era of the log that has the record with publishedEpoch.
 	publishedEra int64
-	wake         chan struct{}
+	// fencedWrites counts the writes rejected as outdated since the last accepted one, and
+	// producers the producer names given up.
+	fencedWrites, producers int
+	wake                    chan struct{}
 	// loaded is closed after the log has been read completely for the first time.
 	loaded   chan struct{}
 	loadOnce sync.Once
@@ -346,7 +355,7 @@
 		return err
 	}
 	known := d.era.Known()
-	era, err := d.log.Put(ctx, Topic, self.Node, self.Epoch, self.Node, value)
+	era, err := d.log.Put(ctx, Topic, d.producer(), self.Epoch, self.Node, value)
 	// The era never falls. If the log states a lower one than was known before the write,
 	// the known era is not the log's.
 	era = max(era, known)
@@ -356,15 +365,33 @@
 	defer d.mu.Unlock()
 	switch {
 	case err == nil && self.Epoch >= d.publishedEpoch:
-		d.publishedEpoch, d.publishedEra = self.Epoch, era
+		d.publishedEpoch, d.publishedEra, d.fencedWrites = self.Epoch, era, 0
 		if era < d.era.Known() {
 			return errEarlierEra
 		}
 	case errors.Is(err, platform.ErrFenced) && d.self.Epoch == self.Epoch:
 		// An earlier process of this node has written a record with a higher epoch,
-		// before the system clock was set back.
-		d.self.Epoch += fencedEpochStep
+		// before the system clock was set back, or a foreign writer has used the name.
+		d.self.Epoch += fencedEpochStep << d.fencedWrites
 		d.table.Apply(d.self)
+		if d.fencedWrites++; d.fencedWrites == maxFencedWrites {
+			d.fencedWrites, d.producers = 0, d.producers+1
+			d.events.Record(event.ProducerReplaced, slog.String("producer", d.producerName()))
+		}
 	}
 	return err
 }
+
+func (d *Directory) producer() (name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.producerName()
+}
+
+// producerName returns the name under which the record is written. The mutex must be held.
+func (d *Directory) producerName() (name string) {
+	if d.producers == 0 {
+		return d.self.Node
+	}
+	return fmt.Sprintf("%s#%d", d.self.Node, d.producers+1)
+}
--- a/fleet/odd_record_test.go
+++ b/fleet/odd_record_test.go
@@ -118,3 +118,22 @@
 		})
 	}
 }
+
+// Guards against a node that can never write its record, because another writer has used
+// its name as producer with the highest epoch.
+func TestForeignProducerEpochStopsNoWrites(t *testing.T) {
+	log, client := startLog(t)
+	_, err := client.Put(t.Context(), fleet.Topic, "a", 1<<63-1, "x", []byte("{}"))
+	must.NoError(t, err)
+	for _, process := range []string{"first", "restarted"} {
+		t.Run(process, func(t *testing.T) {
+			a, _ := startDirectory(t, client, "a")
+			<-a.Loaded()
+			a.Update(func(m *fleet.Member) { m.TakesWork = true })
+			eventually(t, func() bool {
+				m, err := fleet.DecodeMember(log.Newest(fleet.Topic, "a"))
+				return err == nil && m.Epoch == a.Self().Epoch
+			})
+		})
+	}
+}
