Let no start in the future hide the announcements of the running server

An announcement or deregistration of another writer with a start time that is too late but below the bound of 2^52, such as 10^14 ms, still made all true announcements count as late until the node's process was restarted.

Cause: the latest start time won, whatever the clock of the node said. The server is on the same machine, so its start can't lie in the future, unless the clock was set back meanwhile.

A known start that is more than a minute ahead of the clock gives way to one that is not, so the next true announcement, usually 1.5 s later, is taken. A deregistration with such a start is ignored unless it is that of the known incarnation. A server that started before its clock was set back is still known, and its end is still taken.

Left: after the clock was set back by more than a minute, a late announcement of an earlier incarnation holds until the next true one.

Test on the code before: --- FAIL: TestStartInFutureHidesNoAnnouncement, all 3 cases. After: passes, as does TestServerStartedBeforeClockWasSetBack, which also passed before.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,7 +12,8 @@
 // An incarnation is one run of the server's process, from start to exit. It is
 // identified by the server's ID and the start time of the process. Announcements may
 // arrive late and out of order, also from an earlier incarnation at the same address.
-// The tracker never replaces newer information with older information.
+// The tracker never replaces newer information with older information, except that a
+// start that lies in the future does not hide an earlier one.
 package upstream
 
 import (
@@ -30,6 +31,9 @@
 	maxSequence int64 = 1 << 52
 	// maxSlots bounds how many requests a server can run at once.
 	maxSlots = 1 << 20
+	// maxStartAhead is how far a start time may be ahead of the node's clock. Later ones
+	// result from a clock that was set back, or from another writer.
+	maxStartAhead = time.Minute
 	// maxTextBytes bounds each text of an announcement or a record.
 	maxTextBytes = 1 << 10
 )
@@ -196,7 +200,7 @@
 	s := t.server
 	sameIncarnation := s.instance == a.Instance && s.startMs == a.StartMs
 	switch {
-	case s.startMs > a.StartMs, sameIncarnation && a.Sequence <= s.sequence:
+	case s.startMs > a.StartMs && (!isAhead(now, s.startMs) || isAhead(now, a.StartMs)), sameIncarnation && a.Sequence <= s.sequence:
 		return Stale
 	case sameIncarnation && a.State == s.state && a.Slots == s.slots:
 		t.server.sequence = a.Sequence
@@ -210,6 +214,11 @@
 	return Changed
 }
 
+// isAhead reports whether a start time can't be that of a process by the clock of this node.
+func isAhead(now time.Time, startMs int64) bool {
+	return startMs > now.Add(maxStartAhead).UnixMilli()
+}
+
 // Deregister records that an instance has deregistered. startMs is the start time of the
 // incarnation, or 0 if the message did not state it; the current incarnation of the
 // instance is then assumed.
@@ -220,6 +229,9 @@
 	if startMs == 0 && current {
 		startMs = t.server.startMs
 	}
+	if isAhead(time.Now(), startMs) && !(current && startMs == t.server.startMs) {
+		return Stale
+	}
 	if len(t.deregistered) >= maxDeregistered {
 		clear(t.deregistered)
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -91,3 +91,39 @@
 		})
 	}
 }
+
+// Guards against a server whose true announcements count as late for good, because another
+// writer has announced or deregistered it with a start in the future.
+func TestStartInFutureHidesNoAnnouncement(t *testing.T) {
+	now := time.Now()
+	start, future := now.Add(-time.Hour).UnixMilli(), now.AddDate(10, 0, 0).UnixMilli()
+	for name, odd := range map[string]func(tracker *upstream.Tracker){
+		"announced": func(tracker *upstream.Tracker) {
+			tracker.Apply(now, newAnnouncement("b", future, 9, upstream.Draining))
+		},
+		"announced, same ID": func(tracker *upstream.Tracker) {
+			tracker.Apply(now, newAnnouncement("a", future, 9, upstream.Draining))
+		},
+		"deregistered": func(tracker *upstream.Tracker) { tracker.Deregister("a", future) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := upstream.New("orders", "10.1.0.8:1")
+			tracker.Apply(now, newAnnouncement("a", start, 1, upstream.Ready))
+			odd(tracker)
+			tracker.Apply(now, newAnnouncement("a", start, 2, upstream.Ready))
+			must.True(t, tracker.Server().TakesWork())
+			must.EqOp(t, start, tracker.Server().StartMs())
+		})
+	}
+}
+
+// Guards against a server that is not known or stays in use because it started before the
+// clock was set back.
+func TestServerStartedBeforeClockWasSetBack(t *testing.T) {
+	now, tracker := time.Now(), upstream.New("orders", "10.1.0.8:1")
+	start := now.AddDate(1, 0, 0).UnixMilli()
+	must.EqOp(t, upstream.Changed, tracker.Apply(now, newAnnouncement("a", start, 1, upstream.Ready)))
+	must.EqOp(t, upstream.Stale, tracker.Apply(now, newAnnouncement("b", start-1, 9, upstream.Draining)))
+	must.EqOp(t, upstream.Changed, tracker.Deregister("a", start))
+	must.EqOp(t, upstream.Stale, tracker.Apply(now, newAnnouncement("a", start, 2, upstream.Ready)))
+}
