Reuse connections to a server that states a very long Keep-Alive timeout

A timeout of 10,000,000,000 s or more overflowed to a negative duration, so that no connection to that server was kept and each request opened one.

Test on the code before: --- FAIL: TestKeepAliveTimeoutTooLarge, "expected -2346317h47m54.2s > 1h0m0s". After: passes.

--- a/hop/keepalive.go
+++ b/hop/keepalive.go
@@ -11,6 +11,9 @@
 // because the receiver starts its timer before this side does.
 const keepAliveMargin = 500 * time.Millisecond
 
+// maxKeepAliveSeconds bounds the stated timeout, so that it can be converted.
+const maxKeepAliveSeconds = 24 * 60 * 60
+
 // keepAliveTimeout returns how long the receiver keeps an idle connection,
 // according to its Keep-Alive header, or fallback if the header states no timeout.
 func keepAliveTimeout(h http.Header, fallback time.Duration) time.Duration {
@@ -20,7 +23,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil {
-			return time.Duration(seconds)*time.Second - keepAliveMargin
+			return time.Duration(min(seconds, maxKeepAliveSeconds))*time.Second - keepAliveMargin
 		}
 	}
 	return fallback
