Reject an announcement that cuts its node off from all others

With node files (lacewingslipd run), one announcement with 1,048,577 slots or the service "or ders" made the node unreachable for all others (tried in a simulated network of four nodes, two minutes later). The node put both into its own entry, and other nodes reject each message that has an entry out of bounds. A port out of range was taken as the address of the server.

Cause: the bounds of announcements and of entries differed.

membership.Backend has a Check with the bounds of entries, which an announcement has to pass; its address needs a port of 1 to 65535.

Read, not played: an entry of another writer with exactly the highest start time or version makes its node raise its own beyond the bound, with the same effect.

Test on the code before: --- FAIL: TestReadAnnouncement/too_many_slots, /bad_service and /port_too_large. After: they pass, and TestBackendCheckAgreesWithOtherNodes holds both bounds together.

--- a/membership/fuzz_test.go
+++ b/membership/fuzz_test.go
@@ -54,6 +54,22 @@
 	must.NoError(t, decode(bytes.NewReader([]byte(goodAnswer)), &exchangeAnswer{}))
 }
 
+// Guards against an announced backend server with which other nodes reject all messages of
+// its node.
+func TestBackendCheckAgreesWithOtherNodes(t *testing.T) {
+	for name, b := range map[string]Backend{
+		"good": {Service: "orders", Slots: maxSlots}, "too many slots": {Service: "orders", Slots: maxSlots + 1},
+		"negative slots": {Service: "orders", Slots: -1}, "bad service": {Service: "or ders"}, "long service": {Service: strings.Repeat("x", maxNameBytes+1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := New(Self{Node: "b", Incarnation: 7, Started: startTime, Peer: "b:1"})
+			g.Announce(b)
+			own := update{fields: g.Self().f}
+			must.Eq(t, own.validate() == nil, b.Check() == nil)
+		})
+	}
+}
+
 // Guards against a request or an answer that crashes a node or corrupts the node's
 // own entry.
 func FuzzExchange(f *testing.F) {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -195,6 +195,15 @@
 	Connections int
 }
 
+// Check returns an error if other nodes would reject the entry of a node with the service
+// and the slots, and with it all messages of that node.
+func (b Backend) Check() (err error) {
+	if b.Slots < 0 || b.Slots > maxSlots {
+		return fmt.Errorf("slots is %d, expected 0 to %d", b.Slots, maxSlots)
+	}
+	return checkName("service", b.Service, true)
+}
+
 // update is the information about one node in a message. A health-only update
 // carries only the health of a version of the entry, and applies only to tables
 // that hold that version.
--- a/node/backend.go
+++ b/node/backend.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/membership"
 )
 
@@ -89,13 +90,13 @@
 	if a.Service == "" {
 		return fmt.Errorf("service is missing")
 	}
-	if _, _, err = net.SplitHostPort(a.Address); err != nil {
-		return fmt.Errorf("address %q is not host:port: %w", a.Address, err)
+	if err = hop.CheckAddress(a.Address); err != nil {
+		return fmt.Errorf("address %.80q is not host:port: %w", a.Address, err)
 	}
 	if a.Slots < 0 || a.Connections < 0 {
 		return fmt.Errorf("slots and connections must not be negative")
 	}
-	return nil
+	return membership.Backend{Service: a.Service, Slots: a.Slots}.Check()
 }
 
 func (b *backendServer) service() string {
--- a/node/backend_test.go
+++ b/node/backend_test.go
@@ -9,7 +9,8 @@
 )
 
 // Guards against an invalid announcement that is accepted, or rejected with a
-// message that does not name the error. Calls would be sent to an invalid address.
+// message that does not name the error. Calls would be sent to an invalid address, or other
+// nodes would reject all messages of this one.
 func TestReadAnnouncement(t *testing.T) {
 	cases := map[string]struct{ body, want string }{
 		"good":           {`{"service":"orders","address":"127.0.0.1:1","slots":1}`, ""},
@@ -19,6 +20,10 @@
 		"no port":        {`{"service":"orders","address":"127.0.0.1"}`, "is not host:port"},
 		"negative slots": {`{"service":"orders","address":"127.0.0.1:1","slots":-1}`, "must not be negative"},
 		"wrong type":     {`{"service":1}`, "cannot unmarshal number"},
+		"too many slots": {`{"service":"orders","address":"127.0.0.1:1","slots":1048577}`, "slots is 1048577"},
+		"bad service":    {`{"service":"or ders","address":"127.0.0.1:1"}`, "service is"},
+		"port too large": {`{"service":"orders","address":"127.0.0.1:99999"}`, "is not host:port"},
+		"nested":         {`{"service":` + strings.Repeat("[", 11_000), "exceeded max depth"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
