--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -229,7 +229,7 @@
 	if startMs == 0 && current {
 		startMs = t.server.startMs
 	}
-	if isAhead(time.Now(), startMs) && !(current && startMs == t.server.startMs) {
+	if isAhead(time.Now(), startMs) && (!current || startMs != t.server.startMs) {
 		return Stale
 	}
 	if len(t.deregistered) >= maxDeregistered {
