--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,14 +12,49 @@
 // An incarnation is one run of the server's process, from start to exit. It is
 // identified by the server's ID and the start time of the process. Announcements may
 // arrive late and out of order, also from an earlier incarnation at the same address.
-// The tracker never replaces newer information with older information.
+// The tracker never replaces newer information with older information, except that a
+// start that lies in the future does not hide an earlier one.
 package upstream
 
 import (
 	"sync"
 	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// MaxStartMs bounds a start time in Unix milliseconds. Later starts must still have a
+	// higher one, and a clock may be set wrong by years.
+	MaxStartMs int64 = 1 << 52
+	// maxSequence bounds the number of an announcement, so that later ones have a higher one.
+	maxSequence int64 = 1 << 52
+	// maxSlots bounds how many requests a server can run at once.
+	maxSlots = 1 << 20
+	// maxStartAhead is how far a start time may be ahead of the node's clock. Later ones
+	// result from a clock that was set back, or from another writer.
+	maxStartAhead = time.Minute
+	// maxTextBytes bounds each text of an announcement or a record.
+	maxTextBytes = 1 << 10
 )
 
+// CheckBounds returns an error if the start time, the slots or the texts of an announcement
+// or a record have values that no server has.
+func CheckBounds(startMs int64, slots int, texts ...string) (err error) {
+	if startMs < 0 || startMs > MaxStartMs {
+		return eris.Errorf("expected a start time of 0 to %d ms, got %d", MaxStartMs, startMs)
+	}
+	if slots < 0 || slots > maxSlots {
+		return eris.Errorf("expected 0 to %d slots, got %d", maxSlots, slots)
+	}
+	for _, text := range texts {
+		if len(text) > maxTextBytes {
+			return eris.Errorf("expected texts of at most %d bytes, got %.80q with %d", maxTextBytes, text, len(text))
+		}
+	}
+	return nil
+}
+
 // State is the state that a backend server announces.
 type State uint8
 
@@ -63,6 +98,14 @@
 	WarmUp time.Duration
 }
 
+// Check returns an error if the announcement has values that no server announces.
+func (a Announcement) Check() (err error) {
+	if a.Sequence < 0 || a.Sequence > maxSequence {
+		return eris.Errorf("expected a sequence number of 0 to %d, got %d", maxSequence, a.Sequence)
+	}
+	return CheckBounds(a.StartMs, a.Slots, a.Instance, a.Service, a.Address, a.Zone)
+}
+
 // Server is the last known state of the backend server.
 type Server struct {
 	instance  string
@@ -157,7 +200,7 @@
 	s := t.server
 	sameIncarnation := s.instance == a.Instance && s.startMs == a.StartMs
 	switch {
-	case s.startMs > a.StartMs, sameIncarnation && a.Sequence <= s.sequence:
+	case s.startMs > a.StartMs && (!isAhead(now, s.startMs) || isAhead(now, a.StartMs)), sameIncarnation && a.Sequence <= s.sequence:
 		return Stale
 	case sameIncarnation && a.State == s.state && a.Slots == s.slots:
 		t.server.sequence = a.Sequence
@@ -171,6 +214,11 @@
 	return Changed
 }
 
+// isAhead reports whether a start time can't be that of a process by the clock of this node.
+func isAhead(now time.Time, startMs int64) bool {
+	return startMs > now.Add(maxStartAhead).UnixMilli()
+}
+
 // Deregister records that an instance has deregistered. startMs is the start time of the
 // incarnation, or 0 if the message did not state it; the current incarnation of the
 // instance is then assumed.
@@ -181,6 +229,9 @@
 	if startMs == 0 && current {
 		startMs = t.server.startMs
 	}
+	if isAhead(time.Now(), startMs) && (!current || startMs != t.server.startMs) {
+		return Stale
+	}
 	if len(t.deregistered) >= maxDeregistered {
 		clear(t.deregistered)
 	}
