Remember the requests of a connection until they can't be sent again

Callers were told that a request had not run while it ran, or it was sent to a further server (REFUSED, TWICE), when a faulty server wrote its refusal once more on the kept connection: the request may be sent again to the same server, and the copy bears its ID.

Cause: a connection remembered the IDs of its last four requests only. After four others, the request could be sent again on the connection that was to bring the copy.

Now a connection remembers each request until its deadline, after which it is not sent again. It keeps a hash of 64 bits and the deadline; those that have passed are dropped before the memory grows.

--- a/hop/hop.go
+++ b/hop/hop.go
@@ -19,6 +19,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
@@ -36,9 +37,6 @@
 	// informational response before it. A receiver in trouble may send bytes without
 	// end, and a node has a few hundred connections and little memory.
 	maxHeadBytes = 32 << 10
-	// recentIDCount is the number of requests whose IDs a connection remembers. A late
-	// copy of an answer arrives with one of the next answers.
-	recentIDCount = 4
 	// maxSkippedAnswers bounds how many answers to earlier requests are skipped
 	// while waiting for the answer to the current one.
 	maxSkippedAnswers = 4
@@ -150,15 +148,41 @@
 	// reused is false for the first request of the connection.
 	idleTime time.Duration
 	reused   bool
-	// recentIDs are the IDs of the latest requests on the connection. nextID is the
-	// position of the next one.
-	recentIDs [recentIDCount]string
-	nextID    int
+	// sent holds the requests that were sent on the connection and may be sent again.
+	sent []sentRequest
 }
 
-// hasServed reports whether the request with the ID was sent on the connection not
-// long ago.
-func (c *conn) hasServed(id string) bool { return id != "" && slices.Contains(c.recentIDs[:], id) }
+// sentRequest is a request that may be sent again until its deadline.
+type sentRequest struct {
+	idHash uint64
+	// deadline is zero if the request has none.
+	deadline time.Time
+}
+
+var idSeed = maphash.MakeSeed()
+
+// hasServed reports whether the request with the ID was sent on the connection before.
+func (c *conn) hasServed(id string) bool {
+	if id == "" {
+		return false
+	}
+	idHash := maphash.String(idSeed, id)
+	return slices.ContainsFunc(c.sent, func(r sentRequest) bool { return r.idHash == idHash })
+}
+
+// recordSent records that the request with the ID is sent on the connection. Requests
+// whose deadline has passed are dropped when the memory for them would grow.
+func (c *conn) recordSent(ctx context.Context, id string) {
+	if id == "" {
+		return
+	}
+	if len(c.sent) == cap(c.sent) {
+		now := time.Now()
+		c.sent = slices.DeleteFunc(c.sent, func(r sentRequest) bool { return !r.deadline.IsZero() && now.After(r.deadline) })
+	}
+	deadline, _ := ctx.Deadline()
+	c.sent = append(c.sent, sentRequest{idHash: maphash.String(idSeed, id), deadline: deadline})
+}
 
 // Answer is a response whose body has not been read yet. Close must be called.
 type Answer struct {
@@ -183,15 +207,14 @@
 // connection is reset, so that bytes in flight are not delivered later.
 //
 // id is the ID by which matches recognizes the answer, or "" if it has none. A request
-// that is sent again uses another connection, because a late second copy of the answer to
-// its earlier attempt has the same ID.
+// that is sent again before the deadline of ctx uses another connection, because a late
+// second copy of the answer to its earlier attempt has the same ID.
 func (p *Pool) Do(ctx context.Context, request *http.Request, id string, matches func(status int, h http.Header) bool) (answer *Answer, err error) {
 	c, err := p.acquire(ctx, id)
 	if err != nil {
 		return nil, &RequestError{cause: eris.Wrapf(err, "connect to %s", p.address)}
 	}
-	c.recentIDs[c.nextID] = id
-	c.nextID = (c.nextID + 1) % recentIDCount
+	c.recordSent(ctx, id)
 	answer = &Answer{pool: p, conn: c, stopAbort: context.AfterFunc(ctx, c.abort)}
 	started := time.Now()
 	defer func() {
--- /dev/null
+++ b/hop/sent_test.go
@@ -0,0 +1,29 @@
+package hop
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a connection whose memory grows with each request, and against one that
+// forgets a request that may be sent again.
+func TestConnectionRemembersRequestsUntilDeadline(t *testing.T) {
+	const requests = 10_000
+	c := &conn{}
+	live, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	past, cancelPast := context.WithTimeout(t.Context(), -time.Minute)
+	defer cancelPast()
+	c.recordSent(live, "live")
+	c.recordSent(t.Context(), "no deadline")
+	for n := range requests {
+		c.recordSent(past, strconv.Itoa(n))
+	}
+	must.True(t, c.hasServed("live"))
+	must.True(t, c.hasServed("no deadline"))
+	must.Less(t, requests/1000, cap(c.sent))
+}
