Use a connection only for requests that expect the same instance

Cause: a 421 without request ID was trusted on a reused connection, because a server that is not the expected instance refuses all requests. That holds only while the expected instance stays the same. While the node had not yet heard of the new instance, its requests were refused; once it had, the next request ran, and the late copy passed for its answer.

Now the connections to the backend server belong to the expected instance. Those of another one are closed when the first request expects the new one.

TestLateCopyOfMisdirectedRefusal failed before: the request ran once and was answered 503. The stand-in server has a switch for such copies.

--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -73,14 +73,17 @@
 	chooseBehaviour func(r *http.Request) Behaviour
 	runHook         func(r *http.Request) (ok bool)
 	resetIdleAfter  time.Duration
-	serviceTime     time.Duration
-	runs            map[string]int
-	headers         map[string]http.Header
-	running         int
-	maxRunning      int
-	acceptedConns   int
-	openConns       map[net.Conn]bool
-	draining        bool
+	// repeatMisdirected makes the server send refusals of requests for another instance
+	// twice.
+	repeatMisdirected bool
+	serviceTime       time.Duration
+	runs              map[string]int
+	headers           map[string]http.Header
+	running           int
+	maxRunning        int
+	acceptedConns     int
+	openConns         map[net.Conn]bool
+	draining          bool
 }
 
 // Start starts a server on the address, with an ID for the instance.
@@ -140,6 +143,14 @@
 	return s.resetIdleAfter > 0 && idle > s.resetIdleAfter
 }
 
+// RepeatMisdirected makes the server send each refusal of a request for another instance
+// again, once the next request on the connection has arrived.
+func (s *Server) RepeatMisdirected() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.repeatMisdirected = true
+}
+
 // SetServiceTime sets the time that each request takes, besides the run hook.
 func (s *Server) SetServiceTime(d time.Duration) {
 	s.mu.Lock()
@@ -231,7 +242,11 @@
 		return s.answerHealthCheck(c)
 	}
 	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != s.instance {
-		writeResponse(c, "421 Misdirected Request", "X-Instance-Id: "+s.instance+"\r\n", "")
+		refusal := "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " + s.instance + "\r\nContent-Length: 0\r\n\r\n"
+		if s.repeatsMisdirected() {
+			*late = refusal
+		}
+		_, _ = io.WriteString(c, refusal)
 		return true
 	}
 	behaviour := s.startRequest(id, r)
@@ -303,6 +318,12 @@
 	return true
 }
 
+func (s *Server) repeatsMisdirected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.repeatMisdirected
+}
+
 func (s *Server) startRequest(id string, r *http.Request) Behaviour {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/mesh/late_answer_test.go
+++ b/mesh/late_answer_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 	"github.com/lacewingslip/lacewingslip/internal/standin/server"
 )
 
@@ -40,6 +41,35 @@
 	}
 }
 
+// Guards against a late second copy of a refusal by another instance than the expected one,
+// which arrives once this node expects the instance that answers. Without an ID, it would
+// pass for the answer to a request that runs.
+func TestLateCopyOfMisdirectedRefusal(t *testing.T) {
+	d := newDeployment(t, "orders", "catalogue")
+	v := d.vms[0]
+	v.server.RepeatMisdirected()
+	v.startMs++
+	status, err := operator.Announce(t.Context(), v.settings.Listen.Announce, operator.Announcement{
+		Instance: "i-other", Service: v.settings.Service, Address: v.settings.Backend, Zone: v.settings.Zone, State: "ready",
+		StartMs: v.startMs, Sequence: 1, Slots: 8,
+	})
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, status)
+	r := d.call(d.vms[1], http.MethodPost, "/once/", "refused")
+	must.NoError(t, r.err)
+	must.Eq(t, http.StatusServiceUnavailable, r.status)
+	must.Eq(t, 0, d.runs("refused"))
+	v.startMs++
+	d.announce(v, "ready")
+	for n := range 5 {
+		id := fmt.Sprintf("a%d", n)
+		r := d.call(d.vms[1], http.MethodPost, "/once/", id)
+		must.NoError(t, r.err)
+		must.Eq(t, 1, d.runs(id))
+		must.Eq(t, http.StatusOK, r.status)
+	}
+}
+
 // A backend server in trouble may send bytes without end. Its caller gets 502, and not
 // 504 when the time-out of the route has passed, or an answer that does not look
 // complete.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -26,15 +26,15 @@
 //
 // # Files
 //
-// The path of a request is ingress.go (accepts requests and decides on
-// attempts), customer_admission.go (refuses customer requests under pressure),
-// node_selector.go and balancer.go (choose the next node), retry_budget.go (decides
-// whether a failed request is sent again), and sidecar.go (runs requests at the backend
-// server). repeats.go estimates which calls belong to repeated runs. announcements.go
-// tracks the backend server, desired_state.go the operator's desired state, and
-// exchange.go and watchers.go other nodes. servers.go serves callers and other nodes, and
-// connections.go decides when their connections are closed. lifecycle.go starts and stops
-// everything.
+// The path of a request is ingress.go (accepts requests and decides on attempts),
+// customer_admission.go (refuses customer requests under pressure), node_selector.go and
+// balancer.go (choose the next node), retry_budget.go (decides whether a failed request
+// is sent again), and sidecar.go (runs requests at the backend server, over the
+// connections of instance_pool.go). repeats.go estimates which calls belong to repeated
+// runs. announcements.go tracks the backend server, desired_state.go the operator's
+// desired state, and exchange.go and watchers.go other nodes. servers.go serves callers
+// and other nodes, and connections.go decides when their connections are closed.
+// lifecycle.go starts and stops everything.
 package mesh
 
 import (
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -31,9 +31,6 @@
 	// minStartTime is the minimum time left until the deadline for a request to be
 	// started, whatever its route.
 	minStartTime = 5 * time.Millisecond
-	// backendIdleTimeout is how long an unused connection to the backend server is
-	// kept. Backend servers close idle connections after 10 s.
-	backendIdleTimeout = 8 * time.Second
 	// reportedLevelStep is the minimum change of the pressure level that is
 	// recorded as an event.
 	reportedLevelStep = 0.1
@@ -46,7 +43,7 @@
 	settings nodeconfig.Config
 	tracker  *upstream.Tracker
 	slots    *slot.Queue
-	backend  *hop.Pool
+	backend  *instancePool
 	events   eventRecorder
 	metrics  *metrics.Metrics
 	gauge    *pressure.Gauge
@@ -88,7 +85,7 @@
 		metrics: m, runTimes: newRunTimes(),
 		gauge: &pressure.Gauge{}, links: calltree.NewLinks(), callers: calltree.NewCallers(), routePressure: admission.routePressure,
 		settings: settings, tracker: tracker, slots: slot.New(), events: events,
-		backend: hop.New(settings.Backend, hop.WithMaxIdle(backendIdleTimeout)),
+		backend: newInstancePool(settings.Backend),
 	}
 	// Whether the server makes calls is unknown at the start, so it does not count
 	// as a leaf until leafIdleTime has passed.
@@ -205,7 +202,7 @@
 	s.repeats.start(req.repeatShare)
 	defer s.repeats.end(req.repeatShare)
 	s.silence.requestSent(time.Now())
-	resp, err := s.backend.Do(ctx, httpReq, req.id, matchesRequest(req.id))
+	resp, err := s.backend.forInstance(server.Instance()).Do(ctx, httpReq, req.id, matchesRequest(req.id))
 	// A time-out or the end of the context does not show that the server responds.
 	// Any other error does, such as a connection that the server has reset.
 	s.silence.requestEnded(time.Now(), err == nil || !isTimeout(err) && ctx.Err() == nil)
@@ -243,7 +240,7 @@
 	s.checkSilence(now, load.MeanRun)
 	s.links.Tick(now)
 	s.callers.Tick(now, services)
-	s.backend.Sweep(now)
+	s.backend.current().Sweep(now)
 }
 
 // checkSilence detects that the backend server has stopped responding, and
@@ -270,7 +267,7 @@
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	req := &request{method: http.MethodGet, host: s.settings.Backend, target: path, header: http.Header{}}
-	resp, err := s.backend.Do(ctx, req.httpRequest(func(http.Header) {}), "", func(int, http.Header) bool { return true })
+	resp, err := s.backend.current().Do(ctx, req.httpRequest(func(http.Header) {}), "", func(int, http.Header) bool { return true })
 	if err != nil {
 		return nil, 0, err
 	}
@@ -316,9 +313,9 @@
 }
 
 // mayBeLateCopy reports whether a response without request ID, which must be a refusal,
-// may be a second copy of the response to an earlier request on the connection. A server
-// that is not the expected instance refuses all requests on the connection, so its refusal
-// holds for the present request in any case.
+// may be a second copy of the response to an earlier request on the connection. All
+// requests on a connection expect the same instance, and a server that is another one
+// refuses all of them, so its refusal holds for the present request in any case.
 func mayBeLateCopy(resp *hop.Answer) bool {
 	return platform.RequestID(resp.Header) == "" && resp.OnReusedConnection() && resp.StatusCode != http.StatusMisdirectedRequest
 }
