Reset the connection of an HTTP/1.0 caller whose answer is cut

HTTP/1.0 callers got a 200 with a short body that looked whole (MIXED) when a server broke off within a long answer that had no length, or in chunks, or when its time limit passed, or when the node closed the connection at its end. Their status line had been sent, so the node could only end the connection.

Cause: the body of such an answer ends with the connection, and it was closed in order. By HTTP/1.1, the missing last chunk shows it.

Now the connection of an HTTP/1.0 caller is set to be reset when it is closed, until the answer has been written to its end. That also holds if the server is closed. Both kinds of nodes use it.

TestCutLongAnswerIsIncomplete failed before in the 12 cases with HTTP/1.0 and an answer without length (chunks, reset, time limit; at the node and at another one) and passed in the 20 others. TestAbortedAnswerIsIncomplete and TestIncompleteResponses failed for HTTP/1.0, TestCutAnswerIsNeverComplete, which now also calls by HTTP/1.0, for chunks without an end. The case of TestOutcomes for a head that ends early passed at once. Not tested: a killed process.

--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -62,8 +62,23 @@
 	EndlessInformational
 	// EndlessBody runs the request and sends a body until the connection is closed.
 	EndlessBody
+	// CutHead runs the request and closes the connection within the head of the response.
+	CutHead
+	// CutLongChunks runs the request and closes the connection within a long body in
+	// chunks.
+	CutLongChunks
+	// CutLongLength runs the request and closes the connection within a long body with
+	// Content-Length.
+	CutLongLength
+	// ResetLong runs the request and resets the connection within a long body without
+	// Content-Length.
+	ResetLong
 )
 
+// longBodyBytes is the size up to which a long body is sent before it is cut. Nodes stream
+// bodies of this size.
+const longBodyBytes = 1 << 20
+
 // Server is a stand-in backend server. It is safe for concurrent use.
 type Server struct {
 	listener net.Listener
@@ -280,6 +295,21 @@
 	case EndlessBody:
 		writeEndlessly(c, "HTTP/1.1 200 OK\r\n"+signedHeaders+"\r\n", strings.Repeat("x", 1000))
 		return false
+	case CutHead:
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signedHeaders)
+		return false
+	case CutLongChunks:
+		writePartial(c, signedHeaders+"Transfer-Encoding: chunked\r\n", strings.Repeat("3e8\r\n"+strings.Repeat("x", 1000)+"\r\n", longBodyBytes/1000))
+		return false
+	case CutLongLength:
+		writePartial(c, signedHeaders+fmt.Sprintf("Content-Length: %d\r\n", 2*longBodyBytes), strings.Repeat("x", longBodyBytes))
+		return false
+	case ResetLong:
+		writePartial(c, signedHeaders, strings.Repeat("x", longBodyBytes))
+		// Leaves time to read the bytes before the reset.
+		time.Sleep(50 * time.Millisecond)
+		hop.Reset(c)
+		return false
 	case LoseAnswer:
 		return false
 	case CutAnswer:
--- a/mesh/connections.go
+++ b/mesh/connections.go
@@ -255,9 +255,12 @@
 	s := &connections{open: make(map[*serverConn]struct{})}
 	server.ConnState = s.onStateChange
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if conn, ok := c.(*serverConn); ok {
+			ctx = hop.ConnContext(ctx, conn.Conn)
+		}
 		return context.WithValue(ctx, serverConnKey{}, c)
 	}
-	next := server.Handler
+	next := hop.ResetIncomplete(server.Handler)
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(serverConnKey{}).(*serverConn); ok && c.hasEnded() {
 			panic(http.ErrAbortHandler)
--- /dev/null
+++ b/mesh/cut_answer_test.go
@@ -0,0 +1,75 @@
+package mesh
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/internal/standin/server"
+)
+
+// Guards against a long answer that looks complete although the backend server broke off,
+// because its caller has received the status line already.
+func TestCutLongAnswerIsIncomplete(t *testing.T) {
+	d := newDeployment(t, "orders", "catalogue")
+	for behaviourName, behaviour := range map[string]server.Behaviour{
+		"length": server.CutLongLength, "chunks": server.CutLongChunks, "reset": server.ResetLong, "time limit": server.EndlessBody,
+	} {
+		for node, v := range map[string]*vm{"at its node": d.vms[0], "at another node": d.vms[1]} {
+			for caller, head := range map[string]string{
+				"HTTP/1.1":             "HTTP/1.1\r\n",
+				"HTTP/1.1, close":      "HTTP/1.1\r\nConnection: close\r\n",
+				"HTTP/1.0":             "HTTP/1.0\r\n",
+				"HTTP/1.0, keep-alive": "HTTP/1.0\r\nConnection: keep-alive\r\n",
+			} {
+				t.Run(behaviourName+", "+node+", "+caller, func(t *testing.T) {
+					d.vms[0].server.SetBehaviour(func(*http.Request) server.Behaviour { return behaviour })
+					conn := sendEmpty(t, v, head, 200*time.Millisecond)
+					response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+					must.NoError(t, err)
+					must.Eq(t, http.StatusOK, response.StatusCode)
+					defer response.Body.Close()
+					_, err = io.Copy(io.Discard, response.Body)
+					must.Error(t, err)
+				})
+			}
+		}
+	}
+}
+
+// Guards against an answer that looks complete although this node has closed the connection
+// of the caller, as at the end of a planned stop.
+func TestAbortedAnswerIsIncomplete(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		t.Run(version, func(t *testing.T) {
+			d := newDeployment(t, "orders")
+			d.vms[0].server.SetBehaviour(func(*http.Request) server.Behaviour { return server.EndlessBody })
+			conn := sendEmpty(t, d.vms[0], version+"\r\n", 5*time.Second)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			must.NoError(t, err)
+			defer response.Body.Close()
+			d.vms[0].node.lifecycle.components.servers.callerConnections.abort()
+			_, err = io.Copy(io.Discard, response.Body)
+			must.Error(t, err)
+		})
+	}
+}
+
+// sendEmpty sends a request without a body to the node of the VM. version ends the request
+// line, and may be followed by headers.
+func sendEmpty(t *testing.T, v *vm, version string, wait time.Duration) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", v.settings.Listen.Caller)
+	must.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	must.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = fmt.Fprintf(conn, "POST /once/ %sHost: example\r\nX-Request-Id: a\r\nX-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n", version, wait.Milliseconds())
+	must.NoError(t, err)
+	return conn
+}
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -70,6 +70,7 @@
 		"answered":                    {server.Answer, "/once/", http.StatusOK, 1, 1},
 		"response lost":               {server.LoseAnswer, "/once/", http.StatusBadGateway, 1, 1},
 		"response cut":                {server.CutAnswer, "/once/", http.StatusBadGateway, 1, 1},
+		"response cut in the head":    {server.CutHead, "/once/", http.StatusBadGateway, 1, 1},
 		"response unsigned":           {server.Unsigned, "/once/", http.StatusBadGateway, 1, 1},
 		"response without length":     {server.Unframed, "/once/", http.StatusOK, 1, 1},
 		"internal failure":            {server.Fail, "/once/", http.StatusBadGateway, 1, 1},
--- a/node/answer_test.go
+++ b/node/answer_test.go
@@ -1,9 +1,11 @@
 package node_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -49,18 +51,33 @@
 				loopback.WithUpstream("addis", "addis-a", backend.New("orders")),
 				loopback.WithUpstream("addis", "addis-b", drawings),
 			)
-			answer, err := http.Get("http://" + system.Caller(0) + "/drawings/m1")
-			must.NoError(t, err)
-			defer answer.Body.Close()
-			_, err = io.ReadAll(answer.Body)
-			if err == nil {
-				must.EqOp(t, "unknown", answer.Header.Get(call.HeaderOutcome))
-				must.EqOp(t, http.StatusBadGateway, answer.StatusCode)
+			for _, version := range []string{"1.0", "1.1"} {
+				status, header, err := get(t, system.Caller(0), "/drawings/m1", version)
+				if err == nil {
+					must.EqOp(t, "unknown", header.Get(call.HeaderOutcome), must.Sprint("HTTP/"+version))
+					must.EqOp(t, http.StatusBadGateway, status)
+				}
 			}
 		})
 	}
 }
 
+// get sends a request of an HTTP version on a new connection. err is that of reading the
+// body of the answer.
+func get(t *testing.T, address, path, version string) (status int, header http.Header, err error) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	must.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "GET %s HTTP/%s\r\nHost: %s\r\n\r\n", path, version, address)
+	must.NoError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	defer answer.Body.Close()
+	_, err = io.ReadAll(answer.Body)
+	return answer.StatusCode, answer.Header, err
+}
+
 // Guards against a second run of a booking whose first answer was truncated. The
 // booking may have run, so the outcome of its repeat must be unknown too.
 func TestCutBookingIsUnknown(t *testing.T) {
--- a/node/server.go
+++ b/node/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/membership"
 	"github.com/lacewingslip/lacewingslip/settings"
 )
@@ -111,7 +112,8 @@
 
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           handler,
+		Handler:           hop.ResetIncomplete(handler),
+		ConnContext:       hop.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       serverIdleTimeout,
