Guard against bytes after an answer without a body

A server that sends a body with an answer to HEAD, or with status 204 or 304, must not have these bytes taken for the next answer.

--- a/hop/cut_answer_test.go
+++ b/hop/cut_answer_test.go
@@ -95,3 +95,31 @@
 		})
 	}
 }
+
+// Guards against an answer without a body that is taken for a cut one, and against bytes
+// after it that pass for the next answer.
+func TestAnswersWithoutBody(t *testing.T) {
+	const headers = "X-Request-Id: a\r\nX-Server-Signature: signed\r\nContent-Length: 39\r\n\r\n"
+	for name, c := range map[string]struct{ method, status string }{
+		"HEAD":         {method: http.MethodHead, status: "200 OK"},
+		"no content":   {method: http.MethodGet, status: "204 No Content"},
+		"not modified": {method: http.MethodGet, status: "304 Not Modified"},
+	} {
+		for rest, extra := range map[string]string{"alone": "", "with a body": "HTTP/1.1 503 Busy\r\nX-Request-Id: b\r\n\r\n\r\n"} {
+			t.Run(name+" "+rest, func(t *testing.T) {
+				pool := hop.New(startRaw(t, func(conn net.Conn, r *http.Request) bool {
+					answer := "HTTP/1.1 " + c.status + "\r\n" + headers + extra
+					if r.Header.Get(idHeader) == "b" {
+						answer = success("b")
+					}
+					_, err := io.WriteString(conn, answer)
+					return err == nil
+				}))
+				body, err := send(t.Context(), pool, c.method, "a")
+				must.NoError(t, err)
+				must.Eq(t, "", body)
+				must.Eq(t, http.StatusOK, exchange(t, pool, "b"))
+			})
+		}
+	}
+}
