Guard against a cut answer of another node

TestCutAnswerOfNodeIsUnknown cuts a refusal and an answer of another node at each byte, the latter also after a refusal that belongs to another request. It passed at once.

--- a/mesh/cut_answer_test.go
+++ b/mesh/cut_answer_test.go
@@ -11,7 +11,10 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/internal/standin/server"
+	"github.com/lacewingslip/lacewingslip/nodeconfig"
 )
 
 // Guards against a long answer that looks complete although the backend server broke off,
@@ -73,3 +76,52 @@
 	must.NoError(t, err)
 	return conn
 }
+
+// Guards against a cut answer of another node that passes for a refusal or a whole answer.
+func TestCutAnswerOfNodeIsUnknown(t *testing.T) {
+	req := &request{id: "a", method: http.MethodPost, host: "example", target: "/once/", header: http.Header{}, deadline: time.Now().Add(time.Minute)}
+	hopHeader := func(id string, outcome call.Outcome) string {
+		return fmt.Sprintf("%s: %x %s 1 0 0 8 1 0 0 0 -\r\n", headerHop, requestIDHash(id), outcome)
+	}
+	for name, c := range map[string]struct {
+		answer  string
+		outcome call.Outcome
+	}{
+		"refused":  {"HTTP/1.1 503 Service Unavailable\r\n" + hopHeader("a", call.NotRun) + "Content-Length: 0\r\n\r\n", call.NotRun},
+		"answered": {"HTTP/1.1 200 OK\r\n" + hopHeader("a", call.Answered) + "X-Server-Signature: signed\r\nContent-Length: 4\r\n\r\nbody", call.Answered},
+		"refusal of another request first": {
+			"HTTP/1.1 503 Service Unavailable\r\n" + hopHeader("b", call.NotRun) + "Content-Length: 0\r\n\r\n" +
+				"HTTP/1.1 200 OK\r\n" + hopHeader("a", call.Answered) + "X-Server-Signature: signed\r\nContent-Length: 4\r\n\r\nbody", call.Answered,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			defer listener.Close()
+			cuts := make(chan int, 1)
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = http.ReadRequest(bufio.NewReader(conn))
+					_, _ = io.WriteString(conn, c.answer[:<-cuts])
+					conn.Close()
+				}
+			}()
+			b := newBalancer(nodeconfig.Config{}, nil)
+			p := &peer{node: "n", pool: hop.New(listener.Addr().String())}
+			for cut := range len(c.answer) + 1 {
+				cuts <- cut
+				res, _ := b.send(t.Context(), p, req, 1)
+				expected := call.Unknown
+				if cut == len(c.answer) {
+					expected = c.outcome
+				}
+				must.Eq(t, expected, res.outcome, must.Sprintf("cut after %q", c.answer[:cut]))
+				res.close()
+			}
+		})
+	}
+}
