Let servers of the soak repeat refusals and stop within heads

The faulty servers of the soak now also write a refusal once more before the next answer, with and without the ID of its request, and close within the head of an answer.

--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -233,9 +233,10 @@
 		if random.Int64N(100) < faultyPercent {
 			behaviour = []server.Behaviour{
 				server.LoseAnswer, server.CutAnswer, server.ExtraAnswer, server.Unsigned, server.MismatchedAnswer, server.Unframed, server.Fail, server.Shed,
-			}[random.IntN(8)]
+				server.ShedTwice, server.ShedTwiceWithID, server.CutHead,
+			}[random.IntN(11)]
 		}
-		if behaviour != server.Shed {
+		if !behaviour.Refuses() {
 			v.run.ledger.recordRun(received.ID, v.settings.Service, received.Caller)
 			v.checkDrained(instance, received.ID)
 		}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -272,7 +272,7 @@
 	time.Sleep(serviceTime)
 	idHeader := "X-Request-Id: " + id + "\r\n"
 	signedHeaders := idHeader + "X-Server-Signature: signed\r\n"
-	if !behaviour.refuses() && runHook != nil && !runHook(r) {
+	if !behaviour.Refuses() && runHook != nil && !runHook(r) {
 		writeResponse(c, "500 Internal Server Error", signedHeaders, "a call failed")
 		return true
 	}
@@ -361,7 +361,7 @@
 	s.maxRunning = max(s.maxRunning, s.running)
 	behaviour := s.chooseBehaviour(r)
 	s.headers[id] = r.Header
-	if !behaviour.refuses() {
+	if !behaviour.Refuses() {
 		s.runs[id]++
 	}
 	return behaviour
@@ -373,8 +373,8 @@
 	s.running--
 }
 
-// refuses reports whether the server does not run the request.
-func (b Behaviour) refuses() bool { return b == Shed || b == ShedTwice || b == ShedTwiceWithID }
+// Refuses reports whether the server does not run the request.
+func (b Behaviour) Refuses() bool { return b == Shed || b == ShedTwice || b == ShedTwiceWithID }
 
 // writeEndlessly writes the start, and then the repeated part until the connection is
 // closed.
