--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -62,8 +62,23 @@
 	EndlessInformational
 	// EndlessBody runs the request and sends a body until the connection is closed.
 	EndlessBody
+	// CutHead runs the request and closes the connection within the head of the response.
+	CutHead
+	// CutLongChunks runs the request and closes the connection within a long body in
+	// chunks.
+	CutLongChunks
+	// CutLongLength runs the request and closes the connection within a long body with
+	// Content-Length.
+	CutLongLength
+	// ResetLong runs the request and resets the connection within a long body without
+	// Content-Length.
+	ResetLong
 )
 
+// longBodyBytes is the size up to which a long body is sent before it is cut. Nodes stream
+// bodies of this size.
+const longBodyBytes = 1 << 20
+
 // Server is a stand-in backend server. It is safe for concurrent use.
 type Server struct {
 	listener net.Listener
@@ -73,14 +88,17 @@
 	chooseBehaviour func(r *http.Request) Behaviour
 	runHook         func(r *http.Request) (ok bool)
 	resetIdleAfter  time.Duration
-	serviceTime     time.Duration
-	runs            map[string]int
-	headers         map[string]http.Header
-	running         int
-	maxRunning      int
-	acceptedConns   int
-	openConns       map[net.Conn]bool
-	draining        bool
+	// repeatMisdirected makes the server send refusals of requests for another instance
+	// twice.
+	repeatMisdirected bool
+	serviceTime       time.Duration
+	runs              map[string]int
+	headers           map[string]http.Header
+	running           int
+	maxRunning        int
+	acceptedConns     int
+	openConns         map[net.Conn]bool
+	draining          bool
 }
 
 // Start starts a server on the address, with an ID for the instance.
@@ -140,6 +158,14 @@
 	return s.resetIdleAfter > 0 && idle > s.resetIdleAfter
 }
 
+// RepeatMisdirected makes the server send each refusal of a request for another instance
+// again, once the next request on the connection has arrived.
+func (s *Server) RepeatMisdirected() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.repeatMisdirected = true
+}
+
 // SetServiceTime sets the time that each request takes, besides the run hook.
 func (s *Server) SetServiceTime(d time.Duration) {
 	s.mu.Lock()
@@ -231,7 +257,11 @@
 		return s.answerHealthCheck(c)
 	}
 	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != s.instance {
-		writeResponse(c, "421 Misdirected Request", "X-Instance-Id: "+s.instance+"\r\n", "")
+		refusal := "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " + s.instance + "\r\nContent-Length: 0\r\n\r\n"
+		if s.repeatsMisdirected() {
+			*late = refusal
+		}
+		_, _ = io.WriteString(c, refusal)
 		return true
 	}
 	behaviour := s.startRequest(id, r)
@@ -242,7 +272,7 @@
 	time.Sleep(serviceTime)
 	idHeader := "X-Request-Id: " + id + "\r\n"
 	signedHeaders := idHeader + "X-Server-Signature: signed\r\n"
-	if !behaviour.refuses() && runHook != nil && !runHook(r) {
+	if !behaviour.Refuses() && runHook != nil && !runHook(r) {
 		writeResponse(c, "500 Internal Server Error", signedHeaders, "a call failed")
 		return true
 	}
@@ -265,6 +295,21 @@
 	case EndlessBody:
 		writeEndlessly(c, "HTTP/1.1 200 OK\r\n"+signedHeaders+"\r\n", strings.Repeat("x", 1000))
 		return false
+	case CutHead:
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signedHeaders)
+		return false
+	case CutLongChunks:
+		writePartial(c, signedHeaders+"Transfer-Encoding: chunked\r\n", strings.Repeat("3e8\r\n"+strings.Repeat("x", 1000)+"\r\n", longBodyBytes/1000))
+		return false
+	case CutLongLength:
+		writePartial(c, signedHeaders+fmt.Sprintf("Content-Length: %d\r\n", 2*longBodyBytes), strings.Repeat("x", longBodyBytes))
+		return false
+	case ResetLong:
+		writePartial(c, signedHeaders, strings.Repeat("x", longBodyBytes))
+		// Leaves time to read the bytes before the reset.
+		time.Sleep(50 * time.Millisecond)
+		hop.Reset(c)
+		return false
 	case LoseAnswer:
 		return false
 	case CutAnswer:
@@ -303,6 +348,12 @@
 	return true
 }
 
+func (s *Server) repeatsMisdirected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.repeatMisdirected
+}
+
 func (s *Server) startRequest(id string, r *http.Request) Behaviour {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -310,7 +361,7 @@
 	s.maxRunning = max(s.maxRunning, s.running)
 	behaviour := s.chooseBehaviour(r)
 	s.headers[id] = r.Header
-	if !behaviour.refuses() {
+	if !behaviour.Refuses() {
 		s.runs[id]++
 	}
 	return behaviour
@@ -322,8 +373,8 @@
 	s.running--
 }
 
-// refuses reports whether the server does not run the request.
-func (b Behaviour) refuses() bool { return b == Shed || b == ShedTwice || b == ShedTwiceWithID }
+// Refuses reports whether the server does not run the request.
+func (b Behaviour) Refuses() bool { return b == Shed || b == ShedTwice || b == ShedTwiceWithID }
 
 // writeEndlessly writes the start, and then the repeated part until the connection is
 // closed.
--- a/mesh/connections.go
+++ b/mesh/connections.go
@@ -292,9 +292,12 @@
 	}
 	server.ConnState = s.onStateChange
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if conn, ok := c.(*serverConn); ok {
+			ctx = hop.ConnContext(ctx, conn.Conn)
+		}
 		return context.WithValue(ctx, serverConnKey{}, c)
 	}
-	server.Handler = s.trackRequests(server.Handler)
+	server.Handler = s.trackRequests(hop.ResetIncomplete(server.Handler))
 	return s, serverListener{listener}
 }
 
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -32,9 +32,6 @@
 	// minStartTime is the minimum time left until the deadline for a request to be
 	// started, whatever its route.
 	minStartTime = 5 * time.Millisecond
-	// backendIdleTimeout is how long an unused connection to the backend server is
-	// kept. Backend servers close idle connections after 10 s.
-	backendIdleTimeout = 8 * time.Second
 	// reportedLevelStep is the minimum change of the pressure level that is
 	// recorded as an event.
 	reportedLevelStep = 0.1
@@ -47,7 +44,7 @@
 	settings nodeconfig.Config
 	tracker  *upstream.Tracker
 	slots    *slot.Queue
-	backend  *hop.Pool
+	backend  *instancePool
 	events   eventRecorder
 	metrics  *metrics.Metrics
 	gauge    *pressure.Gauge
@@ -93,9 +90,9 @@
 		metrics: m, runTimes: newRunTimes(),
 		gauge: &pressure.Gauge{}, links: calltree.NewLinks(), callers: calltree.NewCallers(), routePressure: admission.routePressure,
 		settings: settings, tracker: tracker, slots: slot.New(), events: events,
-		backend: hop.New(settings.Backend, hop.WithMaxIdle(backendIdleTimeout)), quarantine: list,
+		backend: newInstancePool(settings.Backend), quarantine: list,
 	}
-	s.crashes = newCrashDetector(list, events, s.backend.CheckListening, tracker.Server)
+	s.crashes = newCrashDetector(list, events, s.checkListening, tracker.Server)
 	// Whether the server makes calls is unknown at the start, so it does not count
 	// as a leaf until leafIdleTime has passed.
 	s.recordCall(time.Now())
@@ -238,7 +235,7 @@
 	defer s.repeats.end(req.repeatShare)
 	s.silence.requestSent(time.Now())
 	execution := s.crashes.start(req.fingerprint, isolated)
-	res, err := s.exchange(ctx, httpReq, req)
+	res, err := s.exchange(ctx, server, httpReq, req)
 	// A time-out or the end of the context does not show that the server responds.
 	// Any other error does, such as a connection that the server has reset.
 	s.silence.requestEnded(time.Now(), err == nil || !isTimeout(err) && ctx.Err() == nil)
@@ -257,14 +254,19 @@
 
 // exchange sends a request to the backend server and returns its response. err is the error
 // if there was none.
-func (s *sidecar) exchange(ctx context.Context, httpReq *http.Request, req *request) (res *result, err error) {
-	resp, err := s.backend.Do(ctx, httpReq, req.id, matchesRequest(req.id))
+func (s *sidecar) exchange(ctx context.Context, server upstream.Server, httpReq *http.Request, req *request) (res *result, err error) {
+	resp, err := s.backend.forInstance(server.Instance()).Do(ctx, httpReq, req.id, matchesRequest(req.id))
 	if err != nil {
 		return resultOfError(ctx, err), err
 	}
 	return resultOfResponse(resp), nil
 }
 
+// checkListening returns an error if the backend server accepts no connection.
+func (s *sidecar) checkListening(ctx context.Context) error {
+	return s.backend.current().CheckListening(ctx)
+}
+
 // pressureLevel returns the highest pressure level among the services that
 // requests of the route need: this service and those that it calls for the
 // route.
@@ -293,7 +295,7 @@
 	s.checkSilence(now, load.MeanRun)
 	s.links.Tick(now)
 	s.callers.Tick(now, services)
-	s.backend.Sweep(now)
+	s.backend.current().Sweep(now)
 }
 
 // checkSilence detects that the backend server has stopped responding, and
@@ -321,7 +323,7 @@
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	req := &request{method: http.MethodGet, host: s.settings.Backend, target: path, header: http.Header{}}
-	resp, err := s.backend.Do(ctx, req.httpRequest(func(http.Header) {}), "", func(int, http.Header) bool { return true })
+	resp, err := s.backend.current().Do(ctx, req.httpRequest(func(http.Header) {}), "", func(int, http.Header) bool { return true })
 	if err != nil {
 		return nil, 0, err
 	}
@@ -367,9 +369,9 @@
 }
 
 // mayBeLateCopy reports whether a response without request ID, which must be a refusal,
-// may be a second copy of the response to an earlier request on the connection. A server
-// that is not the expected instance refuses all requests on the connection, so its refusal
-// holds for the present request in any case.
+// may be a second copy of the response to an earlier request on the connection. All
+// requests on a connection expect the same instance, and a server that is another one
+// refuses all of them, so its refusal holds for the present request in any case.
 func mayBeLateCopy(resp *hop.Answer) bool {
 	return platform.RequestID(resp.Header) == "" && resp.OnReusedConnection() && resp.StatusCode != http.StatusMisdirectedRequest
 }
