Tell all nodes of a request that crashed several servers at once

A wave of copies that ran at the same time ended every server, and the next wave did so again (TestCopiesAtTheSameTimeAreBlocked on the merged code, beside load: 'expected 15 <= 10', 8 of 8 servers in the second wave).

Cause: the nodes beside the servers reported one crash each, to the nodes of their service only, before any of them knew of the others. Their reports together isolated the request there, but no node told the others, who heard of it with their next exchange of state. Each sidecar then let one isolated run pass.

A node whose server crashed under a request now tells all nodes when the reports of others restrict it. The test waits for what the rule demands, that all nodes know within 3 s, before the second wave; before, it started the wave at once, which no message can precede.

--- a/mesh/quarantine.go
+++ b/mesh/quarantine.go
@@ -88,14 +88,8 @@
 	}
 	q.mu.Unlock()
 	now := time.Now()
-	var restricted []quarantine.Fingerprint
-	for _, request := range requests {
-		if q.list.Verdict(now, request).Level != quarantine.Free {
-			restricted = append(restricted, request)
-		}
-	}
 	q.spread(requests, q.peers(q.service))
-	q.spread(restricted, q.peers(""))
+	q.spread(q.restricted(now, requests), q.peers(""))
 	q.update(now)
 }
 
@@ -111,11 +105,38 @@
 		return nil
 	}
 	now := time.Now()
+	free := q.witnessedFree(now, evidence)
 	completed := q.list.Merge(now, decodeEvidence(evidence))
+	// Servers that crash at the same time are reported by nodes that do not know of each
+	// other's, so that none of them has told all nodes.
+	q.spread(q.restricted(now, free), q.peers(""))
 	q.update(now)
 	return encodeEvidence(q.list.Evidence(now, completed))
 }
 
+// witnessedFree returns the requests among the evidence that are free although the backend
+// server of this node has crashed under them.
+func (q *quarantineSync) witnessedFree(now time.Time, evidence []suspectRequest) (requests []quarantine.Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, e := range evidence {
+		if _, ok := q.witnessed[e.Request]; ok && q.list.Verdict(now, e.Request).Level == quarantine.Free {
+			requests = append(requests, e.Request)
+		}
+	}
+	return requests
+}
+
+// restricted returns the requests that are not free.
+func (q *quarantineSync) restricted(now time.Time, requests []quarantine.Fingerprint) (restricted []quarantine.Fingerprint) {
+	for _, request := range requests {
+		if q.list.Verdict(now, request).Level != quarantine.Free {
+			restricted = append(restricted, request)
+		}
+	}
+	return restricted
+}
+
 // restore adds the convictions in the records of nodes. Those in the record that an earlier
 // process of this node has written are kept there.
 func (q *quarantineSync) restore(members []fleet.Member) {
--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"github.com/lacewingslip/lacewingslip/fleet"
 	"github.com/lacewingslip/lacewingslip/follow"
@@ -139,6 +140,14 @@
 	wave("first")
 	first := c.total()
 	must.GreaterEq(t, simultaneousCopies, first)
+	// Nodes in touch have to know 3 s after the third crash.
+	request := quarantine.Request{Method: http.MethodPost, Host: operator.Host, Target: "/once/deadly", Caller: "catalogue"}.Fingerprint()
+	for _, v := range d.vms {
+		list := v.node.lifecycle.components.sidecar.quarantine
+		must.Wait(t, wait.InitialSuccess(wait.Timeout(3*time.Second), wait.Gap(5*time.Millisecond), wait.BoolFunc(func() bool {
+			return list.Verdict(time.Now(), request).Level != quarantine.Free
+		})))
+	}
 	wave("second")
 	must.LessEq(t, first+maxIsolationNodes, c.total())
 	wave("third")
