Read a request that arrived while the process stood still

Cause: the time for the head of the first request runs from the accept of the connection. When the process goes on, the read deadline has passed and the bytes have arrived; Go's poller reports the deadline, and net/http closes the connection with the unread request. The idle limit already asks whether bytes have arrived before it ends a connection; the deadlines of net/http did not.

Change: the reading goroutine asks the same for these, and extends the deadline once for each request. A client that sends a few bytes at a time holds a connection for one more time limit at most. It acts on connections of other nodes too, where net/http's idle limit is the deadline.

--- a/mesh/connections.go
+++ b/mesh/connections.go
@@ -54,6 +54,8 @@
 	// expired is true while a read deadline in the past asks the reading goroutine to end
 	// the connection. ended is true once it has.
 	expired, ended bool
+	// extended is true once the time for the head of the next request was extended.
+	extended bool
 	// progress describes the request in progress, for the event at the end of the
 	// connection.
 	progress requestProgress
@@ -149,8 +151,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.expired {
-		// The deadline is one of net/http.
-		return false
+		return c.extendDeadline()
 	}
 	if c.hasUnreadData() {
 		c.clearExpiry()
@@ -160,6 +161,17 @@
 	return false
 }
 
+// extendDeadline replaces a deadline of net/http for the head of a request, once for each
+// request, if bytes have arrived: a process that stood still notices the deadline first. The
+// mutex must be held.
+func (c *serverConn) extendDeadline() (extended bool) {
+	if !c.idle || c.extended || !c.hasUnreadData() {
+		return false
+	}
+	c.extended = true
+	return c.SetReadDeadline(time.Now().Add(headerTimeout)) == nil
+}
+
 // startRequest records that the head of a request has been read.
 func (c *serverConn) startRequest() {
 	c.mu.Lock()
@@ -174,7 +186,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.reading, c.readAhead, c.idleSince = true, c.readAhead, false, time.Now()
-	c.progress = requestProgress{firstRead: c.idleSince}
+	c.progress, c.extended = requestProgress{firstRead: c.idleSince}, false
 }
 
 // expire asks the reading goroutine to end the connection if it is idle. It is called
