Test requests on kept connections beside pauses of the node and changes of the desired state

TestRequestBesideChangeIsAnswered puts a version into force that shortens the idle limit or the time-out, removes the route or its service, or lowers the limits of head or body, while a request is read, waits for a slot or runs, at its own or another node: 84 cases.

--- a/internal/standin/operator/operator.go
+++ b/internal/standin/operator/operator.go
@@ -54,6 +54,8 @@
 type Limits struct {
 	// IdleTimeout is how long a node keeps an idle connection of a caller.
 	IdleTimeout time.Duration
+	// HeaderBytes and BodyBytes bound the head and the body of a request.
+	HeaderBytes, BodyBytes int
 }
 
 // EncodeDesiredState returns the JSON document of a desired state without limits.
@@ -63,9 +65,21 @@
 
 // EncodeDesiredStateWithLimits returns the JSON document of a desired state.
 func EncodeDesiredStateWithLimits(version int, limits Limits, routes []Route, services ...string) (text []byte) {
-	var resources []string
-	if limits.IdleTimeout > 0 {
-		resources = append(resources, fmt.Sprintf(`{"ResourceType":"Limits","Metadata":{},"Spec":{"IdleTimeoutMs":%d}}`, limits.IdleTimeout.Milliseconds()))
+	var resources, limitFields []string
+	for _, limit := range []struct {
+		name  string
+		value int64
+	}{
+		{"IdleTimeoutMs", limits.IdleTimeout.Milliseconds()},
+		{"MaxHeaderBytes", int64(limits.HeaderBytes)},
+		{"MaxBodyBytes", int64(limits.BodyBytes)},
+	} {
+		if limit.value > 0 {
+			limitFields = append(limitFields, fmt.Sprintf("%q:%d", limit.name, limit.value))
+		}
+	}
+	if len(limitFields) > 0 {
+		resources = append(resources, fmt.Sprintf(`{"ResourceType":"Limits","Metadata":{},"Spec":{%s}}`, strings.Join(limitFields, ",")))
 	}
 	for _, r := range routes {
 		kind := "safe"
