Decide in one step whether an idle connection expires

A caller whose request arrived in pieces could lose its connection without an answer: the periodic close compared the idle time with the limit, and then, in a second step, expired the connection if it was idle. A part of a head that was read in between did not count.

--- a/mesh/connections.go
+++ b/mesh/connections.go
@@ -189,17 +189,25 @@
 	c.progress, c.extended = requestProgress{firstRead: c.idleSince}, false
 }
 
-// expire asks the reading goroutine to end the connection if it is idle. It is called
-// again until the connection has ended, because net/http clears the read deadline after
-// it has reported a connection as idle.
-func (c *serverConn) expire() (expired bool) {
+// expire asks the reading goroutine to end the connection if it has been idle for longer
+// than the limit, and returns how long that is. A connection from which a part of a request
+// has been read waits for the rest of its head, so headerTimeout bounds it if that is longer.
+// expire is called again until the connection has ended, because net/http clears the read
+// deadline after it has reported a connection as idle.
+func (c *serverConn) expire(now time.Time, limit time.Duration) (idle time.Duration, expired bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle {
-		return false
+	if !c.idle || c.idleSince.IsZero() {
+		return 0, false
+	}
+	if c.reading {
+		limit = max(limit, headerTimeout)
+	}
+	if idle = now.Sub(c.idleSince); idle <= limit {
+		return idle, false
 	}
 	c.setExpired()
-	return true
+	return idle, true
 }
 
 // setExpired sets a read deadline in the past. The mutex must be held.
@@ -217,22 +225,6 @@
 	}
 }
 
-// exceeds returns how long the connection has been idle, and whether that is longer than
-// the limit. A connection from which a part of a request has been read waits for the rest
-// of its head, so headerTimeout bounds it if that is longer.
-func (c *serverConn) exceeds(now time.Time, limit time.Duration) (idle time.Duration, exceeded bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.idle || c.idleSince.IsZero() {
-		return 0, false
-	}
-	if c.reading {
-		limit = max(limit, headerTimeout)
-	}
-	idle = now.Sub(c.idleSince)
-	return idle, idle > limit
-}
-
 // expireUnread asks the reading goroutine to end the connection if it is idle and no part
 // of a request has been read. inUse is true if a request is in progress.
 func (c *serverConn) expireUnread() (inUse bool) {
@@ -381,8 +373,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
-		idle, exceeded := c.exceeds(now, limit)
-		if exceeded && c.expire() {
+		if idle, expired := c.expire(now, limit); expired {
 			closed++
 			longest = max(longest, idle)
 		}
--- a/mesh/connections_test.go
+++ b/mesh/connections_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -228,6 +229,31 @@
 	}
 }
 
+// Guards against a connection that expires although a part of a request was read after its
+// idle time had been compared with the limit.
+func TestPartReadWhileConnectionExpires(t *testing.T) {
+	for range 20_000 {
+		conn, other := net.Pipe()
+		c := &serverConn{Conn: conn}
+		c.endRequest()
+		now, start := c.idleSince.Add(time.Second), make(chan struct{})
+		var steps sync.WaitGroup
+		steps.Go(func() {
+			<-start
+			c.recordRead([]byte("P"), false)
+		})
+		steps.Go(func() {
+			<-start
+			c.expire(now, 10*time.Millisecond)
+		})
+		close(start)
+		steps.Wait()
+		must.False(t, c.expired)
+		conn.Close()
+		other.Close()
+	}
+}
+
 // Guards against reading on from a connection after a read has failed because it expired:
 // bufio returns the part of a line that it has as a whole line, so the request that is
 // passed on would be another than the one that was sent.
@@ -242,7 +268,9 @@
 	must.NoError(t, err)
 	defer accepted.Close()
 	c := accepted.(*serverConn)
-	must.True(t, c.expire())
+	c.endRequest()
+	_, expired := c.expire(time.Now().Add(time.Minute), time.Second)
+	must.True(t, expired)
 	buffer := make([]byte, 100)
 	_, err = c.Read(buffer)
 	must.ErrorIs(t, err, os.ErrDeadlineExceeded)
