Do not take a cancelled crash check for a sign of life

The check whether the backend server still accepts connections runs within the time of the request that was broken off. If that ended first, runs that had ended before counted as explained without a check, and a server that hangs on connections could hold a broken response for 0.3 s. Found by reading in a review; no test.

--- a/mesh/crash.go
+++ b/mesh/crash.go
@@ -16,7 +16,7 @@
 const (
 	// crashCheckTimeout bounds the connection that shows whether the backend server still
 	// runs after it has broken off a response.
-	crashCheckTimeout = 300 * time.Millisecond
+	crashCheckTimeout = 100 * time.Millisecond
 	// crashSpread is how long after the first response that it breaks off a crashing server
 	// may still accept connections.
 	crashSpread = time.Second
@@ -108,10 +108,14 @@
 	if crashed, known := d.isExplained(run, endedAt); known {
 		return crashed
 	}
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	checkCtx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
 	checkedAt := time.Now()
-	if err := d.checkListening(ctx); !errors.Is(err, syscall.ECONNREFUSED) {
+	if err := d.checkListening(checkCtx); !errors.Is(err, syscall.ECONNREFUSED) {
+		if ctx.Err() != nil {
+			// The check of another run decides.
+			checkedAt = time.Time{}
+		}
 		d.recordUnexplained(run, endedAt, checkedAt)
 		return false
 	}
@@ -136,7 +140,9 @@
 func (d *crashDetector) recordUnexplained(run *quarantine.Run, endedAt, checkedAt time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.checkedAt = checkedAt
+	if checkedAt.After(d.checkedAt) {
+		d.checkedAt = checkedAt
+	}
 	d.addUnexplained(run, endedAt)
 }
 
