--- a/mesh/connection_ends.go
+++ b/mesh/connection_ends.go
@@ -26,7 +26,7 @@
 	// handled once that has returned.
 	id               string
 	started, handled bool
-	// statusLine is that of the answer that net/http sent by itself.
+	// statusLine is the status line of an answer of net/http itself.
 	statusLine string
 	// readErr and writeErr are the first errors of the connection.
 	readErr, writeErr error
@@ -100,7 +100,7 @@
 }
 
 // cause returns which side ended a connection before the answer had been sent, and why.
-// aborted and ended are those of the connection.
+// aborted and ended are fields of the connection.
 func (p requestProgress) cause(aborted, ended bool) (closedBy, detail string) {
 	switch {
 	case aborted:
--- a/node/answer_test.go
+++ b/node/answer_test.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// get sends a request of an HTTP version on a new connection. err is that of reading the
-// body of the answer.
+// get sends a request of an HTTP version on a new connection. err is the error of reading
+// the body of the answer.
 func get(t *testing.T, address, path, version string) (status int, header http.Header, err error) {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
