Give backend servers of the soak addresses of their own

Its log has 'listen on 127.90.0.2:33811: bind: address already in use' at each start of the node.

Cause, by reading: the ports of a node are chosen, and free until its process has started, or while it is down. The backend server of the VM took one on the same IP meanwhile. It now has an IP of its own. Which listener held the port in that run was not recorded.

No test of its own.

--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -62,6 +62,9 @@
 	// progress.
 	lastFault    time.Time
 	activeFaults int
+	// serverIP is the IP of the backend server. It differs from that of the node, whose
+	// ports are free while its process does not run.
+	serverIP string
 	// lastSwitch is when the node was last started or stopped.
 	lastSwitch time.Time
 	// lastGraceKill is when the node was last killed at the end of the grace period.
@@ -74,7 +77,8 @@
 	region := regions[n/3%len(regions)]
 	zone := region + "-a"
 	ip := fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, n/200, 1+n%200)
-	v = &vm{run: r, singleCore: n%2 == 0}
+	serverIP := fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, 100+n/200, 1+n%200)
+	v = &vm{run: r, serverIP: serverIP, singleCore: n%2 == 0}
 	if v.peerLink, err = newLink(ip+":0", ""); err != nil {
 		return nil, err
 	}
@@ -201,7 +205,7 @@
 
 // startServer starts a backend server as a new instance, and announces it periodically.
 func (v *vm) startServer(instance string) (err error) {
-	s, err := server.Start(v.settings.IP+":0", instance)
+	s, err := server.Start(v.serverIP+":0", instance)
 	if err != nil {
 		return err
 	}
