--- a/review/standins/stop.go
+++ b/review/standins/stop.go
@@ -20,8 +20,22 @@
 	shortWork, longWork = 290 * time.Millisecond, 2100 * time.Millisecond
 	// longShare is the share of the bookings with the longest work.
 	longShare = 0.3
+	// stops is how often the node is stopped and started again.
+	stops = 2
 )
 
+// stopNode stops a node as the platform does: with SIGTERM, and with SIGKILL after the grace
+// time. The stand-in for the platform starts it again.
+func (m *machine) stopNode() {
+	before := m.processStart()
+	m.signal(syscall.SIGTERM)
+	time.AfterFunc(grace, func() {
+		if m.processStart() == before {
+			m.signal(syscall.SIGKILL)
+		}
+	})
+}
+
 // playStop stops a node with SIGTERM and starts it again. Its zone has no other machine, so
 // its clients are not directed elsewhere.
 func playStop(d *deployment, trouble bool) {
@@ -85,43 +99,41 @@
 			}
 		}
 	})
-	time.Sleep(8 * time.Second)
-	signalled := time.Now()
-	if trouble {
-		before := m.processStart()
-		m.signal(syscall.SIGTERM)
-		kill := time.AfterFunc(grace, func() {
-			if m.processStart() == before {
-				m.signal(syscall.SIGKILL)
-			}
-		})
-		defer kill.Stop()
-	}
-	time.Sleep(grace + time.Second)
-	close(stop)
-	clients.Wait()
-
-	ran := map[string]run{}
-	for _, m := range d.machines {
-		for _, r := range m.server.allRuns() {
-			ran[r.id] = r
-		}
-	}
+	time.Sleep(4 * time.Second)
 	var broken []string
-	for _, a := range answers {
-		r, hasRun := ran[a.id]
-		after := a.sent.Sub(signalled)
-		if a.status != 0 || !hasRun || after < 0 || a.ended.Sub(a.sent) > 4900*time.Millisecond {
-			continue
+	for range stops {
+		time.Sleep(4 * time.Second)
+		signalled := time.Now()
+		if trouble {
+			m.stopNode()
+		}
+		time.Sleep(time.Until(signalled.Add(grace + time.Second)))
+		d.awaitReady()
+		ran := map[string]run{}
+		for _, m := range d.machines {
+			for _, r := range m.server.allRuns() {
+				ran[r.id] = r
+			}
 		}
-		text := fmt.Sprintf("%s, sent %.3f s after SIGTERM, at work at a server from %.3f s, connection closed without an answer at %.3f s",
-			a.id, after.Seconds(), r.at.Sub(signalled).Seconds(), a.ended.Sub(signalled).Seconds())
-		if after <= lateSend && a.ended.Sub(signalled) >= grace*5/6 {
-			d.rec.printf("excused: %s", text)
-			continue
+		mu.Lock()
+		for _, a := range answers {
+			r, hasRun := ran[a.id]
+			after := a.sent.Sub(signalled)
+			if a.status != 0 || !hasRun || after < 0 || after > grace || a.ended.Sub(a.sent) > 4900*time.Millisecond {
+				continue
+			}
+			text := fmt.Sprintf("%s, sent %.3f s after SIGTERM, at work at a server from %.3f s, connection closed without an answer at %.3f s",
+				a.id, after.Seconds(), r.at.Sub(signalled).Seconds(), a.ended.Sub(signalled).Seconds())
+			if after <= lateSend && a.ended.Sub(signalled) >= grace*5/6 {
+				d.rec.printf("excused: %s", text)
+				continue
+			}
+			broken = append(broken, "LOST: "+text)
 		}
-		broken = append(broken, "LOST: "+text)
+		mu.Unlock()
 	}
+	close(stop)
+	clients.Wait()
 	sort.Strings(broken)
 	d.finish(broken, "no booking that had been passed on to a server lost its answer around the planned stop")
 }
