review: case 3, a leave that was acknowledged is lost with the process

A server leaves while its machine is cut off from the store. The node acknowledges that at once and is killed before the record has left it. After the cut the new process takes a late check-in, and the server gets bookings again. It takes the place of the case with two frozen readers, which stays in the stand-ins as the case frozen.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -16,7 +16,7 @@
 
 func main() {
 	cases := map[string]func(d *deployment, trouble bool){
-		"stop": playStop, "late": playLate, "born": playBorn, "frozen": playFrozen, "cut": playCut,
+		"stop": playStop, "late": playLate, "born": playBorn, "frozen": playFrozen, "cut": playCut, "unwritten": playUnwritten,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-standin CASE FOLDER")
