--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
   echo "run the build of the deploy file and review/build.sh first" >&2
   exit 2
 fi
-exec target/review-standin born review/3
+exec target/review-standin born review/4
