--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -259,12 +259,14 @@
 	version := d.version
 	d.mu.Unlock()
 	resources := []any{map[string]any{"ResourceType": "Limits", "Metadata": map[string]any{}, "Spec": map[string]any{
-		"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}}
+		"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000,
+	}}}
 	var names []string
 	for _, r := range routes {
 		resources = append(resources, map[string]any{"ResourceType": "Routes", "Metadata": map[string]any{"Name": r.name}, "Spec": map[string]any{
 			"Host": "desk.example", "PathPrefix": r.prefix, "Kind": r.kind, "TimeoutMs": r.timeoutMs, "TargetLatencyMs": 1500, "Priority": 0,
-			"Service": r.service, "MaxAttempts": r.attempts}})
+			"Service": r.service, "MaxAttempts": r.attempts,
+		}})
 		names = append(names, r.name+" to "+r.service)
 	}
 	services := map[string]bool{}
@@ -272,7 +274,8 @@
 		if !services[m.service] {
 			services[m.service] = true
 			resources = append(resources, map[string]any{"ResourceType": "Services", "Metadata": map[string]any{"Name": m.service}, "Spec": map[string]any{
-				"HealthPath": "/health", "MaxConnections": 424, "Protocol": "h1", "Tls": false}})
+				"HealthPath": "/health", "MaxConnections": 424, "Protocol": "h1", "Tls": false,
+			}})
 		}
 	}
 	text, _ := json.Marshal(map[string]any{"Version": version, "BaseVersion": max(version-2, 0), "Resources": resources})
