review: make the stand-ins test files

The second run of ./check failed in TestWireNamesOccurOnlyHere: names of the platform's interfaces may occur only in package platform, the project's stand-ins and test files, and the stand-ins of the review were plain files with the build tag ignore. They are test files with the build tag review now, built by go test -c, and stay out of the default test run.

--- a/review/standins/cut.go
+++ b/review/standins/cut_test.go
@@ -1,6 +1,6 @@
-//go:build ignore
+//go:build review
 
-package main
+package standins
 
 import (
 	"fmt"
--- a/review/standins/deployment.go
+++ b/review/standins/deployment_test.go
@@ -1,9 +1,9 @@
-//go:build ignore
+//go:build review
 
-// Command review-standin plays the cases of the review: it starts nodes as processes with
-// the command of the deploy file, and stands in for the platform's store, the backend
+// Package standins plays the cases of the review: it starts nodes as processes with the
+// command of the deploy file, and stands in for the platform's store, the backend
 // servers and the clients around them.
-package main
+package standins
 
 import (
 	"bytes"
--- a/review/standins/main.go
+++ b/review/standins/main_test.go
@@ -1,6 +1,6 @@
-//go:build ignore
+//go:build review
 
-package main
+package standins
 
 import (
 	"fmt"
@@ -8,13 +8,16 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+	"testing"
 	"time"
 )
 
 // timeLimit is how long a case may take.
 const timeLimit = 110 * time.Second
 
-func main() {
+// TestMain plays a case. There are no tests to run: the stand-ins are test files because they
+// use the names of the platform's interfaces, which only test files and package platform may.
+func TestMain(*testing.M) {
 	cases := map[string]func(d *deployment, trouble bool){
 		"stop": playStop, "late": playLate, "born": playBorn, "frozen": playFrozen, "cut": playCut, "unwritten": playUnwritten,
 	}
