Accept late requests in a planned stop only if they can be answered

Cause: after 2.7 s a stopping node accepts only calls of its own backend server, and took every request on a route that enters beside fewer than 0.7 of all services for one. It accepted them for another second, whatever their length, and the requests that waited for a slot until 0.3 s before the deadline.

Change: the decision is apart from I/O in stop_schedule.go. A late request may be a call only if its deadline is not after that of a request that runs at the backend server now. It is accepted if the longest response time of its route lately fits into the rest of the stop. Short calls are thus accepted until the end, where they were refused from 3.7 s on. Waiting requests are refused when the longest run no longer fits, and wait for a share of the rest of the stop.

--- a/calltree/calltree.go
+++ b/calltree/calltree.go
@@ -35,6 +35,9 @@
 	// chanceRatio is the number of chance matches per near miss, which is the ratio
 	// of the widths of both ranges.
 	chanceRatio = float64(matchTolerance) / float64(nearMissTolerance-matchTolerance)
+	// lateReadTolerance is by how much the deadline of a call may seem to lie after that of
+	// its parent, because a busy node reads the call late.
+	lateReadTolerance = 100 * time.Millisecond
 	// minMatchesPerRun is the number of matches per run of the parent route that
 	// makes a link. It is low, because most calls to a route with a short time
 	// limit of its own do not match.
@@ -130,6 +133,15 @@
 	}
 }
 
+// MayBeCall reports whether a running request may have made a call with the deadline. A
+// call expires with the request that makes it, or earlier.
+func (l *Links) MayBeCall(deadline time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	latest := deadline.Add(-lateReadTolerance)
+	return slices.ContainsFunc(l.running, func(run *Run) bool { return !run.deadline.Before(latest) })
+}
+
 // Children returns the routes that requests to the given route call.
 func (l *Links) Children(route string) (routes []string) {
 	l.mu.Lock()
--- a/calltree/calltree_test.go
+++ b/calltree/calltree_test.go
@@ -100,3 +100,28 @@
 	callers.Tick(time.Now(), 1)
 	must.NotEq(t, calltree.Customers, callers.Origin("r"))
 }
+
+// Guards against taking a customer's request for a call of a running one, and against
+// refusing a call whose own time limit is shorter or that was read late.
+func TestMayBeCall(t *testing.T) {
+	deadline := time.Now().Add(time.Second)
+	for name, c := range map[string]struct {
+		difference time.Duration
+		ended, may bool
+	}{
+		"same deadline":   {0, false, true},
+		"earlier":         {-500 * time.Millisecond, false, true},
+		"read late":       {50 * time.Millisecond, false, true},
+		"later":           {200 * time.Millisecond, false, false},
+		"nothing running": {0, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			links := calltree.NewLinks()
+			run := links.Start("parent", deadline)
+			if c.ended {
+				links.End(run)
+			}
+			must.EqOp(t, c.may, links.MayBeCall(deadline.Add(c.difference)))
+		})
+	}
+}
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -48,6 +48,9 @@
 	admission *customerAdmission
 	// quarantine holds the requests that crash backend servers.
 	quarantine *quarantine.List
+	// responseTimes has the time from the arrival of a request to the end of its last
+	// attempt.
+	responseTimes *longestTimes
 }
 
 // ServeHTTP handles one request of a caller.
@@ -75,7 +78,7 @@
 	if origin == calltree.Servers {
 		i.sidecar.recordCall(receivedAt)
 	}
-	if i.lifecycle.refusesOrigin(origin) {
+	if !i.lifecycle.accepts(time.Now(), i.lateRequest(req, origin)) {
 		i.respond(w, req, notRunResult(call.ReasonDraining, "the node is stopping"), receivedAt, state.Version())
 		return
 	}
@@ -96,10 +99,22 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline.Add(responseGrace))
 	defer cancel()
+	req.answerBy = i.lifecycle.stopDeadline()
 	res := i.dispatch(ctx, req, route, state.Version())
+	if res.outcome != call.NotRun {
+		i.responseTimes.record(time.Now(), req.route, time.Since(receivedAt))
+	}
 	i.respond(w, req, res, receivedAt, state.Version())
 }
 
+// lateRequest describes a request for the decision whether a stopping node accepts it.
+func (i *ingress) lateRequest(req *request, origin calltree.Origin) lateRequest {
+	return lateRequest{
+		mayBeCall:    origin != calltree.Customers && i.sidecar.links.MayBeCall(req.callerDeadline),
+		responseTime: i.responseTimes.ofRoute(time.Now(), req.route),
+	}
+}
+
 // accept reads a request from the caller. ok is false if the request was refused
 // and the error response has been written.
 func (i *ingress) accept(w http.ResponseWriter, r *http.Request, state *desired.State, route *desired.Route, receivedAt time.Time) (req *request, ok bool) {
--- a/mesh/lifecycle.go
+++ b/mesh/lifecycle.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lacewingslip/lacewingslip/calltree"
 	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/follow"
 	"github.com/lacewingslip/lacewingslip/metrics"
@@ -18,21 +17,6 @@
 const (
 	// tickInterval is the interval of the periodic work.
 	tickInterval = 100 * time.Millisecond
-	// A stopping node accepts requests of other nodes for peerAcceptTime, and of
-	// customers for customerAcceptTime. The platform needs two failed readiness
-	// probes, sent one per second, before it directs callers to other nodes, and
-	// keeps sending some requests when many nodes stop at once. After
-	// customerAcceptTime the node accepts only the calls of its own backend server,
-	// and after childCallAcceptTime none at all: the longest customer request takes
-	// 1.5 s, and a request that is accepted later could not finish before SIGKILL.
-	peerAcceptTime      = 2200 * time.Millisecond
-	customerAcceptTime  = 2700 * time.Millisecond
-	childCallAcceptTime = 3700 * time.Millisecond
-	// maxExitMargin and maxExitMarginShare bound the time before SIGKILL that is reserved
-	// for the exit of the process, the latter as a share of the grace time. The share is
-	// below a sixth, because only requests that run into the last sixth may be cut.
-	maxExitMargin      = 700 * time.Millisecond
-	maxExitMarginShare = 0.12
 	// Values of the metrics label that states whether this node can reach a node.
 	healthReachable = "reachable"
 	healthLost      = "lost"
@@ -48,9 +32,6 @@
 	// connectionDrainTimeout bounds the time for the rest of a request to arrive before its
 	// connection is closed.
 	connectionDrainTimeout = 300 * time.Millisecond
-	// waitingRefusalTime is how long before its deadline a stopping node refuses the
-	// requests that wait for a slot, which leaves time to answer them.
-	waitingRefusalTime = 300 * time.Millisecond
 )
 
 // lifecycle starts and stops a node and does its periodic work.
@@ -61,11 +42,11 @@
 	components components
 	bounds     atomic.Pointer[nodeconfig.Bounds]
 	stopping   atomic.Bool
-	// refusesCustomers is set late in a planned stop, to refuse requests of
-	// customers.
-	refusesCustomers atomic.Bool
-	// refusesAll is set after refusesCustomers, to refuse the calls of the backend
-	// server too.
+	// schedule decides which requests are accepted during a planned stop. It is nil
+	// before.
+	schedule atomic.Pointer[stopSchedule]
+	// refusesAll is set once the requests in progress have ended or the deadline of a
+	// planned stop is near, to refuse all further ones.
 	refusesAll atomic.Bool
 	// active is the number of requests of callers and of other nodes in progress.
 	// lastActive is when the last request of a caller ended, in Unix nanoseconds.
@@ -126,44 +107,35 @@
 }
 
 // stop drains the node step by step. It fails the readiness probe, so that the
-// platform directs callers to other nodes. It then refuses requests of other
-// nodes, of customers, and finally of its own backend server, and waits for the
-// requests in progress to end. Those that still wait for a slot are refused shortly
-// before the deadline.
+// platform directs callers to other nodes. It then refuses requests as the schedule says,
+// and waits for the requests in progress to end. Those that still wait for a slot are
+// refused when they could not finish any more.
 func (l *lifecycle) stop(context.Context) (err error) {
 	started := time.Now()
 	l.events.Record(event.NodeStopping, attrService(l.settings.Service))
-	l.stopping.Store(true)
 	grace := l.bounds.Load().Grace
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	deadline := started.Add(grace - exitMargin(grace))
-	refusal := time.AfterFunc(time.Until(deadline.Add(-waitingRefusalTime)), l.components.sidecar.slots.Close)
+	schedule := newStopSchedule(started, grace)
+	l.schedule.Store(&schedule)
+	l.stopping.Store(true)
+	sidecar := l.components.sidecar
+	refusal := time.AfterFunc(time.Until(schedule.waitingRefusal(sidecar.longestRuns.ofAll(started))), sidecar.slots.Close)
 	defer refusal.Stop()
-	follow.Pause(context.Background(), min(peerAcceptTime, grace/3))
-	l.components.sidecar.stopping.Store(true)
-	follow.Pause(context.Background(), min(customerAcceptTime-peerAcceptTime, grace/6))
-	l.refusesCustomers.Store(true)
-	childCallEnd := started.Add(min(childCallAcceptTime, 6*grace/10))
-	for time.Now().Before(deadline) && !l.isIdle() {
-		if time.Now().After(childCallEnd) {
-			l.refusesAll.Store(true)
-		}
+	follow.Pause(context.Background(), time.Until(schedule.peerEnd))
+	sidecar.stopping.Store(true)
+	follow.Pause(context.Background(), time.Until(schedule.customerEnd))
+	for time.Now().Before(schedule.deadline) && !l.isIdle() {
 		follow.Pause(context.Background(), drainPollInterval)
 	}
-	l.finishRequests(deadline)
+	l.finishRequests(schedule.deadline)
 	l.cancel()
 	l.background.Wait()
 	l.events.Record(event.NodeStopped, attrMs("tookMs", time.Since(started)))
 	return nil
 }
 
-// exitMargin returns the time before SIGKILL that is reserved for the exit of the process.
-func exitMargin(grace time.Duration) time.Duration {
-	return min(maxExitMargin, time.Duration(maxExitMarginShare*float64(grace)))
-}
-
 // finishRequests refuses new requests, waits until those in progress have been answered or
 // the deadline has passed, and closes all connections.
 func (l *lifecycle) finishRequests(deadline time.Time) {
@@ -185,18 +157,22 @@
 	l.events.Record(event.NodeReloaded, attrMs("graceMs", settings.Bounds.Grace))
 }
 
-// refusesOrigin reports whether a stopping node refuses requests with the
-// origin. A request of unknown origin can be a call of the backend server only
-// while that server runs a request, so it is refused otherwise.
-func (l *lifecycle) refusesOrigin(origin calltree.Origin) bool {
-	switch {
-	case l.refusesAll.Load():
-		return true
-	case !l.refusesCustomers.Load():
+// accepts reports whether the node accepts a request that arrives now.
+func (l *lifecycle) accepts(now time.Time, r lateRequest) bool {
+	if l.refusesAll.Load() {
 		return false
-	default:
-		return origin == calltree.Customers || origin == calltree.Unknown && l.components.sidecar.slots.Load().Running == 0
 	}
+	schedule := l.schedule.Load()
+	return schedule == nil || schedule.accepts(now, r)
+}
+
+// stopDeadline returns when a planned stop that is in progress closes the connections of
+// the requests in progress, or the zero time if there is none.
+func (l *lifecycle) stopDeadline() time.Time {
+	if schedule := l.schedule.Load(); schedule != nil {
+		return schedule.deadline
+	}
+	return time.Time{}
 }
 
 // isIdle reports whether no request is in progress and none has ended in the
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -36,7 +36,8 @@
 // server, desired_state.go the operator's desired state, and exchange.go and watchers.go
 // other nodes. servers.go serves callers and other nodes, connections.go decides when
 // their connections are closed, and connection_ends.go records those that end without an
-// answer. lifecycle.go starts and stops everything.
+// answer. lifecycle.go starts and stops everything, and stop_schedule.go
+// decides which requests a stopping node accepts.
 package mesh
 
 import (
@@ -171,5 +172,6 @@
 	return &ingress{
 		settings: settings, desired: d, splitter: desired.NewSplitter(), balancer: b, sidecar: s, exchange: e,
 		budget: retries, events: events, metrics: m, lifecycle: l, admission: admission, quarantine: list,
+		responseTimes: newLongestTimes(),
 	}
 }
--- a/mesh/node_selector.go
+++ b/mesh/node_selector.go
@@ -136,7 +136,11 @@
 // lastQueueTimeout returns how long the request may wait at the last node that it is
 // sent to.
 func (s *nodeSelector) lastQueueTimeout() time.Duration {
-	return time.Duration(lastQueueTimeoutShare * float64(time.Until(s.request.deadline)))
+	end := s.request.deadline
+	if by := s.request.answerBy; !by.IsZero() && by.Before(end) {
+		end = by
+	}
+	return time.Duration(lastQueueTimeoutShare * float64(time.Until(end)))
 }
 
 // choose selects a node for the stage.
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -55,6 +55,9 @@
 	// be later than the time-out of the route. It is known only at the ingress
 	// node.
 	callerDeadline time.Time
+	// answerBy is when a planned stop of the ingress node ends, or the zero time if none
+	// was in progress when the request arrived there.
+	answerBy time.Time
 	// fromCustomer is true if customers call the route.
 	fromCustomer bool
 	// targetRegion is the region where the request is to run, or "" if it was not
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -60,6 +60,8 @@
 	healthPath func() string
 	// runTimes is used to refuse requests that can't finish before their deadline.
 	runTimes *runTimes
+	// longestRuns has the times that requests have run at the backend server.
+	longestRuns *longestTimes
 	// routePressure holds the pressure levels of the routes that the backend server
 	// calls.
 	routePressure *pressure.Shedder
@@ -87,7 +89,7 @@
 			}
 			return ""
 		},
-		metrics: m, runTimes: newRunTimes(),
+		metrics: m, runTimes: newRunTimes(), longestRuns: newLongestTimes(),
 		gauge: &pressure.Gauge{}, links: calltree.NewLinks(), callers: calltree.NewCallers(), routePressure: admission.routePressure,
 		settings: settings, tracker: tracker, slots: slot.New(), events: events,
 		backend: newInstancePool(settings.Backend), quarantine: list,
@@ -185,6 +187,7 @@
 		runTime = 0
 	case res.status < http.StatusMultipleChoices:
 		s.runTimes.record(req.route, runTime)
+		s.longestRuns.record(time.Now(), req.route, runTime)
 	}
 	// The slot is released even if the rest of a long response is still to be read,
 	// because the backend server has finished running the request.
