Hold back announcements until the earlier process's record is known

Cause: a process that has just started applied the first announcement that arrived, and published it with a higher epoch than the record of the leave. What it read later was ignored, because the tracker restores nothing once it has an announcement.

Change: a started process acknowledges announcements that the server is ready, but applies them only once it knows the earlier record: after the log has been read and other nodes have been asked, or, while the log can't be read, after another node has answered and the record says that the server is leaving or the server says that it is healthy. Requests are refused meanwhile in such a way that the sender contacts the node again, which is how it learns of its record. The record of an earlier process is kept apart from the table, where a late "draining" of another server replaced it.

TestSoundServerIsUsedAfterRestartWithoutLog passed before and passes. All tests of mesh, fleet, upstream and platform pass.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -74,7 +74,11 @@
 
 	mu sync.Mutex
 	// self is the record of the local node. Its epoch is 0 until the first update.
-	self           Member
+	self Member
+	// firstEpoch is the epoch of the first update, and earlier the newest known record of
+	// the local node that an earlier process wrote.
+	firstEpoch     int64
+	earlier        Member
 	publishedEpoch int64
 	// publishedEra is the era of the log that has the record with publishedEpoch.
 	publishedEra int64
@@ -134,6 +138,14 @@
 	return d.self
 }
 
+// Earlier returns the newest known record of the local node that an earlier process wrote,
+// or an empty one.
+func (d *Directory) Earlier() Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.earlier
+}
+
 // LogReachable reports whether the last read of the log succeeded. See
 // [follow.Follower.LogReachable].
 func (d *Directory) LogReachable() bool { return d.follower.LogReachable() }
@@ -173,6 +185,9 @@
 		known = max(known, stored.Epoch)
 	}
 	d.self.Epoch = max(known+1, time.Now().UnixMilli())
+	if d.firstEpoch == 0 {
+		d.firstEpoch = d.self.Epoch
+	}
 }
 
 // Merge applies records that were received from another node. Invalid records are
@@ -197,6 +212,9 @@
 	d.mu.Lock()
 	ownName := d.self.Node
 	outdated := d.self.Epoch > 0 && m.Outdates(d.self)
+	if m.Node == ownName && (d.firstEpoch == 0 || outdated || m.Epoch < d.firstEpoch) && m.Epoch > d.earlier.Epoch {
+		d.earlier = m
+	}
 	d.mu.Unlock()
 	if m.Node != ownName {
 		return d.table.Apply(m)
--- a/mesh/announcements.go
+++ b/mesh/announcements.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/event"
@@ -22,10 +23,20 @@
 	healthAttempts      = 3
 	healthRetryInterval = 250 * time.Millisecond
 	healthTimeout       = 600 * time.Millisecond
+	// confirmationInterval is how often a started node that can't read the log asks its
+	// backend server whether it is leaving.
+	confirmationInterval = 500 * time.Millisecond
+	// maxHeldAnnouncements bounds the announcements that a started node holds back. A
+	// backend server sends one every 1.5 s.
+	maxHeldAnnouncements = 64
 )
 
 // announcementHandler receives the announcements of the backend server beside
 // this node.
+//
+// An announcement may arrive late, when the server has left already. A process that has
+// just started does not know what an earlier process of the node has acknowledged, so it
+// holds back announcements that the server is ready until it does.
 type announcementHandler struct {
 	settings  nodeconfig.Config
 	tracker   *upstream.Tracker
@@ -34,6 +45,13 @@
 	exchange  *exchange
 	desired   *desiredState
 	events    eventRecorder
+
+	// mu keeps announcements in the order of their arrival.
+	mu sync.Mutex
+	// restored is true once the record of an earlier process is known. held has the
+	// announcements that wait for it.
+	restored bool
+	held     []upstream.Announcement
 }
 
 // ServeHTTP receives an announcement. It is acknowledged without waiting for
@@ -46,6 +64,27 @@
 		platform.Reject(w, err)
 		return
 	}
+	a.receive(report)
+	platform.Acknowledge(w)
+}
+
+// receive applies a report, or holds it back.
+func (a *announcementHandler) receive(report platform.Report) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.restored || report.Deregistered || report.Announcement.State != upstream.Ready {
+		a.apply(report)
+		return
+	}
+	if len(a.held) == maxHeldAnnouncements {
+		a.held = a.held[1:]
+	}
+	a.held = append(a.held, report.Announcement)
+	a.recordReport(event.AnnouncementHeld, report)
+}
+
+// apply applies a report. The mutex must be held.
+func (a *announcementHandler) apply(report platform.Report) {
 	announcement := report.Announcement
 	before := a.tracker.Server()
 	var change upstream.Change
@@ -55,9 +94,7 @@
 		change = a.tracker.Apply(time.Now(), announcement)
 	}
 	if change != upstream.Unchanged {
-		a.events.Record(event.AnnouncementTaken, slog.String("instance", announcement.Instance), slog.Int64("born", announcement.StartMs),
-			slog.Int64("sequence", announcement.Sequence), slog.Bool("left", report.Deregistered), slog.String("said", announcement.State.String()),
-			slog.Int("slots", announcement.Slots), slog.String("change", change.String()))
+		a.recordReport(event.AnnouncementTaken, report, slog.String("change", change.String()))
 	}
 	if change == upstream.Changed {
 		a.applyServerState()
@@ -65,7 +102,29 @@
 			a.sidecar.crashes.serverReplaced(before)
 		}
 	}
-	platform.Acknowledge(w)
+}
+
+// recordReport records an event about a report.
+func (a *announcementHandler) recordReport(id event.ID, report platform.Report, attrs ...slog.Attr) {
+	announcement := report.Announcement
+	a.events.Record(id, append([]slog.Attr{
+		slog.String("instance", announcement.Instance), slog.Int64("born", announcement.StartMs),
+		slog.Int64("sequence", announcement.Sequence), slog.Bool("left", report.Deregistered), slog.String("said", announcement.State.String()),
+		slog.Int("slots", announcement.Slots),
+	}, attrs...)...)
+}
+
+// release applies the announcements that were held back. The record of an earlier process
+// must have been restored.
+func (a *announcementHandler) release() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.restored = true
+	a.sidecar.serverKnown.Store(true)
+	for _, announcement := range a.held {
+		a.apply(platform.Report{Announcement: announcement})
+	}
+	a.held = nil
 }
 
 // isSameIncarnation reports whether two states can be of the same incarnation. The start
@@ -84,10 +143,16 @@
 	})
 }
 
-// restoreServerState queries the state of the backend server by health requests.
-// This matters when this node's process has restarted but the backend server has
-// not, because the next announcement may be seconds away.
+// restoreServerState restores what an earlier process of the node knew of the backend
+// server, and then queries its state by health requests. This matters when this node's
+// process has restarted but the backend server has not, because the next announcement may
+// be seconds away.
 func (a *announcementHandler) restoreServerState(ctx context.Context) {
+	if !a.awaitOwnRecord(ctx) {
+		return
+	}
+	a.restoreLeaving()
+	a.release()
 	select {
 	case <-a.desired.loaded:
 	case <-ctx.Done():
@@ -97,8 +162,6 @@
 	if path == "" {
 		return
 	}
-	a.awaitOwnRecord(ctx)
-	a.restoreLeaving()
 	for range healthAttempts {
 		if a.tracker.Server().State() != upstream.Unknown {
 			return
@@ -110,10 +173,35 @@
 	}
 }
 
-// awaitOwnRecord waits for the record that an earlier process wrote. The log may have lost
-// it, so that only other nodes still have it. It may also have lost the records of all other
-// nodes, so that this node does not know them yet.
-func (a *announcementHandler) awaitOwnRecord(ctx context.Context) {
+// awaitOwnRecord waits until the record that an earlier process wrote is known as far as
+// possible. ok is false if the context has ended. The log may have lost the record, or the
+// earlier process could not write it, so other nodes are asked too.
+//
+// While the log can't be read, a record of other nodes is believed if it says that the
+// server is leaving, but not if it says that it takes work: they may not have heard of the
+// latest one. The server must confirm that it is not leaving.
+func (a *announcementHandler) awaitOwnRecord(ctx context.Context) (ok bool) {
+	ticker := time.NewTicker(confirmationInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-a.directory.Loaded():
+			a.awaitOtherNodes(ctx)
+			return ctx.Err() == nil
+		case <-ticker.C:
+			if a.exchange.answered.Load() && (a.recordedAsLeaving() || a.serverIsHealthy(ctx)) {
+				return ctx.Err() == nil
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// awaitOtherNodes waits until other nodes have been asked for the record of an earlier
+// process. The log may have lost the records of all of them, so that this node does not know
+// them yet.
+func (a *announcementHandler) awaitOtherNodes(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, a.exchange.ownRecordWait)
 	defer cancel()
 	select {
@@ -122,13 +210,24 @@
 	}
 }
 
+// serverIsHealthy reports whether the backend server answers a health request and is not
+// leaving.
+func (a *announcementHandler) serverIsHealthy(ctx context.Context) bool {
+	path := a.sidecar.healthPath()
+	if path == "" {
+		return false
+	}
+	_, status, err := a.sidecar.requestHealth(ctx, path)
+	return err == nil && status == http.StatusOK
+}
+
 // restoreLeaving applies the record of an earlier process if it says that the backend
 // server is leaving. Late announcements of that incarnation are ignored. The record is
 // published again, because the log may have lost it and this process publishes nothing
 // until the next announcement.
 func (a *announcementHandler) restoreLeaving() {
-	record, ok := a.directory.Table().Get(a.settings.Node)
-	if !ok || record.TakesWork {
+	record := a.directory.Earlier()
+	if !a.recordedAsLeaving() {
 		return
 	}
 	a.tracker.Restore(record.Instance, record.StartMs, record.Slots, upstream.Gone)
@@ -153,7 +252,7 @@
 		// is ready again.
 		return status == http.StatusServiceUnavailable
 	}
-	if a.recordedAsLeaving(instance) {
+	if a.recordedAsLeaving() && a.directory.Earlier().Instance == instance {
 		return true
 	}
 	if a.tracker.Restore(instance, 0, load.Slots, upstream.Ready) == upstream.Changed {
@@ -167,7 +266,7 @@
 // recordedAsLeaving reports whether an earlier process of this node recorded that the
 // backend server is leaving, as far as the log or other nodes have the record. The
 // responses to health requests do not necessarily show that.
-func (a *announcementHandler) recordedAsLeaving(instance string) bool {
-	record, ok := a.directory.Table().Get(a.settings.Node)
-	return ok && record.Instance == instance && !record.TakesWork
+func (a *announcementHandler) recordedAsLeaving() bool {
+	record := a.directory.Earlier()
+	return record.Instance != "" && !record.TakesWork
 }
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -101,6 +101,9 @@
 	// ownRecordFetched is closed when other nodes have been asked for this node's own
 	// record.
 	ownRecordFetched chan struct{}
+	// answered is true once another node has answered a message of this process, so that
+	// its record of this node is known.
+	answered atomic.Bool
 	// ownRecordWait is how long this node waits after its start for other nodes to be asked.
 	ownRecordWait time.Duration
 	startedAt     time.Time
@@ -255,6 +258,9 @@
 	}
 	e.directory.Merge(append(reply.Members, reply.Self)...)
 	e.balancer.markReachable(reply.Self.Node)
+	if reply.Self.Node != msg.Self.Node {
+		e.answered.Store(true)
+	}
 	if known, outdated := e.outdates(reply.Self); outdated && len(msg.Members) == 0 {
 		msg = e.ownMessage()
 		msg.Members = []fleet.Member{known}
--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -43,8 +43,14 @@
 	server   *server.Server
 	startMs  int64
 	sequence int64
+	// started is true once the node has been started.
+	started bool
 }
 
+// firstOwnRecordWait is the wait for other nodes at the first start of a VM's node, which
+// has no earlier process.
+const firstOwnRecordWait = 20 * time.Millisecond
+
 // lastHost numbers the loopback addresses, so that tests do not share ports.
 var lastHost atomic.Int64
 
@@ -119,9 +125,14 @@
 	d.t.Helper()
 	n, err := New(v.settings)
 	must.NoError(d.t, err)
+	e := n.lifecycle.components.exchange
+	if !v.started {
+		e.ownRecordWait = firstOwnRecordWait
+	}
 	if d.ownRecordWait > 0 {
-		n.lifecycle.components.exchange.ownRecordWait = d.ownRecordWait
+		e.ownRecordWait = d.ownRecordWait
 	}
+	v.started = true
 	must.NoError(d.t, n.Start(context.Background()))
 	v.node = n
 	d.t.Cleanup(func() { kill(n) })
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -76,6 +76,9 @@
 	// the server has crashed.
 	quarantine *quarantine.List
 	crashes    *crashDetector
+	// serverKnown is false until this process knows what an earlier process of the node knew
+	// of the backend server.
+	serverKnown atomic.Bool
 	// stopping makes run refuse all requests. It is set during a planned stop.
 	stopping atomic.Bool
 }
@@ -172,6 +175,9 @@
 	switch {
 	case errors.Is(err, slot.ErrClosed) && s.stopping.Load():
 		return notRunResult(call.ReasonDraining, "the node is stopping")
+	case errors.Is(err, slot.ErrClosed) && !s.serverKnown.Load():
+		// The sender contacts this node again soon, and tells it what it knows of it.
+		return notRunResult(call.ReasonUnreachable, "the node has just started and does not know its backend server yet")
 	case errors.Is(err, slot.ErrClosed):
 		return notRunResult(call.ReasonDraining, "the backend server is "+s.tracker.Server().State().String())
 	case err != nil && ctx.Err() != nil:
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -245,21 +245,25 @@
 
 // Restore sets a state that was not announced to this process: one that an earlier
 // process of this node recorded, or that the server reported in response to a health
-// request. It never replaces the state of an announcement, and does not bring back an
-// instance that has deregistered.
+// request. It never replaces the state of an announcement, except that an instance that
+// has deregistered stays gone.
 func (t *Tracker) Restore(instance string, startMs int64, slots int, state State) (change Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if state == Gone {
+		t.deregistered[instance] = max(startMs, t.deregistered[instance])
+		if t.server.instance == instance && t.server.startMs <= startMs && t.server.state != Gone {
+			t.server.state = Gone
+			return Changed
+		}
+		return Unchanged
+	}
 	if t.server.state != Unknown {
 		return Stale
 	}
 	if known, ok := t.deregistered[instance]; ok && startMs <= known {
 		return Stale
 	}
-	if state == Gone {
-		t.deregistered[instance] = max(startMs, t.deregistered[instance])
-		return Unchanged
-	}
 	t.server = Server{instance: instance, startMs: startMs, slots: slots, state: state}
 	return Changed
 }
