Acknowledge a leave once it outlasts the process

Cause: the acknowledgement was given before the record of the leave was known outside the process. The write to the store may hang for 2 s, and other nodes are told only after it has failed.

Change: the leave is in force at once, and acknowledged when the log has its record, or, if that takes longer than 0.2 s, when two of three other nodes have confirmed that they hold it. A started process asks the same three, until two have answered. Otherwise the message is answered 503 within 0.8 s and repeated. A leave at a process that has not heard of the server is put into the record too. What a server says while the earlier record is not known is held back whether it is ready or leaving, and nothing is written before the log has been read: a late "draining" of an earlier server could replace the record of a later one in the log.

TestAnnouncementBeforeEarlierRecordIsKnown now expects that a leave which nobody else holds is not acknowledged; the rest of it is unchanged. The tests' kill of a node now also ends the messages that it is sending, as that of a process does.

TestAcknowledgedLeaveOutlastsProcess (log down, log silent), TestLeaveAtRestartedNodeOutlastsIt and TestLeaveIsAcknowledgedOnlyWhenHeld failed before it.

--- a/event/node.go
+++ b/event/node.go
@@ -21,6 +21,7 @@
 	AnnouncementRejected  ID = 1107
 	BackendCrashed        ID = 1109
 	AnnouncementHeld      ID = 1110
+	AnnouncementPostponed ID = 1111
 )
 
 var nodeEvents = []Description{
@@ -37,6 +38,7 @@
 	{ID: AnnouncementRejected, Name: "announcementRejected", Level: slog.LevelWarn, Meaning: "A message to the announcement address could not be decoded and was ignored."},
 	{ID: BackendCrashed, Name: "backendCrashed", Level: slog.LevelWarn, Meaning: "The backend server ended or stopped responding while it ran calls, without having announced that it leaves. The attributes are the number of these calls, how many of them are suspect of having caused it, and the sign by which that was detected."},
 	{ID: AnnouncementHeld, Name: "announcementHeld", Level: slog.LevelInfo, Meaning: "The backend server announced that it is ready, but the node has just started and does not know yet whether an earlier process of the node has acknowledged that the server leaves. The announcement takes effect once it does."},
+	{ID: AnnouncementPostponed, Name: "announcementPostponed", Level: slog.LevelWarn, Meaning: "The backend server announced that it leaves. That is in force, but neither the log service nor enough other nodes hold it yet, so it is not acknowledged and the server repeats it."},
 	{ID: NodeReloaded, Name: "nodeReloaded", Level: slog.LevelInfo, Meaning: "The node reloaded its settings. New time and retry limits take effect; addresses remain unchanged."},
 	{ID: IdleConnectionsClosed, Name: "idleConnectionsClosed", Level: slog.LevelInfo, Meaning: "Connections of callers were idle for longer than the limit in the desired state and were closed. The attributes are their number, the longest idle time, the limit, and the version that has the limit."},
 	{ID: RequestNotRead, Name: "requestNotRead", Level: slog.LevelInfo, Meaning: "A connection ended after a part of a request had arrived, but before its whole head had been read. The request was not passed on. The attributes are the time since the first part was read, the bytes that had arrived unread, the error of the read, the status line that was sent, if any, and the version in force."},
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -29,6 +29,8 @@
 	batchPause        = 400 * time.Millisecond
 	largeBatchPause   = 1200 * time.Millisecond
 	largeBatchRecords = 4
+	// firstReadWait is how long a write waits for the first read of the log.
+	firstReadWait = 500 * time.Millisecond
 	// minRetryPause and maxRetryPause bound the pause after a failed write.
 	minRetryPause = 150 * time.Millisecond
 	maxRetryPause = 1200 * time.Millisecond
@@ -82,6 +84,7 @@
 	publishedEpoch int64
 	// publishedEra is the era of the log that has the record with publishedEpoch.
 	publishedEra int64
+	copies       copies
 	// fencedWrites counts the writes rejected as outdated since the last accepted one, and
 	// producers the producer names given up.
 	fencedWrites, producers int
@@ -104,7 +107,7 @@
 	d := &Directory{
 		table: table, log: log, events: events, onChange: onChange, onPublishError: func() {}, readsLog: func() bool { return true },
 		self: self, wake: make(chan struct{}, 1), loaded: make(chan struct{}),
-		era: follow.NewEraTracker(),
+		era: follow.NewEraTracker(), copies: newCopies(),
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -364,10 +367,30 @@
 	return d.self, state, eraRisen
 }
 
+// errNotRead means that the log has not been read yet. A write could replace the record of an
+// earlier process before this one knows it.
+var errNotRead = errors.New("the log has not been read yet")
+
 // errEarlierEra means that a write was acknowledged before the log was restored.
 var errEarlierEra = errors.New("the record was written to an earlier era of the log")
 
+// awaitLoaded waits for the first read of the log, for firstReadWait at most.
+func (d *Directory) awaitLoaded(ctx context.Context) (loaded bool) {
+	timer := time.NewTimer(firstReadWait)
+	defer timer.Stop()
+	select {
+	case <-d.loaded:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 func (d *Directory) publish(ctx context.Context, self Member) (err error) {
+	if !d.awaitLoaded(ctx) {
+		return errNotRead
+	}
 	value, err := json.Marshal(self)
 	if err != nil {
 		return err
@@ -387,6 +410,7 @@
 		if era < d.era.Known() {
 			return errEarlierEra
 		}
+		d.copies.notify()
 	case errors.Is(err, platform.ErrFenced) && d.self.Epoch == self.Epoch:
 		// An earlier process of this node has written a record with a higher epoch,
 		// before the system clock was set back, or a foreign writer has used the name.
--- a/internal/standin/keyedlog/keyedlog.go
+++ b/internal/standin/keyedlog/keyedlog.go
@@ -30,6 +30,9 @@
 	LoseAnswers bool
 	// Disconnect closes the connection of each request, which is not carried out.
 	Disconnect bool
+	// Silent keeps each new request without a response until its client disconnects. It is
+	// not carried out.
+	Silent bool
 	// RefuseFrom rejects requests with status 503 if it returns true for their remote
 	// address.
 	RefuseFrom func(remote string) bool
@@ -170,8 +173,14 @@
 	l.calls[r.URL.Path]++
 	w.Header().Set(eraHeader, strconv.Itoa(l.era))
 	refused := l.faults.Down || l.faults.RefuseFrom != nil && l.faults.RefuseFrom(r.RemoteAddr)
-	disconnect := l.faults.Disconnect
+	disconnect, silent := l.faults.Disconnect, l.faults.Silent
 	l.mu.Unlock()
+	if silent {
+		// The server notices that the client disconnects only once the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if disconnect {
 		panic(http.ErrAbortHandler)
 	}
--- a/mesh/announcements.go
+++ b/mesh/announcements.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,9 +27,15 @@
 	// confirmationInterval is how often a started node that can't read the log asks its
 	// backend server whether it is leaving.
 	confirmationInterval = 500 * time.Millisecond
-	// maxHeldAnnouncements bounds the announcements that a started node holds back. A
+	// If the log does not take the record that the backend server is leaving within
+	// recordCopyDelay, other nodes are asked to hold it. The server takes an announcement
+	// for lost that is not acknowledged within a second, so it is told to repeat it after
+	// maxLeaveAckWait.
+	recordCopyDelay = 200 * time.Millisecond
+	maxLeaveAckWait = 800 * time.Millisecond
+	// maxHeldReports bounds the reports that a started node holds back. A
 	// backend server sends one every 1.5 s.
-	maxHeldAnnouncements = 64
+	maxHeldReports = 64
 )
 
 // announcementHandler receives the announcements of the backend server beside
@@ -36,7 +43,7 @@
 //
 // An announcement may arrive late, when the server has left already. A process that has
 // just started does not know what an earlier process of the node has acknowledged, so it
-// holds back announcements that the server is ready until it does.
+// holds back all reports until it does.
 type announcementHandler struct {
 	settings  nodeconfig.Config
 	tracker   *upstream.Tracker
@@ -48,15 +55,16 @@
 
 	// mu keeps announcements in the order of their arrival.
 	mu sync.Mutex
-	// restored is true once the record of an earlier process is known. held has the
-	// announcements that wait for it.
-	restored bool
-	held     []upstream.Announcement
+	// held has the reports that wait for the record of an earlier process, and released is
+	// closed once they have been applied.
+	held     []platform.Report
+	released chan struct{}
 }
 
-// ServeHTTP receives an announcement. It is acknowledged without waiting for
-// the log: all requests to the backend server pass through this node, so the
-// announced state is in force as soon as it is applied here.
+// ServeHTTP receives an announcement. It is in force as soon as it is applied here, because
+// all requests to the backend server pass through this node. That the server is leaving is
+// acknowledged only when it is known outside this process too: a process that starts after
+// this one must not use the server again.
 func (a *announcementHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	report, err := platform.DecodeReport(r)
 	if err != nil {
@@ -65,21 +73,49 @@
 		return
 	}
 	a.receive(report)
+	if report.Leaves() && !a.awaitLeaveHeld(r.Context()) {
+		a.recordReport(event.AnnouncementPostponed, report)
+		platform.Postpone(w)
+		return
+	}
 	platform.Acknowledge(w)
 }
 
+// awaitLeaveHeld waits until the log or other nodes hold the record of this node, if it says
+// that the backend server takes no work. held is false if that took too long.
+func (a *announcementHandler) awaitLeaveHeld(ctx context.Context) (held bool) {
+	ctx, cancel := context.WithTimeout(ctx, maxLeaveAckWait)
+	defer cancel()
+	select {
+	case <-a.released:
+	case <-ctx.Done():
+		return false
+	}
+	if self := a.directory.Self(); self.Epoch == 0 || self.TakesWork {
+		return true
+	}
+	inLog, cancelLog := context.WithTimeout(ctx, recordCopyDelay)
+	defer cancelLog()
+	if a.directory.AwaitHeld(inLog, 0) {
+		return true
+	}
+	return a.directory.AwaitHeld(ctx, a.exchange.copyOwnRecord(context.WithoutCancel(ctx)))
+}
+
 // receive applies a report, or holds it back.
 func (a *announcementHandler) receive(report platform.Report) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.restored || report.Deregistered || report.Announcement.State != upstream.Ready {
+	select {
+	case <-a.released:
 		a.apply(report)
 		return
+	default:
 	}
-	if len(a.held) == maxHeldAnnouncements {
+	if len(a.held) == maxHeldReports {
 		a.held = a.held[1:]
 	}
-	a.held = append(a.held, report.Announcement)
+	a.held = append(a.held, report)
 	a.recordReport(event.AnnouncementHeld, report)
 }
 
@@ -114,17 +150,25 @@
 	}, attrs...)...)
 }
 
-// release applies the announcements that were held back. The record of an earlier process
-// must have been restored.
+// release applies the reports that were held back. The record of an earlier process must have
+// been restored.
 func (a *announcementHandler) release() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.restored = true
 	a.sidecar.serverKnown.Store(true)
-	for _, announcement := range a.held {
-		a.apply(platform.Report{Announcement: announcement})
+	for _, report := range a.held {
+		a.apply(report)
 	}
 	a.held = nil
+	close(a.released)
+}
+
+// holdsLeave reports whether the backend server has said that it is leaving in a report that
+// is held back.
+func (a *announcementHandler) holdsLeave() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.ContainsFunc(a.held, platform.Report.Leaves)
 }
 
 // isSameIncarnation reports whether two states can be of the same incarnation. The start
@@ -153,6 +197,7 @@
 	}
 	a.restoreLeaving()
 	a.release()
+	defer a.restoreFromLog(ctx)
 	select {
 	case <-a.desired.loaded:
 	case <-ctx.Done():
@@ -179,7 +224,7 @@
 //
 // While the log can't be read, a record of other nodes is believed if it says that the
 // server is leaving, but not if it says that it takes work: they may not have heard of the
-// latest one. The server must confirm that it is not leaving.
+// latest one. The server must say whether it is leaving.
 func (a *announcementHandler) awaitOwnRecord(ctx context.Context) (ok bool) {
 	ticker := time.NewTicker(confirmationInterval)
 	defer ticker.Stop()
@@ -189,7 +234,7 @@
 			a.awaitOtherNodes(ctx)
 			return ctx.Err() == nil
 		case <-ticker.C:
-			if a.exchange.answered.Load() && (a.recordedAsLeaving() || a.serverIsHealthy(ctx)) {
+			if a.exchange.answered.Load() && (a.recordedAsLeaving() || a.holdsLeave() || a.serverIsHealthy(ctx)) {
 				return ctx.Err() == nil
 			}
 		case <-ctx.Done():
@@ -198,6 +243,16 @@
 	}
 }
 
+// restoreFromLog restores the record of an earlier process again when the log has been read.
+// It may be newer than that of other nodes.
+func (a *announcementHandler) restoreFromLog(ctx context.Context) {
+	select {
+	case <-a.directory.Loaded():
+		a.restoreLeaving()
+	case <-ctx.Done():
+	}
+}
+
 // awaitOtherNodes waits until other nodes have been asked for the record of an earlier
 // process. The log may have lost the records of all of them, so that this node does not know
 // them yet.
@@ -230,9 +285,14 @@
 	if !a.recordedAsLeaving() {
 		return
 	}
-	a.tracker.Restore(record.Instance, record.StartMs, record.Slots, upstream.Gone)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.tracker.Restore(record.Instance, record.StartMs, record.Slots, upstream.Gone) == upstream.Changed {
+		a.applyServerState()
+		return
+	}
 	a.directory.Update(func(m *fleet.Member) {
-		if m.Epoch == 0 {
+		if m.Epoch == 0 || !m.TakesWork && m.StartMs < record.StartMs {
 			m.Instance, m.StartMs, m.Slots = record.Instance, record.StartMs, record.Slots
 		}
 	})
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -33,9 +33,13 @@
 	// peerPollInterval is how often a node that can't read the log polls another
 	// node for changes.
 	peerPollInterval = 500 * time.Millisecond
-	// ownRecordPeers is the number of nodes that a node asks for its own record after
-	// its start, and ownRecordAttempts is how often it asks until one answers.
-	ownRecordPeers    = 3
+	// recordKeepers is the number of nodes that a node sends its record to while the log
+	// does not take it, and that it asks for its own record after its start.
+	// minRecordCopies of them must confirm that they hold it, or answer, so that at least
+	// one holds it and answers.
+	recordKeepers   = 3
+	minRecordCopies = 2
+	// ownRecordAttempts is how often a started node asks until enough nodes answer.
 	ownRecordAttempts = 20
 	// defaultOwnRecordWait is how long a started node waits for answers of other nodes,
 	// which may have its own record or a newer desired state, before it relies on health
@@ -324,8 +328,28 @@
 	}
 }
 
-// fetchOwnRecord exchanges state with a few nodes, which return the record of an earlier
-// process of this node if they have one that the log has lost.
+// copyOwnRecord sends the record of this node to the nodes that keep it, and returns how
+// many of them must confirm it.
+func (e *exchange) copyOwnRecord(ctx context.Context) (needed int) {
+	keepers := e.balancer.recordKeepers()
+	for _, p := range keepers {
+		go func() {
+			epoch := e.directory.Self().Epoch
+			if err := e.exchangeWith(ctx, p, false); err != nil {
+				e.balancer.markUnreachable(p, err.Error())
+				return
+			}
+			// The epoch is raised if the other node had a record that it took for newer.
+			if e.directory.Self().Epoch == epoch {
+				e.directory.ConfirmCopy(p.node, epoch)
+			}
+		}()
+	}
+	return min(minRecordCopies, len(keepers))
+}
+
+// fetchOwnRecord exchanges state with the nodes that keep the record of this node, which
+// return the record of an earlier process if they have one that the log has not.
 func (e *exchange) fetchOwnRecord(ctx context.Context) {
 	defer close(e.ownRecordFetched)
 	select {
@@ -333,27 +357,32 @@
 	case <-time.After(peerPollInterval):
 	case <-ctx.Done():
 	}
+	answered := make(map[string]bool)
 	for attempts := 0; attempts < ownRecordAttempts && ctx.Err() == nil; {
-		peers := e.balancer.otherPeers()
-		if len(peers) == 0 {
+		if len(e.balancer.otherPeers()) == 0 {
 			follow.Pause(ctx, peerCheckInterval)
 			continue
 		}
 		attempts++
-		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		keepers := e.balancer.recordKeepers()
 		var asked sync.WaitGroup
-		var answers atomic.Int64
-		for _, p := range peers[:min(ownRecordPeers, len(peers))] {
+		var mu sync.Mutex
+		for _, p := range keepers {
+			if answered[p.node] {
+				continue
+			}
 			asked.Go(func() {
 				if err := e.exchangeWith(ctx, p, !e.directory.LogReachable()); err != nil {
 					e.balancer.markUnreachable(p, err.Error())
 					return
 				}
-				answers.Add(1)
+				mu.Lock()
+				defer mu.Unlock()
+				answered[p.node] = true
 			})
 		}
 		asked.Wait()
-		if answers.Load() > 0 {
+		if len(answered) >= min(minRecordCopies, len(e.balancer.otherPeers())) {
 			return
 		}
 		follow.Pause(ctx, peerPollInterval)
--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -133,13 +133,30 @@
 		e.ownRecordWait = d.ownRecordWait
 	}
 	v.started = true
+	e.client.Transport = &killableTransport{RoundTripper: e.client.Transport}
 	must.NoError(d.t, n.Start(context.Background()))
 	v.node = n
 	d.t.Cleanup(func() { kill(n) })
 }
 
+// killableTransport sends nothing once its node has been killed.
+type killableTransport struct {
+	http.RoundTripper
+	killed atomic.Bool
+}
+
+func (k *killableTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if k.killed.Load() {
+		return nil, net.ErrClosed
+	}
+	return k.RoundTripper.RoundTrip(r)
+}
+
 // kill ends a node without a planned stop.
 func kill(n *Node) {
+	if transport, ok := n.lifecycle.components.exchange.client.Transport.(*killableTransport); ok {
+		transport.killed.Store(true)
+	}
 	n.lifecycle.components.servers.close()
 	n.lifecycle.cancel()
 	n.lifecycle.background.Wait()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -165,7 +165,7 @@
 }
 
 func newAnnouncementHandler(settings nodeconfig.Config, t *upstream.Tracker, s *sidecar, dir *fleet.Directory, e *exchange, d *desiredState, events eventRecorder) *announcementHandler {
-	return &announcementHandler{settings: settings, tracker: t, sidecar: s, directory: dir, exchange: e, desired: d, events: events}
+	return &announcementHandler{settings: settings, tracker: t, sidecar: s, directory: dir, exchange: e, desired: d, events: events, released: make(chan struct{})}
 }
 
 func newIngress(settings nodeconfig.Config, d *desiredState, b *balancer, s *sidecar, e *exchange, events eventRecorder, m *metrics.Metrics, l *lifecycle, admission *customerAdmission, retries *retryBudget, list *quarantine.List) *ingress {
--- a/mesh/watchers.go
+++ b/mesh/watchers.go
@@ -138,9 +138,11 @@
 
 // watcherOrder returns a hash of the node's name. The reachable nodes of a zone
 // with the lowest values are its watchers.
-func watcherOrder(node string) uint64 {
+func watcherOrder(node string) uint64 { return hashOf(node) }
+
+func hashOf(text string) uint64 {
 	h := fnv.New64a()
 	// Writing to a hash never fails.
-	_, _ = h.Write([]byte(node))
+	_, _ = h.Write([]byte(text))
 	return h.Sum64()
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -236,6 +236,10 @@
 		clear(t.deregistered)
 	}
 	t.deregistered[instance] = max(startMs, t.deregistered[instance])
+	if (t.server.state == Unknown || t.server.state == Gone) && startMs > t.server.startMs {
+		t.server = Server{instance: instance, startMs: startMs, state: Gone}
+		return Changed
+	}
 	if !current || startMs < t.server.startMs || t.server.state == Gone {
 		return Stale
 	}
@@ -252,13 +256,16 @@
 	defer t.mu.Unlock()
 	if state == Gone {
 		t.deregistered[instance] = max(startMs, t.deregistered[instance])
-		if t.server.instance == instance && t.server.startMs <= startMs && t.server.state != Gone {
+		switch {
+		case t.server.state == Unknown:
+			t.server = Server{instance: instance, startMs: startMs, slots: slots}
+		case t.server.instance == instance && t.server.startMs <= startMs && t.server.state != Gone:
 			t.server.state = Gone
 			return Changed
 		}
 		return Unchanged
 	}
-	if t.server.state != Unknown {
+	if replaced := t.server.state == Gone && t.server.instance != instance; t.server.state != Unknown && !replaced {
 		return Stale
 	}
 	if known, ok := t.deregistered[instance]; ok && startMs <= known {
