Test answers without end in every part of an answer

TestEndlessAnswers now also sends status lines, bytes that begin no answer, line breaks, chunk sizes, chunk extensions and trailers without end. No change of the product was needed.

--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -62,6 +62,16 @@
 	EndlessInformational
 	// EndlessBody runs the request and sends a body until the connection is closed.
 	EndlessBody
+	// EndlessStatusLine, EndlessGarbage and EndlessLineBreaks run the request and send bytes
+	// that begin no answer until the connection is closed.
+	EndlessStatusLine
+	EndlessGarbage
+	EndlessLineBreaks
+	// EndlessChunkSize, EndlessChunkExtension and EndlessTrailers run the request and send a
+	// body in chunks, with a part that has no end, until the connection is closed.
+	EndlessChunkSize
+	EndlessChunkExtension
+	EndlessTrailers
 	// CutHead runs the request and closes the connection within the head of the response.
 	CutHead
 	// CutLongChunks runs the request and closes the connection within a long body in
@@ -286,14 +296,8 @@
 		}
 		*late = refusal + "\r\n"
 		_, _ = io.WriteString(c, *late)
-	case EndlessHead:
-		writeEndlessly(c, "HTTP/1.1 200 OK\r\n"+signedHeaders, "X-Filler: "+strings.Repeat("x", 100)+"\r\n")
-		return false
-	case EndlessInformational:
-		writeEndlessly(c, "", "HTTP/1.1 103 Early Hints\r\n\r\n")
-		return false
-	case EndlessBody:
-		writeEndlessly(c, "HTTP/1.1 200 OK\r\n"+signedHeaders+"\r\n", strings.Repeat("x", 1000))
+	case EndlessHead, EndlessInformational, EndlessBody, EndlessStatusLine, EndlessGarbage, EndlessLineBreaks, EndlessChunkSize, EndlessChunkExtension, EndlessTrailers:
+		writeEndlessly(c, signedHeaders, endless[behaviour])
 		return false
 	case CutHead:
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signedHeaders)
@@ -376,12 +380,32 @@
 // Refuses reports whether the server does not run the request.
 func (b Behaviour) Refuses() bool { return b == Shed || b == ShedTwice || b == ShedTwiceWithID }
 
-// writeEndlessly writes the start, and then the repeated part until the connection is
-// closed.
-func writeEndlessly(c net.Conn, start, repeated string) {
-	_, err := io.WriteString(c, start)
+// endlessAnswer has the start of an answer, in which headersMark stands for its headers, and
+// the part that is repeated until the connection is closed.
+type endlessAnswer struct{ start, repeated string }
+
+const (
+	headersMark = "{headers}"
+	signedHead  = "HTTP/1.1 200 OK\r\n" + headersMark
+	chunkedHead = signedHead + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+var endless = map[Behaviour]endlessAnswer{
+	EndlessHead:           {signedHead, "X-Filler: " + strings.Repeat("x", 100) + "\r\n"},
+	EndlessInformational:  {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	EndlessBody:           {signedHead + "\r\n", strings.Repeat("x", 1000)},
+	EndlessStatusLine:     {"HTTP/1.1 200 ", strings.Repeat("x", 1000)},
+	EndlessGarbage:        {"", strings.Repeat("\x00\x16\xff?", 250)},
+	EndlessLineBreaks:     {"", strings.Repeat("\r\n", 500)},
+	EndlessChunkSize:      {chunkedHead, strings.Repeat("0", 1000)},
+	EndlessChunkExtension: {chunkedHead + "1;", strings.Repeat("x", 1000)},
+	EndlessTrailers:       {chunkedHead + "1\r\nx\r\n0\r\n", "X-Filler: " + strings.Repeat("x", 100) + "\r\n"},
+}
+
+func writeEndlessly(c net.Conn, headers string, answer endlessAnswer) {
+	_, err := io.WriteString(c, strings.Replace(answer.start, headersMark, headers, 1))
 	for err == nil {
-		_, err = io.WriteString(c, repeated)
+		_, err = io.WriteString(c, answer.repeated)
 	}
 }
 
--- a/mesh/late_answer_test.go
+++ b/mesh/late_answer_test.go
@@ -81,6 +81,12 @@
 		"head":                    {behaviour: server.EndlessHead},
 		"informational responses": {behaviour: server.EndlessInformational},
 		"body":                    {behaviour: server.EndlessBody, cut: true},
+		"status line":             {behaviour: server.EndlessStatusLine},
+		"garbage":                 {behaviour: server.EndlessGarbage},
+		"line breaks":             {behaviour: server.EndlessLineBreaks},
+		"chunk size":              {behaviour: server.EndlessChunkSize},
+		"chunk extension":         {behaviour: server.EndlessChunkExtension},
+		"trailers":                {behaviour: server.EndlessTrailers},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t, "orders", "catalogue")
