Follow a server whose start time is before an earlier one's

Cause: incarnations were ordered by their start times alone, which are the server's own clock, and a message that was taken for an older one was acknowledged.

Change: a message of an incarnation that started up to a minute before the current one, or that the current one has replaced, is contested. That it is ready takes effect once the server states by a health response that it has this ID, or once it is repeated while the current one is quiet and not leaving. That it leaves takes effect once it is repeated, and is not acknowledged before. The record of a leave has the latest start time of the server's incarnations, so that a later process ignores late announcements of all of them.

TestDeregistrationOfEarlierIncarnation expected "stale", which is acknowledged, for a start 1 ms before the current one. That is this fault. It now expects "contested" up to a minute and "stale" beyond, and as before that the server stays in use. Deregister takes the time as an argument, so its callers in tests changed.

--- a/mesh/announcements.go
+++ b/mesh/announcements.go
@@ -72,8 +72,8 @@
 		platform.Reject(w, err)
 		return
 	}
-	a.receive(report)
-	if report.Leaves() && !a.awaitLeaveHeld(r.Context()) {
+	change, applied := a.receive(report)
+	if report.Leaves() && !a.awaitLeave(r.Context(), report, change, applied) {
 		a.recordReport(event.AnnouncementPostponed, report)
 		platform.Postpone(w)
 		return
@@ -81,16 +81,25 @@
 	platform.Acknowledge(w)
 }
 
-// awaitLeaveHeld waits until the log or other nodes hold the record of this node, if it says
-// that the backend server takes no work. held is false if that took too long.
-func (a *announcementHandler) awaitLeaveHeld(ctx context.Context) (held bool) {
+// awaitLeave waits until a leave that was received is in force and outlasts this process.
+// ok is false if that took too long, or if the leave is contested.
+func (a *announcementHandler) awaitLeave(ctx context.Context, report platform.Report, change upstream.Change, applied bool) (ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, maxLeaveAckWait)
 	defer cancel()
-	select {
-	case <-a.released:
-	case <-ctx.Done():
-		return false
+	if !applied {
+		select {
+		case <-a.released:
+		case <-ctx.Done():
+			return false
+		}
+		change, _ = a.receive(report)
 	}
+	return change != upstream.Contested && a.awaitLeaveHeld(ctx)
+}
+
+// awaitLeaveHeld waits until the log or other nodes hold the record of this node, if it says
+// that the backend server takes no work. held is false if the context ended before.
+func (a *announcementHandler) awaitLeaveHeld(ctx context.Context) (held bool) {
 	if self := a.directory.Self(); self.Epoch == 0 || self.TakesWork {
 		return true
 	}
@@ -103,13 +112,12 @@
 }
 
 // receive applies a report, or holds it back.
-func (a *announcementHandler) receive(report platform.Report) {
+func (a *announcementHandler) receive(report platform.Report) (change upstream.Change, applied bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	select {
 	case <-a.released:
-		a.apply(report)
-		return
+		return a.apply(report), true
 	default:
 	}
 	if len(a.held) == maxHeldReports {
@@ -117,27 +125,55 @@
 	}
 	a.held = append(a.held, report)
 	a.recordReport(event.AnnouncementHeld, report)
+	return upstream.Unchanged, false
 }
 
 // apply applies a report. The mutex must be held.
-func (a *announcementHandler) apply(report platform.Report) {
+func (a *announcementHandler) apply(report platform.Report) (change upstream.Change) {
 	announcement := report.Announcement
 	before := a.tracker.Server()
-	var change upstream.Change
 	if report.Deregistered {
-		change = a.tracker.Deregister(announcement.Instance, announcement.StartMs)
+		change = a.tracker.Deregister(time.Now(), announcement.Instance, announcement.StartMs)
 	} else {
 		change = a.tracker.Apply(time.Now(), announcement)
 	}
+	a.recordChange(report, before, change)
+	if change == upstream.Contested && !report.Leaves() {
+		go a.confirm(announcement)
+	}
+	return change
+}
+
+// recordChange records the effect of a report and applies the changed state of the server.
+// The mutex must be held.
+func (a *announcementHandler) recordChange(report platform.Report, before upstream.Server, change upstream.Change) {
 	if change != upstream.Unchanged {
 		a.recordReport(event.AnnouncementTaken, report, slog.String("change", change.String()))
 	}
-	if change == upstream.Changed {
-		a.applyServerState()
-		if after := a.tracker.Server(); before.TakesWork() && !isSameIncarnation(before, after) {
-			a.sidecar.crashes.serverReplaced(before)
-		}
+	if change != upstream.Changed {
+		return
+	}
+	a.applyServerState()
+	if after := a.tracker.Server(); before.TakesWork() && !isSameIncarnation(before, after) {
+		a.sidecar.crashes.serverReplaced(before)
+	}
+}
+
+// confirm asks the backend server which instance it is, and applies a contested announcement
+// that it is ready if the server confirms it.
+func (a *announcementHandler) confirm(announcement upstream.Announcement) {
+	path := a.sidecar.healthPath()
+	if path == "" {
+		return
+	}
+	h, status, err := a.sidecar.requestHealth(context.Background(), path)
+	if err != nil || status != http.StatusOK || platform.AnsweredBy(h) != announcement.Instance {
+		return
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before := a.tracker.Server()
+	a.recordChange(platform.Report{Announcement: announcement}, before, a.tracker.Confirm(time.Now(), announcement))
 }
 
 // recordReport records an event about a report.
@@ -181,9 +217,14 @@
 // publishes it.
 func (a *announcementHandler) applyServerState() {
 	server := a.tracker.Server()
+	startMs := server.StartMs()
+	if !server.TakesWork() {
+		// A later process must not take a late announcement of any of them.
+		startMs = a.tracker.LatestStartMs()
+	}
 	a.sidecar.applyServerState(server)
 	a.directory.Update(func(m *fleet.Member) {
-		m.Instance, m.StartMs, m.Slots, m.TakesWork = server.Instance(), server.StartMs(), server.Slots(), server.TakesWork()
+		m.Instance, m.StartMs, m.Slots, m.TakesWork = server.Instance(), startMs, server.Slots(), server.TakesWork()
 	})
 }
 
@@ -195,7 +236,7 @@
 	if !a.awaitOwnRecord(ctx) {
 		return
 	}
-	a.restoreLeaving()
+	a.restoreRecord()
 	a.release()
 	defer a.restoreFromLog(ctx)
 	select {
@@ -248,7 +289,7 @@
 func (a *announcementHandler) restoreFromLog(ctx context.Context) {
 	select {
 	case <-a.directory.Loaded():
-		a.restoreLeaving()
+		a.restoreRecord()
 	case <-ctx.Done():
 	}
 }
@@ -276,17 +317,18 @@
 	return err == nil && status == http.StatusOK
 }
 
-// restoreLeaving applies the record of an earlier process if it says that the backend
-// server is leaving. Late announcements of that incarnation are ignored. The record is
+// restoreRecord applies the record of an earlier process. If it says that the backend server
+// is leaving, late announcements of that incarnation are ignored, and the record is
 // published again, because the log may have lost it and this process publishes nothing
 // until the next announcement.
-func (a *announcementHandler) restoreLeaving() {
+func (a *announcementHandler) restoreRecord() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	record := a.directory.Earlier()
 	if !a.recordedAsLeaving() {
+		a.tracker.Restore(record.Instance, record.StartMs, record.Slots, upstream.Unknown)
 		return
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	if a.tracker.Restore(record.Instance, record.StartMs, record.Slots, upstream.Gone) == upstream.Changed {
 		a.applyServerState()
 		return
@@ -315,6 +357,8 @@
 	if a.recordedAsLeaving() && a.directory.Earlier().Instance == instance {
 		return true
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if a.tracker.Restore(instance, 0, load.Slots, upstream.Ready) == upstream.Changed {
 		a.events.Record(event.BackendAnnounced, slog.String("instance", instance), slog.Int("slots", load.Slots),
 			slog.String("source", "health request"))
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,12 +12,16 @@
 // An incarnation is one run of the server's process, from start to exit. It is
 // identified by the server's ID and the start time of the process. Announcements may
 // arrive late and out of order, also from an earlier incarnation at the same address.
-// The tracker never replaces newer information with older information, except that a
-// start that lies in the future does not hide an earlier one.
+//
+// Start times order incarnations only if the server's clock was not set back between them,
+// by seconds or more. An announcement of an incarnation that started shortly before the
+// current one, by its own account, is contested: it may be late, or the server may have
+// started again after its clock was set back. It takes effect if the server confirms by a
+// health response which instance it is, or if the incarnation repeats it while the current
+// one is quiet. A leave that is contested must not be acknowledged.
 package upstream
 
 import (
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,6 +38,12 @@
 	// maxStartAhead is how far a start time may be ahead of the node's clock. Later ones
 	// result from a clock that was set back, or from another writer.
 	maxStartAhead = time.Minute
+	// maxClockStepBack is by how much a clock may be set back between two incarnations of a
+	// server. Those that started earlier than that before the current one are older.
+	maxClockStepBack = time.Minute
+	// minRepeatInterval is the time after which a repeated message shows that its sender is
+	// running. Servers send one every 1.5 s, and late ones arrive together.
+	minRepeatInterval = time.Second
 	// maxTextBytes bounds each text of an announcement or a record.
 	maxTextBytes = 1 << 10
 )
@@ -146,9 +156,12 @@
 	Stale
 	// Foreign means that the announcement is for another service or address.
 	Foreign
+	// Contested means that the message has no effect yet, because it is unknown whether its
+	// incarnation is older or newer than the current one.
+	Contested
 )
 
-var changeNames = [...]string{Unchanged: "unchanged", Changed: "changed", Stale: "stale", Foreign: "foreign"}
+var changeNames = [...]string{Unchanged: "unchanged", Changed: "changed", Stale: "stale", Foreign: "foreign", Contested: "contested"}
 
 // String implements fmt.Stringer.
 func (c Change) String() string {
@@ -157,120 +170,3 @@
 	}
 	return "invalid"
 }
-
-// Tracker keeps the state of the backend server beside a node. It is safe for
-// concurrent use.
-type Tracker struct {
-	service, address string
-
-	mu     sync.Mutex
-	server Server
-	// deregistered has the start time of the last deregistered incarnation of each
-	// instance. Late announcements of that and earlier incarnations are ignored.
-	deregistered map[string]int64
-}
-
-// maxDeregistered bounds the deregistered instances that are remembered. A backend
-// server is replaced a few hundred times a day at most, and late announcements are
-// only seconds old.
-const maxDeregistered = 64
-
-// New returns a tracker for the server of the service at the address.
-func New(service, address string) *Tracker {
-	return &Tracker{service: service, address: address, deregistered: make(map[string]int64)}
-}
-
-// Server returns the last known state of the server.
-func (t *Tracker) Server() Server {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.server
-}
-
-// Apply applies an announcement that was received at the time now.
-func (t *Tracker) Apply(now time.Time, a Announcement) (change Change) {
-	if a.Service != t.service || a.Address != t.address {
-		return Foreign
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if startMs, ok := t.deregistered[a.Instance]; ok && a.StartMs <= startMs {
-		return Stale
-	}
-	s := t.server
-	sameIncarnation := s.instance == a.Instance && s.startMs == a.StartMs
-	switch {
-	case s.startMs > a.StartMs && (!isAhead(now, s.startMs) || isAhead(now, a.StartMs)), sameIncarnation && a.Sequence <= s.sequence:
-		return Stale
-	case sameIncarnation && a.State == s.state && a.Slots == s.slots:
-		t.server.sequence = a.Sequence
-		t.server.warmUpEnd = now.Add(a.WarmUp)
-		return Unchanged
-	}
-	t.server = Server{
-		instance: a.Instance, startMs: a.StartMs, sequence: a.Sequence, slots: a.Slots,
-		state: a.State, warmUpEnd: now.Add(a.WarmUp),
-	}
-	return Changed
-}
-
-// isAhead reports whether a start time can't be that of a process by the clock of this node.
-func isAhead(now time.Time, startMs int64) bool {
-	return startMs > now.Add(maxStartAhead).UnixMilli()
-}
-
-// Deregister records that an instance has deregistered. startMs is the start time of the
-// incarnation, or 0 if the message did not state it; the current incarnation of the
-// instance is then assumed.
-func (t *Tracker) Deregister(instance string, startMs int64) (change Change) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	current := t.server.instance == instance
-	if startMs == 0 && current {
-		startMs = t.server.startMs
-	}
-	if isAhead(time.Now(), startMs) && (!current || startMs != t.server.startMs) {
-		return Stale
-	}
-	if len(t.deregistered) >= maxDeregistered {
-		clear(t.deregistered)
-	}
-	t.deregistered[instance] = max(startMs, t.deregistered[instance])
-	if (t.server.state == Unknown || t.server.state == Gone) && startMs > t.server.startMs {
-		t.server = Server{instance: instance, startMs: startMs, state: Gone}
-		return Changed
-	}
-	if !current || startMs < t.server.startMs || t.server.state == Gone {
-		return Stale
-	}
-	t.server.state = Gone
-	return Changed
-}
-
-// Restore sets a state that was not announced to this process: one that an earlier
-// process of this node recorded, or that the server reported in response to a health
-// request. It never replaces the state of an announcement, except that an instance that
-// has deregistered stays gone.
-func (t *Tracker) Restore(instance string, startMs int64, slots int, state State) (change Change) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if state == Gone {
-		t.deregistered[instance] = max(startMs, t.deregistered[instance])
-		switch {
-		case t.server.state == Unknown:
-			t.server = Server{instance: instance, startMs: startMs, slots: slots}
-		case t.server.instance == instance && t.server.startMs <= startMs && t.server.state != Gone:
-			t.server.state = Gone
-			return Changed
-		}
-		return Unchanged
-	}
-	if replaced := t.server.state == Gone && t.server.instance != instance; t.server.state != Unknown && !replaced {
-		return Stale
-	}
-	if known, ok := t.deregistered[instance]; ok && startMs <= known {
-		return Stale
-	}
-	t.server = Server{instance: instance, startMs: startMs, slots: slots, state: state}
-	return Changed
-}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -57,17 +57,32 @@
 func TestDeregisteredServerStaysGone(t *testing.T) {
 	tracker := upstream.New("orders", "10.1.0.8:1")
 	tracker.Apply(time.Now(), newAnnouncement("a", 5, 1, upstream.Ready))
-	must.Eq(t, upstream.Changed, tracker.Deregister("a", 0))
+	must.Eq(t, upstream.Changed, tracker.Deregister(time.Now(), "a", 0))
 	must.Eq(t, upstream.Stale, tracker.Apply(time.Now(), newAnnouncement("a", 5, 7, upstream.Ready)))
 	must.Eq(t, upstream.Gone, tracker.Server().State())
 	must.Eq(t, upstream.Changed, tracker.Apply(time.Now(), newAnnouncement("a", 6, 1, upstream.Ready)))
 }
 
+// Guards against a sound server that is taken for gone because an earlier incarnation's
+// deregistration arrives late. If the clock may have been set back between them, it must not
+// be acknowledged either.
 func TestDeregistrationOfEarlierIncarnation(t *testing.T) {
-	tracker := upstream.New("orders", "10.1.0.8:1")
-	tracker.Apply(time.Now(), newAnnouncement("a", 5, 1, upstream.Ready))
-	must.Eq(t, upstream.Stale, tracker.Deregister("a", 4))
-	must.True(t, tracker.Server().TakesWork())
+	const start = int64(100_000)
+	for name, c := range map[string]struct {
+		startMs int64
+		change  upstream.Change
+	}{
+		"just before":   {start - 1, upstream.Contested},
+		"a minute":      {start - 60_000, upstream.Contested},
+		"over a minute": {start - 60_001, upstream.Stale},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := upstream.New("orders", "10.1.0.8:1")
+			tracker.Apply(time.Now(), newAnnouncement("a", start, 1, upstream.Ready))
+			must.Eq(t, c.change, tracker.Deregister(time.Now(), "a", c.startMs))
+			must.True(t, tracker.Server().TakesWork())
+		})
+	}
 }
 
 func TestRestoreNeverReplacesAnAnnouncement(t *testing.T) {
@@ -84,7 +99,7 @@
 	for name, startMs := range map[string]int64{"start time stated": 5, "no start time": 0} {
 		t.Run(name, func(t *testing.T) {
 			tracker := upstream.New("orders", "10.1.0.8:1")
-			tracker.Deregister("a", startMs)
+			tracker.Deregister(time.Now(), "a", startMs)
 			must.Eq(t, upstream.Stale, tracker.Restore("a", 0, 8, upstream.Ready))
 			must.False(t, tracker.Server().TakesWork())
 			must.Eq(t, upstream.Changed, tracker.Restore("b", 0, 8, upstream.Ready))
@@ -104,7 +119,7 @@
 		"announced, same ID": func(tracker *upstream.Tracker) {
 			tracker.Apply(now, newAnnouncement("a", future, 9, upstream.Draining))
 		},
-		"deregistered": func(tracker *upstream.Tracker) { tracker.Deregister("a", future) },
+		"deregistered": func(tracker *upstream.Tracker) { tracker.Deregister(time.Now(), "a", future) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			tracker := upstream.New("orders", "10.1.0.8:1")
@@ -124,6 +139,6 @@
 	start := now.AddDate(1, 0, 0).UnixMilli()
 	must.EqOp(t, upstream.Changed, tracker.Apply(now, newAnnouncement("a", start, 1, upstream.Ready)))
 	must.EqOp(t, upstream.Stale, tracker.Apply(now, newAnnouncement("b", start-1, 9, upstream.Draining)))
-	must.EqOp(t, upstream.Changed, tracker.Deregister("a", start))
+	must.EqOp(t, upstream.Changed, tracker.Deregister(time.Now(), "a", start))
 	must.EqOp(t, upstream.Stale, tracker.Apply(now, newAnnouncement("a", start, 2, upstream.Ready)))
 }
