Follow all watchers of a zone at the same time

The bound is 2.5 s.

Cause: a node followed one watcher, which goes on answering when it is cut off, without the news. It turned to the second one only when the first had not answered for 1.8 s, and to the log after another 1.8 s.

Change: a node follows all watchers of its zone at the same time, and reads the log itself when none has answered for 1.4 s.

TestFollowersOfCutOffWatcherHearOfVersions failed before it.

--- a/mesh/watchers.go
+++ b/mesh/watchers.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"log/slog"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,10 +22,13 @@
 	// still arrive while one of them is down.
 	watchersPerZone = 2
 	// maxChangeWait is how long a watcher holds a request for changes while there
-	// are none. If the process of a watcher is frozen, the nodes that follow it
-	// receive no changes for that time and the exchange time-out, unless other nodes
-	// that they send requests to state a newer version.
+	// are none. A node to which no watcher has answered for maxAnswerGap reads the log
+	// itself: in the users' first deployments, a version must be in force within 2.5 s also
+	// if both watchers of a zone are frozen.
 	maxChangeWait = time.Second
+	maxAnswerGap  = maxChangeWait + 400*time.Millisecond
+	// selectionInterval is how often a node selects the watchers that it follows.
+	selectionInterval = 100 * time.Millisecond
 	// changeBatchDelay is how long a watcher collects further changes after the
 	// first one.
 	changeBatchDelay = 100 * time.Millisecond
@@ -47,8 +51,9 @@
 )
 
 // watcherSelection decides which nodes of a zone are watchers. On a node that is
-// not a watcher, it follows one of them. Each node selects from the nodes that it
-// can reach, without coordination: if two nodes select different watchers, one
+// not a watcher, it follows all of them: one that is cut off from the log goes on
+// answering, without the changes that it does not see. Each node selects from the nodes
+// that it can reach, without coordination: if two nodes select different watchers, one
 // node more or fewer reads the log for a while.
 type watcherSelection struct {
 	balancer *balancer
@@ -58,10 +63,20 @@
 	// could not follow a watcher, in Unix nanoseconds.
 	readsLogUntil atomic.Int64
 	startedAt     time.Time
+
+	mu sync.Mutex
+	// lastAnswer is when a watcher that reads the log last answered, or when this node
+	// began to follow watchers.
+	lastAnswer time.Time
+	// positions has, for each watcher by its node's name, the changes that it has sent.
+	positions map[string]watcherPosition
 }
 
+// watcherPosition identifies the last change that a watcher has sent. See exchangeMessage.
+type watcherPosition struct{ seenChanges, tableID int64 }
+
 func newWatcherSelection(b *balancer, e *exchange, events eventRecorder) *watcherSelection {
-	w := &watcherSelection{balancer: b, exchange: e, events: events, startedAt: time.Now()}
+	w := &watcherSelection{balancer: b, exchange: e, events: events, startedAt: time.Now(), positions: make(map[string]watcherPosition)}
 	e.readsLog = w.readsLog
 	return w
 }
@@ -87,8 +102,7 @@
 }
 
 // watchersToFollow returns the watchers of the zone, or none if this node is
-// one of them. Half of the nodes prefer the second watcher, so that they hear of changes
-// from different ones.
+// one of them.
 func (w *watcherSelection) watchersToFollow() (peers []*peer) {
 	peers = w.balancer.reachableInZone()
 	slices.SortFunc(peers, func(a, b *peer) int { return cmp.Compare(a.watcherOrder, b.watcherOrder) })
@@ -98,44 +112,94 @@
 			return nil
 		}
 	}
-	if watcherOrder(w.balancer.settings.Node)%2 == 1 {
-		slices.Reverse(peers)
-	}
 	return peers
 }
 
-// run follows a watcher while this node is not one itself, until the context
+// run follows the watchers while this node is not one itself, until the context
 // ends.
 func (w *watcherSelection) run(ctx context.Context) {
-	seenChanges, tableID := int64(0), int64(0)
+	ticker := time.NewTicker(selectionInterval)
+	defer ticker.Stop()
+	followed := make(map[*peer]context.CancelFunc)
+	var following sync.WaitGroup
+	defer following.Wait()
 	for ctx.Err() == nil {
 		watchers := w.watchersToFollow()
-		if len(watchers) == 0 || !w.exchange.directory.LogReachable() {
-			follow.Pause(ctx, peerPollInterval)
-			continue
+		for p, stop := range followed {
+			if !slices.Contains(watchers, p) {
+				stop()
+				delete(followed, p)
+			}
 		}
-		succeeded := false
 		for _, p := range watchers {
-			message := w.exchange.ownMessage()
-			message.WaitMs, message.TableID, message.SeenChanges = maxChangeWait.Milliseconds(), tableID, seenChanges
-			received, err := w.exchange.send(ctx, p, message)
-			if err != nil {
-				w.balancer.markUnreachable(p, err.Error())
-				continue
-			}
-			seenChanges, tableID = received.SeenChanges, received.TableID
-			if succeeded = received.ReadsLog; succeeded {
-				break
+			if _, known := followed[p]; !known {
+				followCtx, stop := context.WithCancel(ctx)
+				followed[p] = stop
+				following.Go(func() { w.follow(followCtx, p) })
 			}
 		}
-		if !succeeded && ctx.Err() == nil {
-			w.readsLogUntil.Store(time.Now().Add(fallbackReadTime).UnixNano())
-			w.events.Record(event.WatcherMissing, slog.Int("asked", len(watchers)))
+		w.checkAnswers(time.Now(), len(watchers))
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// follow requests the changes that a watcher sees, one after the other, until the context
+// ends.
+func (w *watcherSelection) follow(ctx context.Context, watcher *peer) {
+	for ctx.Err() == nil {
+		message, position := w.exchange.ownMessage(), w.position(watcher.node)
+		message.WaitMs, message.TableID, message.SeenChanges = maxChangeWait.Milliseconds(), position.tableID, position.seenChanges
+		received, err := w.exchange.send(ctx, watcher, message)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			w.balancer.markUnreachable(watcher, err.Error())
+			follow.Pause(ctx, peerPollInterval)
+			continue
+		}
+		w.recordAnswer(time.Now(), received)
+		if !received.ReadsLog {
 			follow.Pause(ctx, peerPollInterval)
 		}
 	}
 }
 
+func (w *watcherSelection) position(watcher string) watcherPosition {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.positions[watcher]
+}
+
+// recordAnswer records the answer of a watcher.
+func (w *watcherSelection) recordAnswer(now time.Time, received exchangeMessage) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.positions[received.Self.Node] = watcherPosition{received.SeenChanges, received.TableID}
+	if received.ReadsLog {
+		w.lastAnswer = now
+	}
+}
+
+// checkAnswers makes this node read the log if it follows watchers and none has answered in
+// time.
+func (w *watcherSelection) checkAnswers(now time.Time, watchers int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if watchers == 0 || w.lastAnswer.IsZero() {
+		w.lastAnswer = now
+	}
+	if now.Sub(w.lastAnswer) <= maxAnswerGap {
+		return
+	}
+	w.lastAnswer = now
+	w.readsLogUntil.Store(now.Add(fallbackReadTime).UnixNano())
+	w.events.Record(event.WatcherMissing, slog.Int("asked", watchers))
+}
+
 // watcherOrder returns a hash of the node's name. The reachable nodes of a zone
 // with the lowest values are its watchers.
 func watcherOrder(node string) uint64 { return hashOf(node) }
--- a/mesh/watchers_test.go
+++ b/mesh/watchers_test.go
@@ -10,6 +10,7 @@
 	"github.com/lacewingslip/lacewingslip/fleet"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
+	"github.com/lacewingslip/lacewingslip/timeline"
 )
 
 // splitByLogReading returns the nodes that read the log themselves, and the
@@ -136,3 +137,69 @@
 		return true
 	})
 }
+
+// Guards against nodes that stay with an older version, because the watcher that they follow
+// is cut off from the log and goes on answering.
+func TestFollowersOfCutOffWatcherHearOfVersions(t *testing.T) {
+	d := newDeployment(t, "orders", "orders", "orders", "orders", "orders", "catalogue", "catalogue")
+	d.awaitWatchers()
+	for cut := range watchersPerZone {
+		readers, followers := d.splitByLogReading()
+		v := readers[cut]
+		kill(v.node)
+		n, err := New(v.settings)
+		must.NoError(t, err)
+		// Apart from its first read, this node does not see what is in the log.
+		n.lifecycle.components.desired.readsLog = func() bool { return false }
+		must.NoError(t, n.Start(t.Context()))
+		v.node = n
+		t.Cleanup(func() { kill(n) })
+		d.announce(v, "ready")
+		d.awaitConvergence()
+		d.awaitWatchers()
+		time.Sleep(settleTime)
+		d.publish(once("once"), safe("safe"))
+		for _, follower := range followers {
+			eventually(t, func() bool { return follower.version() == d.version })
+		}
+		kill(n)
+		d.startNode(v)
+		d.announce(v, "ready")
+		d.awaitConvergence()
+		d.awaitWatchers()
+	}
+}
+
+// Guards against nodes that wait for both watchers, one after the other, while both are
+// frozen, and against reads of the log by nodes to which a watcher answers.
+func TestNodeReadsLogWhenNoWatcherAnswers(t *testing.T) {
+	const s = time.Second
+	for name, c := range map[string]struct {
+		// answers are the times of the answers of watchers that read the log.
+		answers   []time.Duration
+		watchers  int
+		now       time.Duration
+		readsFrom bool
+	}{
+		"just started":               {nil, 2, s, false},
+		"no answer":                  {nil, 2, maxAnswerGap + 1, true},
+		"one watcher answers":        {[]time.Duration{s, 2 * s, 3 * s}, 2, 4 * s, false},
+		"the last one is frozen":     {[]time.Duration{s, 2 * s}, 2, 2*s + maxAnswerGap + 1, true},
+		"is a watcher itself":        {nil, 0, 5 * s, false},
+		"an answer within its bound": {[]time.Duration{s}, 1, s + maxAnswerGap, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Now()
+			w := newWatcherSelection(nil, &exchange{}, timeline.NewRecorder("test"))
+			w.checkAnswers(start, c.watchers)
+			for _, answer := range c.answers {
+				w.recordAnswer(start.Add(answer), exchangeMessage{ReadsLog: true})
+			}
+			w.checkAnswers(start.Add(c.now), c.watchers)
+			must.EqOp(t, c.readsFrom, w.readsLogUntil.Load() > 0)
+		})
+	}
+	// The bound of the users' first deployments, with the check of the answers, that of the
+	// reader of the log, and half a second for a busy machine.
+	must.Less(t, 2500*time.Millisecond, maxAnswerGap+selectionInterval+200*time.Millisecond+500*time.Millisecond)
+}
