Ask other nodes for the own record without waiting for the slowest

A started node waited for all of the nodes that it asked, of which some had lost power too and did not answer, and then for half a second.

Now it goes on with the second answer, and asks another node at once when one fails, or when 0.2 s pass.

--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -289,15 +289,15 @@
 	return peers
 }
 
-// recordKeepers returns the reachable nodes that keep the record of this node while the log
+// recordKeepers returns a number of nodes that keep the record of this node while the log
 // can't be written, the most preferred ones first. Each process of this node selects the
 // same ones, unless the reachable nodes have changed.
-func (b *balancer) recordKeepers() (peers []*peer) {
+func (b *balancer) recordKeepers(number int) (peers []*peer) {
 	peers = b.reachablePeers("")
 	slices.SortFunc(peers, func(x, y *peer) int {
 		return cmp.Compare(hashOf(b.settings.Node+"/"+x.node), hashOf(b.settings.Node+"/"+y.node))
 	})
-	return peers[:min(recordKeepers, len(peers))]
+	return peers[:min(number, len(peers))]
 }
 
 // reachablePeers returns the reachable nodes of a service, or of all services if it is "",
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -39,14 +39,16 @@
 	// one holds it and answers.
 	recordKeepers   = 3
 	minRecordCopies = 2
-	// ownRecordAttempts is how often a started node asks until enough nodes answer.
-	ownRecordAttempts = 20
+	// A started node asks one more node each time that lateAnswerTime passes without enough
+	// answers, up to maxRecordKeepers.
+	lateAnswerTime   = 200 * time.Millisecond
+	maxRecordKeepers = 12
 	// defaultOwnRecordWait is how long a started node waits for answers of other nodes,
 	// which may have its own record or a newer desired state, before it relies on health
 	// requests and on the desired state that it has.
 	defaultOwnRecordWait = time.Second
-	// peerCheckInterval is how often a started node that knows no other nodes checks
-	// whether it does. After the log was restored, the others may only just write their
+	// peerCheckInterval is how often a started node checks whether it knows other nodes that
+	// it has not asked. After the log was restored, the others may only just write their
 	// records again.
 	peerCheckInterval = 50 * time.Millisecond
 	// completeTablePeers is the number of nodes that a watcher asks for all records after
@@ -331,7 +333,7 @@
 // copyOwnRecord sends the record of this node to the nodes that keep it, and returns how
 // many of them must confirm it.
 func (e *exchange) copyOwnRecord(ctx context.Context) (needed int) {
-	keepers := e.balancer.recordKeepers()
+	keepers := e.balancer.recordKeepers(recordKeepers)
 	for _, p := range keepers {
 		go func() {
 			epoch := e.directory.Self().Epoch
@@ -349,7 +351,9 @@
 }
 
 // fetchOwnRecord exchanges state with the nodes that keep the record of this node, which
-// return the record of an earlier process if they have one that the log has not.
+// return the record of an earlier process if they have one that the log has not. Others take
+// the place of those that fail or do not answer soon: they may have lost power together with
+// this node.
 func (e *exchange) fetchOwnRecord(ctx context.Context) {
 	defer close(e.ownRecordFetched)
 	select {
@@ -357,35 +361,48 @@
 	case <-time.After(peerPollInterval):
 	case <-ctx.Done():
 	}
-	answered := make(map[string]bool)
-	for attempts := 0; attempts < ownRecordAttempts && ctx.Err() == nil; {
-		if len(e.balancer.otherPeers()) == 0 {
-			follow.Pause(ctx, peerCheckInterval)
-			continue
+	ticker := time.NewTicker(peerCheckInterval)
+	defer ticker.Stop()
+	results := make(chan peerResult)
+	asked := make(map[*peer]struct{})
+	answers, nodes, lastAdded := 0, recordKeepers, time.Now()
+	for ctx.Err() == nil && (answers == 0 || answers < min(minRecordCopies, len(e.balancer.otherPeers()))) {
+		for _, p := range e.balancer.recordKeepers(nodes) {
+			if _, known := asked[p]; !known {
+				asked[p] = struct{}{}
+				go e.fetchOwnRecordFrom(ctx, p, results)
+			}
 		}
-		attempts++
-		keepers := e.balancer.recordKeepers()
-		var asked sync.WaitGroup
-		var mu sync.Mutex
-		for _, p := range keepers {
-			if answered[p.node] {
+		select {
+		case result := <-results:
+			if result.err == nil {
+				answers++
 				continue
 			}
-			asked.Go(func() {
-				if err := e.exchangeWith(ctx, p, !e.directory.LogReachable()); err != nil {
-					e.balancer.markUnreachable(p, err.Error())
-					return
-				}
-				mu.Lock()
-				defer mu.Unlock()
-				answered[p.node] = true
-			})
-		}
-		asked.Wait()
-		if len(answered) >= min(minRecordCopies, len(e.balancer.otherPeers())) {
-			return
+			e.balancer.markUnreachable(result.peer, result.err.Error())
+			delete(asked, result.peer)
+		case now := <-ticker.C:
+			if now.Sub(lastAdded) >= lateAnswerTime && nodes < maxRecordKeepers {
+				nodes, lastAdded = nodes+1, now
+			}
+		case <-ctx.Done():
 		}
-		follow.Pause(ctx, peerPollInterval)
+	}
+}
+
+// peerResult is the result of an exchange with a node.
+type peerResult struct {
+	peer *peer
+	err  error
+}
+
+// fetchOwnRecordFrom exchanges state with one node, which becomes the result unless the
+// record has been fetched meanwhile.
+func (e *exchange) fetchOwnRecordFrom(ctx context.Context, p *peer, results chan<- peerResult) {
+	err := e.exchangeWith(ctx, p, !e.directory.LogReachable())
+	select {
+	case results <- peerResult{p, err}:
+	case <-e.ownRecordFetched:
 	}
 }
 
