Deliver an answer that has arrived by the deadline

Found while tracing TestPausedNodeReadsRestOfHead, which at times sees 504 and expects 200 or 503. A node that stands still while a request runs, for longer than its time limit, answered 504 although the answer had arrived long before: when the process goes on, its timer resets the connection before the answer is read. The request had run, and callers don't know.

When the deadline passes and bytes have arrived, the connection is now kept for 0.1 s, the time to read them.

--- a/hop/hop.go
+++ b/hop/hop.go
@@ -47,6 +47,8 @@
 	// separate goroutine while the answer is read, because a receiver may answer
 	// before it has read the whole body.
 	backgroundWriteBytes = 32 << 10
+	// arrivedAnswerTime is the time to read an answer that has arrived by its deadline.
+	arrivedAnswerTime = 100 * time.Millisecond
 	// defaultMaxIdle is how long an unused connection is kept.
 	defaultMaxIdle = 8 * time.Second
 	// A receiver that has already dropped an idle connection resets it when a
@@ -225,7 +227,8 @@
 
 // Do sends a request and returns the first answer for which matches is true.
 // Answers to earlier requests that arrive first are skipped. When ctx ends, the
-// connection is reset, so that bytes in flight are not delivered later.
+// connection is reset, so that bytes in flight are not delivered later. An answer that has
+// arrived by its deadline is still read.
 //
 // id is the ID by which matches recognizes the answer, or "" if it has none. A request
 // that is sent again before the deadline of ctx uses another connection, because a late
@@ -236,7 +239,7 @@
 		return nil, &RequestError{cause: eris.Wrapf(err, "connect to %s", p.address)}
 	}
 	c.recordSent(ctx, id)
-	answer = &Answer{pool: p, conn: c, stopAbort: context.AfterFunc(ctx, c.abort)}
+	answer = &Answer{pool: p, conn: c, stopAbort: context.AfterFunc(ctx, func() { c.expire(ctx) })}
 	started := time.Now()
 	defer func() {
 		if err != nil {
@@ -345,6 +348,18 @@
 	return nil, eris.New("received only answers to other requests")
 }
 
+// expire resets the connection because the context of its request has ended. A process that
+// stood still notices the deadline before an answer that arrived in time, so it leaves time to
+// read that.
+func (c *conn) expire(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if unread, _ := Peek(c.raw); unread {
+			time.Sleep(arrivedAnswerTime)
+		}
+	}
+	c.abort()
+}
+
 // abort resets the connection, so that bytes in flight are not delivered.
 func (c *conn) abort() { Reset(c.Conn) }
 
--- a/internal/soak/paused_test.go
+++ b/internal/soak/paused_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"github.com/lacewingslip/lacewingslip/internal/e2e"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
@@ -170,3 +171,39 @@
 		})
 	}
 }
+
+// Guards against an answer that is lost although it arrived in time, because the process stood
+// still beyond the time limit of the request and notices that first.
+func TestPausedNodeDeliversArrivedAnswers(t *testing.T) {
+	const (
+		conns       = 8
+		serviceTime = 300 * time.Millisecond
+		pause       = 2 * routeTimeout
+	)
+	binaries, err := e2e.Build(t.TempDir())
+	must.NoError(t, err)
+	v := startVM(t, binaries)
+	v.server.SetServiceTime(serviceTime)
+	statuses := make([]int, conns)
+	var requests sync.WaitGroup
+	for n := range conns {
+		request, err := operator.Request(v.settings.Listen.Caller, http.MethodPost, "/load/x", fmt.Sprintf("running-%d", n), callerTimeout)
+		must.NoError(t, err)
+		requests.Go(func() {
+			if response, err := http.DefaultTransport.RoundTrip(request); err == nil {
+				statuses[n] = response.StatusCode
+				_ = response.Body.Close()
+			}
+		})
+	}
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return v.server.MaxConcurrent() > 0 }), wait.Timeout(callerTimeout), wait.Gap(time.Millisecond)))
+	time.Sleep(serviceTime / 3)
+	v.signal(syscall.SIGSTOP, false)
+	time.Sleep(pause)
+	v.signal(syscall.SIGCONT, false)
+	requests.Wait()
+	for n, status := range statuses {
+		ran := v.server.Runs(fmt.Sprintf("running-%d", n)) > 0
+		must.True(t, !ran || status == http.StatusOK, must.Sprint(n, status))
+	}
+}
