Ignore late announcements of another instance that drained

A drain of an instance that is not the current one and started shortly before it, by its own account, is acknowledged without effect, as requests state the instance that they expect. Two later announcements of it, more than 1 s apart, could still make it the current one while the current one was silent. It is remembered as one that has left now. Found by reading the diff; the new rows of TestIncarnationsWithClockSetBack failed before.

--- a/hop/hop.go
+++ b/hop/hop.go
@@ -207,24 +207,6 @@
 	c.sent = append(c.sent, sentRequest{idHash: maphash.String(idSeed, id), deadline: deadline})
 }
 
-// Answer is a response whose body has not been read yet. Close must be called.
-type Answer struct {
-	StatusCode int
-	Header     http.Header
-	Body       io.Reader
-	// ContentLength is -1 if the answer does not state it.
-	ContentLength int64
-
-	// closesConnection is true if the receiver closes the connection after this
-	// answer.
-	closesConnection bool
-	pool             *Pool
-	conn             *conn
-	stopAbort        func() bool
-	writeResult      chan error
-	bodyRead         bool
-}
-
 // Do sends a request and returns the first answer for which matches is true.
 // Answers to earlier requests that arrive first are skipped. When ctx ends, the
 // connection is reset, so that bytes in flight are not delivered later. An answer that has
@@ -271,53 +253,6 @@
 	return answer, nil
 }
 
-// ReadAll reads at most limit bytes of the body. complete is false if the body is
-// longer.
-func (a *Answer) ReadAll(limit int64) (body []byte, complete bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(a.Body, limit+1))
-	if err != nil {
-		return body, false, err
-	}
-	if int64(len(body)) > limit {
-		return body, false, nil
-	}
-	a.bodyRead = true
-	return body, true, nil
-}
-
-// OnReusedConnection reports whether the connection has carried earlier requests, to
-// which a late answer could belong.
-func (a *Answer) OnReusedConnection() bool { return a.conn.reused }
-
-// MarkBodyRead records that the caller has read the body to its end.
-func (a *Answer) MarkBodyRead() { a.bodyRead = true }
-
-// Close returns the connection to the pool if the answer has been read to its end
-// and the connection can be reused, and resets it otherwise.
-func (a *Answer) Close() {
-	notAborted := a.stopAbort()
-	if !notAborted || !a.bodyRead || a.closesConnection || !a.requestWritten() || a.conn.reader.Buffered() > 0 {
-		a.conn.abort()
-		return
-	}
-	a.conn.maxIdle = min(a.pool.maxIdle, keepAliveTimeout(a.Header, a.pool.maxIdle))
-	a.pool.release(a.conn)
-}
-
-// requestWritten reports whether the whole request has been written. A receiver
-// may answer early and still expect the rest of the body.
-func (a *Answer) requestWritten() bool {
-	if a.writeResult == nil {
-		return true
-	}
-	select {
-	case err := <-a.writeResult:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 func (c *conn) write(request *http.Request) (err error) {
 	if err = request.Write(c.writer); err != nil {
 		return err
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -62,15 +62,22 @@
 	EndlessInformational
 	// EndlessBody runs the request and sends a body until the connection is closed.
 	EndlessBody
-	// EndlessStatusLine, EndlessGarbage and EndlessLineBreaks run the request and send bytes
-	// that begin no answer until the connection is closed.
+	// EndlessStatusLine runs the request and sends a status line until the connection is
+	// closed.
 	EndlessStatusLine
+	// EndlessGarbage runs the request and sends bytes that are no response until the
+	// connection is closed.
 	EndlessGarbage
+	// EndlessLineBreaks runs the request and sends line breaks until the connection is
+	// closed.
 	EndlessLineBreaks
-	// EndlessChunkSize, EndlessChunkExtension and EndlessTrailers run the request and send a
-	// body in chunks, with a part that has no end, until the connection is closed.
+	// EndlessChunkSize runs the request and sends the size of a chunk until the connection is
+	// closed.
 	EndlessChunkSize
+	// EndlessChunkExtension runs the request and sends the extension of a chunk until the
+	// connection is closed.
 	EndlessChunkExtension
+	// EndlessTrailers runs the request and sends trailers until the connection is closed.
 	EndlessTrailers
 	// CutHead runs the request and closes the connection within the head of the response.
 	CutHead
--- a/upstream/tracker.go
+++ b/upstream/tracker.go
@@ -49,8 +49,8 @@
 
 	mu     sync.Mutex
 	server Server
-	// left has the incarnations that have deregistered or were draining when another one
-	// replaced them. Their late announcements are ignored.
+	// left has the incarnations that have deregistered, or that were draining while another
+	// one was or became the current one. Their late announcements are ignored.
 	left incarnations
 	// replaced has the incarnations that another one has replaced. Their announcements are
 	// contested.
@@ -106,6 +106,7 @@
 	default:
 		// Requests state the current instance, so none is sent to another one that leaves.
 		if a.State == Draining && a.Instance != t.server.instance {
+			t.left.add(sent)
 			return Stale
 		}
 		if !t.isRepeated(now, sent, a.Sequence) || a.State == Ready && t.isLeaving() {
@@ -265,8 +266,8 @@
 
 // Restore sets a state that was not announced to this process: one that an earlier
 // process of this node recorded, or that the server reported in response to a health
-// request. Unknown states only which incarnation was the last one. Restore never replaces the state of an announcement, except that an incarnation that
-// has deregistered stays gone.
+// request. Unknown states only which incarnation was the last one. Restore never replaces
+// the state of an announcement, except that an incarnation that has deregistered stays gone.
 func (t *Tracker) Restore(instance string, startMs int64, slots int, state State) (change Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/upstream/tracker_test.go
+++ b/upstream/tracker_test.go
@@ -51,12 +51,19 @@
 			first, {late, "a", restarted, 0, gone, contested}, {late, "a", restarted, 0, gone, changed},
 		}, gone, restarted},
 		"late messages of the first one, after draining": {[]message{
-			first, {late, "a", restarted, 1, draining, contested}, {late, "a", restarted, 2, draining, changed},
-			{late, "a", ahead, 5, ready, contested}, {late, "a", ahead, 6, ready, contested},
+			first,
+			{late, "a", restarted, 1, draining, contested},
+			{late, "a", restarted, 2, draining, changed},
+			{late, "a", ahead, 5, ready, contested},
+			{late, "a", ahead, 6, ready, contested},
 		}, draining, restarted},
 		"late messages of the first one, after leaving": {[]message{
-			first, {late, "a", restarted, 0, gone, contested}, {late, "a", restarted, 0, gone, changed},
-			{late, "a", ahead, 5, ready, contested}, {late, "a", ahead, 6, ready, contested}, {late, "a", restarted, 9, ready, stale},
+			first,
+			{late, "a", restarted, 0, gone, contested},
+			{late, "a", restarted, 0, gone, changed},
+			{late, "a", ahead, 5, ready, contested},
+			{late, "a", ahead, 6, ready, contested},
+			{late, "a", restarted, 9, ready, stale},
 		}, gone, restarted},
 		"late messages of an earlier one, together": {[]message{
 			first, {late, "a", restarted, 1, draining, contested}, {late / 100, "a", restarted, 2, draining, contested}, {late, "a", ahead, 5, ready, unchanged},
@@ -65,7 +72,11 @@
 			first, {late, "a", restarted, 8, draining, contested}, {late / 2, "a", ahead, 5, ready, unchanged}, {late / 2, "a", restarted, 9, draining, contested},
 		}, ready, ahead},
 		"draining of another instance": {[]message{
-			first, {late, "b", restarted, 8, draining, stale}, {late, "b", restarted, 9, draining, stale},
+			first,
+			{late, "b", restarted, 8, draining, stale},
+			{late, "b", restarted, 9, draining, stale},
+			{late, "b", restarted, 6, ready, stale},
+			{late, "b", restarted, 7, ready, stale},
 		}, ready, ahead},
 		"another instance": {[]message{
 			first, {late, "b", restarted, 1, ready, contested}, {late, "b", restarted, 2, ready, changed},
