Do not send a request after its deadline

When a process stood still between taking a connection and writing the request, it wrote the request beyond its deadline, or failed to, and the caller was told that it may have run (504). Now it is reported as not run.

Evidence: TestRequestAfterItsDeadlineIsNotSent fails before the change.

--- a/hop/arrived_answer_test.go
+++ b/hop/arrived_answer_test.go
@@ -69,3 +69,17 @@
 		})
 	}
 }
+
+// Guards against reporting that a request may have run although its deadline passed before it
+// was sent, because the process stood still.
+func TestRequestAfterItsDeadlineIsNotSent(t *testing.T) {
+	s, pool := startServer(t)
+	_, err := send(t.Context(), pool, http.MethodPost, "a")
+	must.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 0)
+	defer cancel()
+	_, err = send(ctx, pool, http.MethodPost, "b")
+	must.ErrorIs(t, err, context.DeadlineExceeded)
+	must.False(t, hop.MayHaveRun(err))
+	must.EqOp(t, 0, s.Runs("b"))
+}
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -220,6 +220,10 @@
 	if err != nil {
 		return nil, &RequestError{cause: eris.Wrapf(err, "connect to %s", p.address)}
 	}
+	if ctx.Err() != nil {
+		c.abort()
+		return nil, &RequestError{cause: eris.Wrapf(ctx.Err(), "before the request was sent to %s", p.address)}
+	}
 	c.recordSent(ctx, id)
 	answer = &Answer{pool: p, conn: c, stopAbort: context.AfterFunc(ctx, func() { c.expire(ctx) })}
 	started := time.Now()
