--- a/fleet/member.go
+++ b/fleet/member.go
@@ -11,7 +11,9 @@
 // server becomes ready, changes or shuts down, and again after the log was restored from
 // an earlier copy. [Directory] keeps the table up to date
 // with the log service, and with records from other nodes while this node doesn't
-// read the log or the log service rejects its requests.
+// read the log or the log service rejects its requests. It also tracks whether the record of
+// the local node outlasts this process, in the log or at other nodes (copies.go), and keeps
+// the record that an earlier process wrote.
 package fleet
 
 import (
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -37,7 +37,7 @@
 // other nodes. servers.go serves callers and other nodes, connections.go decides when
 // their connections are closed, and connection_ends.go records those that end without an
 // answer. lifecycle.go starts and stops everything, and stop_schedule.go
-// decides which requests a stopping node accepts.
+// decides which requests a stopping node accepts, by the response times in longest_times.go.
 package mesh
 
 import (
