Decode workspaces and the bounds on keys and caps

The desired state holds workspaces with their keys, priority and cap, and routes that need no key. Nothing reads them yet. The header between nodes takes optional fields after the fixed ones, of which the first is the workspace.

--- a/desired/desired.go
+++ b/desired/desired.go
@@ -41,6 +41,7 @@
 	kind               Kind
 	timeout, target    time.Duration
 	attempts, priority int
+	anonymous          bool
 }
 
 // RouteOption configures a new route.
@@ -63,6 +64,9 @@
 // WithPriority sets the priority of the route's requests. 0 is the highest.
 func WithPriority(priority int) RouteOption { return func(r *Route) { r.priority = priority } }
 
+// WithAnonymous sets whether requests of the route need no key.
+func WithAnonymous(anonymous bool) RouteOption { return func(r *Route) { r.anonymous = anonymous } }
+
 // NewRoute returns a route from a host and path prefix to the targets.
 func NewRoute(name, host, prefix string, targets []Target, opts ...RouteOption) *Route {
 	r := &Route{name: name, host: CanonicalHost(host), prefix: prefix, targets: targets, attempts: 1}
@@ -91,6 +95,9 @@
 // Priority returns the priority of the route's requests. 0 is the highest.
 func (r *Route) Priority() int { return r.priority }
 
+// Anonymous reports whether requests of the route need no key.
+func (r *Route) Anonymous() bool { return r.anonymous }
+
 // Targets returns the services of the route with their weights.
 func (r *Route) Targets() []Target { return r.targets }
 
@@ -120,10 +127,16 @@
 	services   map[string]Service
 	limits     Limits
 	priorities []int
+	workspaces []*Workspace
+	// byKey has the workspace of each key.
+	byKey map[string]*Workspace
 }
 
+// StateOption configures a new desired state.
+type StateOption func(*State)
+
 // New returns the desired state with the version number.
-func New(version int64, routes []*Route, services map[string]Service, limits Limits) *State {
+func New(version int64, routes []*Route, services map[string]Service, limits Limits, opts ...StateOption) *State {
 	s := &State{version: version, byHost: make(map[string][]*Route), services: services, limits: limits}
 	for _, r := range routes {
 		s.byHost[r.host] = append(s.byHost[r.host], r)
@@ -136,6 +149,9 @@
 		// The longest prefix comes first, so that the first match is the longest.
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int { return len(b.prefix) - len(a.prefix) })
 	}
+	for _, opt := range opts {
+		opt(s)
+	}
 	return s
 }
 
--- /dev/null
+++ b/desired/workspace.go
@@ -0,0 +1,79 @@
+package desired
+
+// Workspace is a customer's account: the keys of its callers, and how much they may ask for.
+type Workspace struct {
+	name        string
+	keys        []string
+	priority    int
+	hasPriority bool
+	rate, burst float64
+}
+
+// WorkspaceOption configures a new workspace.
+type WorkspaceOption func(*Workspace)
+
+// WithKeys sets the keys that callers of the workspace send.
+func WithKeys(keys ...string) WorkspaceOption { return func(w *Workspace) { w.keys = keys } }
+
+// WithWorkspacePriority sets the priority that takes precedence over the priority of the
+// route. 0 is the highest.
+func WithWorkspacePriority(priority int) WorkspaceOption {
+	return func(w *Workspace) { w.priority, w.hasPriority = priority, true }
+}
+
+// WithCap limits the requests of the workspace over all nodes: a rate in requests per second
+// and the number of requests above it that may arrive at once. A rate of 0 or less means no
+// limit.
+func WithCap(rate, burst float64) WorkspaceOption {
+	return func(w *Workspace) { w.rate, w.burst = max(rate, 0), max(burst, 0) }
+}
+
+// NewWorkspace returns a workspace with the name.
+func NewWorkspace(name string, opts ...WorkspaceOption) *Workspace {
+	w := &Workspace{name: name}
+	for _, opt := range opts {
+		opt(w)
+	}
+	return w
+}
+
+// Name returns the name that the operator has given to the workspace.
+func (w *Workspace) Name() string { return w.name }
+
+// Priority returns the priority of the workspace's requests. ok is false if the priority of
+// the route applies.
+func (w *Workspace) Priority() (priority int, ok bool) { return w.priority, w.hasPriority }
+
+// Rate returns the cap in requests per second over all nodes, or 0 for no limit.
+func (w *Workspace) Rate() float64 { return w.rate }
+
+// Burst returns how many requests above the rate may arrive at once.
+func (w *Workspace) Burst() float64 { return w.burst }
+
+// WithWorkspaces sets the workspaces of a desired state. Of two workspaces with the same key,
+// the first one has it.
+func WithWorkspaces(workspaces ...*Workspace) StateOption {
+	return func(s *State) {
+		s.workspaces = workspaces
+		s.byKey = make(map[string]*Workspace, len(workspaces))
+		for _, w := range workspaces {
+			for _, key := range w.keys {
+				if _, taken := s.byKey[key]; !taken && key != "" {
+					s.byKey[key] = w
+				}
+			}
+		}
+	}
+}
+
+// HasWorkspaces reports whether requests need a key, except on anonymous routes.
+func (s *State) HasWorkspaces() bool { return len(s.workspaces) > 0 }
+
+// Workspaces returns all workspaces.
+func (s *State) Workspaces() []*Workspace { return s.workspaces }
+
+// WorkspaceOf returns the workspace that has the key.
+func (s *State) WorkspaceOf(key string) (w *Workspace, ok bool) {
+	w, ok = s.byKey[key]
+	return w, ok
+}
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -42,8 +42,10 @@
 	// caller is the service of the ingress node. If a backend server made the
 	// request, it is the service of that server.
 	caller string
-	route  string
-	kind   desired.Kind
+	// workspace is the name of the workspace to which the caller's key belongs, or "".
+	workspace string
+	route     string
+	kind      desired.Kind
 	// priority is the priority of the route; 0 is the highest. It is known only at
 	// the ingress node.
 	priority int
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -31,7 +31,9 @@
 	headerHop = internalPrefix + "Hop"
 
 	// requestFieldCount and responseFieldCount are the numbers of space-separated
-	// fields in headerHop.
+	// fields in headerHop. Optional fields of the form name=value follow them. They are sent
+	// only where a deployment uses the feature that needs them, because nodes of earlier
+	// versions reject them.
 	requestFieldCount  = 9
 	responseFieldCount = 11
 
@@ -39,6 +41,9 @@
 	// percent of its repeat share. Nodes of earlier versions send and expect 0 or 1.
 	repeatScale = 2
 
+	// fieldWorkspace is the optional field with the name of the caller's workspace.
+	fieldWorkspace = "w"
+
 	kindAtMostOnce, kindIdempotent = "o", "i"
 	// emptyReason stands for an empty reason. An empty last field would leave a
 	// trailing space, which HTTP strips from header values.
@@ -65,14 +70,18 @@
 		kind = kindIdempotent
 	}
 	platform.DropTimeLeft(h)
-	h.Set(headerHop, strings.Join([]string{
+	fields := []string{
 		url.QueryEscape(req.service), url.QueryEscape(req.caller), url.QueryEscape(req.route), kind,
 		strconv.Itoa(req.rank),
 		strconv.FormatInt(req.queueTimeout.Milliseconds(), 10),
 		strconv.FormatInt(time.Until(req.deadline).Milliseconds(), 10),
 		strconv.FormatInt(version, 10),
 		strconv.FormatInt(boolToInt(req.sentBefore)+repeatScale*int64(math.Round(100*req.repeatShare)), 10),
-	}, " "))
+	}
+	if req.workspace != "" {
+		fields = append(fields, fieldWorkspace+"="+url.QueryEscape(req.workspace))
+	}
+	h.Set(headerHop, strings.Join(fields, " "))
 }
 
 // readRequest decodes the header of a request from another node, and the
@@ -80,8 +89,8 @@
 func readRequest(r *http.Request, receivedAt time.Time) (req *request, version int64, err error) {
 	defer func() { err = eris.Wrapf(err, "header %s of a request", headerHop) }()
 	fields := strings.Split(r.Header.Get(headerHop), " ")
-	if len(fields) != requestFieldCount {
-		return nil, 0, eris.Errorf("got %d fields, expected %d", len(fields), requestFieldCount)
+	if len(fields) < requestFieldCount {
+		return nil, 0, eris.Errorf("got %d fields, expected at least %d", len(fields), requestFieldCount)
 	}
 	req = &request{
 		id: platform.RequestID(r.Header), method: r.Method, host: r.Host, target: r.RequestURI,
@@ -92,10 +101,15 @@
 			return nil, 0, err
 		}
 	}
+	if text, ok := optionalField(fields[requestFieldCount:], fieldWorkspace); ok {
+		if req.workspace, err = url.QueryUnescape(text); err != nil {
+			return nil, 0, err
+		}
+	}
 	if fields[3] == kindIdempotent {
 		req.kind = desired.Idempotent
 	}
-	numbers, err := parseNumbers(fields[4:])
+	numbers, err := parseNumbers(fields[4:requestFieldCount])
 	if err != nil {
 		return nil, 0, err
 	}
@@ -107,6 +121,17 @@
 	return req, numbers[3], nil
 }
 
+// optionalField returns the value of the optional field with the name. fields has the fields
+// that follow the fixed ones. Unknown fields are ignored.
+func optionalField(fields []string, name string) (value string, ok bool) {
+	for _, field := range fields {
+		if value, ok = strings.CutPrefix(field, name+"="); ok {
+			return value, true
+		}
+	}
+	return "", false
+}
+
 func boolToInt(b bool) int64 {
 	if b {
 		return 1
@@ -227,8 +252,8 @@
 func parseResponseHop(value string) (res *result, version int64, err error) {
 	defer func() { err = eris.Wrapf(err, "header %s of a response", headerHop) }()
 	fields := strings.Split(value, " ")
-	if len(fields) != responseFieldCount {
-		return nil, 0, eris.Errorf("got %d fields, expected %d", len(fields), responseFieldCount)
+	if len(fields) < responseFieldCount {
+		return nil, 0, eris.Errorf("got %d fields, expected at least %d", len(fields), responseFieldCount)
 	}
 	res = &result{}
 	if reason := fields[responseFieldCount-1]; reason != emptyReason {
--- a/nodeconfig/nodeconfig.go
+++ b/nodeconfig/nodeconfig.go
@@ -81,6 +81,15 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// FailClosed makes a node that can't prove for Revoke that its desired state is the newest
+	// refuse requests that need a key.
+	FailClosed bool
+	// Revoke is the time after which a withdrawn key admits no request at any node.
+	Revoke time.Duration
+	// In any CapWindow, the requests of a workspace may exceed its cap by the share CapOver,
+	// and by CapSlack requests, over all nodes together.
+	CapWindow         time.Duration
+	CapOver, CapSlack float64
 }
 
 // Check returns an error if a required value is missing or invalid.
