Run requests for the workspace of their key

A desired state with workspaces admits a request only with a key of one of them, except on anonymous routes. Nothing read the keys: requests ran without one, and the headers of callers were passed on, so that a backend server got the key and whatever workspace the caller claimed.

Ingress looks the key up with one hash before it reads the body, answers 401 to an unknown one, and looks again in the state in force once the body has been read. It removes the key and the claimed workspace from each request, also without workspaces, and the node beside the backend server sets the name of the workspace. A request with a known key on an anonymous route runs for its workspace; with an unknown one it runs as anonymous.

The priority of the workspace takes the place of the route's in admission, in the slot queue and in routing. One route has requests of several priorities now, so the credit of admitted requests is kept by rank, and priorities of workspaces count for 30 s after their last request: one without requests would be refused first, to no effect.

go test -race ./mesh -run 'Workspace|Priorit|QueueRank|Admission' and the tests of pressure, platform and call pass.

--- a/call/reason.go
+++ b/call/reason.go
@@ -43,6 +43,9 @@
 	ReasonUnknownService Reason = "unknownService"
 	// ReasonUnknownRoute means that the service has no route for the path.
 	ReasonUnknownRoute Reason = "unknownRoute"
+	// ReasonUnauthorized means that the request needs a key of a workspace and has none that
+	// is known.
+	ReasonUnauthorized Reason = "unauthorized"
 	// ReasonBadRequest means that the request is malformed.
 	ReasonBadRequest Reason = "badRequest"
 	// ReasonTooLarge means that the request body exceeds its maximum size. The
@@ -86,6 +89,8 @@
 		return http.StatusTooManyRequests
 	case ReasonTooLate, ReasonDeadline:
 		return http.StatusGatewayTimeout
+	case ReasonUnauthorized:
+		return http.StatusUnauthorized
 	case ReasonUnknownService, ReasonUnknownRoute:
 		return http.StatusNotFound
 	case ReasonBadRequest, ReasonKeyMalformed, ReasonTooDeep:
--- a/internal/standin/operator/operator.go
+++ b/internal/standin/operator/operator.go
@@ -48,6 +48,39 @@
 	Timeout    time.Duration
 	Attempts   int
 	Priority   int
+	// Anonymous is true if requests need no key.
+	Anonymous bool
+}
+
+// Workspace is a workspace of a desired state.
+type Workspace struct {
+	Name string
+	Keys []string
+	// Priority is the priority of the workspace, or nil if that of the route applies.
+	Priority *int
+	// Rate and Burst are the cap. They are left out if they are zero.
+	Rate, Burst float64
+}
+
+// Option adds optional parts to a desired state.
+type Option func(resources *[]string)
+
+// WithWorkspaces adds workspaces.
+func WithWorkspaces(workspaces ...Workspace) Option {
+	return func(resources *[]string) {
+		for _, w := range workspaces {
+			spec := map[string]any{"ApiKeys": w.Keys}
+			if w.Priority != nil {
+				spec["Priority"] = *w.Priority
+			}
+			if w.Rate > 0 {
+				spec["RatePerS"], spec["Burst"] = w.Rate, w.Burst
+			}
+			// Strings and numbers can always be encoded.
+			text, _ := json.Marshal(spec)
+			*resources = append(*resources, fmt.Sprintf(`{"ResourceType":"Tenants","Metadata":{"Name":%q},"Spec":%s}`, w.Name, text))
+		}
+	}
 }
 
 // Limits are the limits of a desired state. Those that are zero are left out.
@@ -65,6 +98,11 @@
 
 // EncodeDesiredStateWithLimits returns the JSON document of a desired state.
 func EncodeDesiredStateWithLimits(version int, limits Limits, routes []Route, services ...string) (text []byte) {
+	return EncodeDesiredStateWith(version, limits, routes, services)
+}
+
+// EncodeDesiredStateWith returns the JSON document of a desired state with optional parts.
+func EncodeDesiredStateWith(version int, limits Limits, routes []Route, services []string, opts ...Option) (text []byte) {
 	var resources, limitFields []string
 	for _, limit := range []struct {
 		name  string
@@ -86,12 +124,19 @@
 		if r.AtMostOnce {
 			kind = "unsafe"
 		}
-		resources = append(resources, fmt.Sprintf(`{"ResourceType":"Routes","Metadata":{"Name":%q},"Spec":{"Host":%q,"PathPrefix":"/%s/","Kind":%q,"TimeoutMs":%d,"TargetLatencyMs":%d,"Priority":%d,"Service":%q,"MaxAttempts":%d}}`,
-			r.Name, Host, r.Name, kind, r.Timeout.Milliseconds(), r.Timeout.Milliseconds()/2, r.Priority, r.Service, r.Attempts))
+		anonymous := ""
+		if r.Anonymous {
+			anonymous = `,"AllowAnonymous":true`
+		}
+		resources = append(resources, fmt.Sprintf(`{"ResourceType":"Routes","Metadata":{"Name":%q},"Spec":{"Host":%q,"PathPrefix":"/%s/","Kind":%q,"TimeoutMs":%d,"TargetLatencyMs":%d,"Priority":%d,"Service":%q,"MaxAttempts":%d%s}}`,
+			r.Name, Host, r.Name, kind, r.Timeout.Milliseconds(), r.Timeout.Milliseconds()/2, r.Priority, r.Service, r.Attempts, anonymous))
 	}
 	for _, s := range services {
 		resources = append(resources, fmt.Sprintf(`{"ResourceType":"Services","Metadata":{"Name":%q},"Spec":{"HealthPath":%q,"MaxConnections":100}}`, s, HealthPath))
 	}
+	for _, opt := range opts {
+		opt(&resources)
+	}
 	return fmt.Appendf(nil, `{"Version":%d,"Resources":[%s]}`, version, strings.Join(resources, ","))
 }
 
@@ -104,7 +149,7 @@
 		"Listen.Ready=" + s.Listen.Ready, "Listen.Control=" + s.Listen.Announce,
 		fmt.Sprintf("PortRange=%d,%d", s.FirstPort, s.LastPort), "Provider.Address=" + s.Log,
 		fmt.Sprintf("Bounds=DrainMs=%d,GraceS=%g,ConfigApplyMs=%d,RetryBudgetRatio=%g,BudgetWindowS=%g,BudgetSlack=%g",
-			b.Drain.Milliseconds(), b.Grace.Seconds(), b.ConfigApply.Milliseconds(), b.RetryRatio, b.RetryWindow.Seconds(), b.RetrySlack),
+			b.Drain.Milliseconds(), b.Grace.Seconds(), b.ConfigApply.Milliseconds(), b.RetryRatio, b.RetryWindow.Seconds(), b.RetrySlack) + keyBounds(b),
 	}
 	for zone, region := range s.RegionOf {
 		lines = append(lines, "Zones."+zone+"="+region)
@@ -113,6 +158,28 @@
 	return []byte(strings.Join(lines, "\n") + "\n")
 }
 
+// keyBounds returns the bounds on keys and caps, or "" if there are none.
+func keyBounds(b nodeconfig.Bounds) string {
+	if !b.FailClosed && b.CapWindow == 0 {
+		return ""
+	}
+	return fmt.Sprintf(",FailClosed=%t,RevokeMs=%d,QuotaWindowS=%g,QuotaOver=%g,QuotaSlack=%g",
+		b.FailClosed, b.Revoke.Milliseconds(), b.CapWindow.Seconds(), b.CapOver, b.CapSlack)
+}
+
+// AddKey adds a key of a caller to the request.
+func AddKey(r *http.Request, key string) { r.Header.Add("X-Key", key) }
+
+// ClaimWorkspace sets the header with the name of a workspace, as a caller may do.
+func ClaimWorkspace(h http.Header, name string) { h.Set("X-Tenant", name) }
+
+// ReceivedKeys returns the keys in the headers that a backend server received.
+func ReceivedKeys(h http.Header) []string { return h.Values("X-Key") }
+
+// ReceivedWorkspace returns the names of workspaces in the headers that a backend server
+// received.
+func ReceivedWorkspace(h http.Header) []string { return h.Values("X-Tenant") }
+
 // Announcement is an announcement by a backend server. An empty state deregisters the
 // instance.
 type Announcement struct {
--- a/mesh/customer_admission.go
+++ b/mesh/customer_admission.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/calltree"
-	"github.com/lacewingslip/lacewingslip/desired"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 	"github.com/lacewingslip/lacewingslip/pressure"
 )
@@ -28,19 +27,41 @@
 	mu sync.Mutex
 	// origins holds, for each route, who calls it, if known, and its priority.
 	origins map[string]routeOrigin
-	// priorities holds the distinct priorities of the routes that customers call,
-	// the highest priority (the lowest number) first.
+	// workspacePriorities has when a request last had a priority of its workspace.
+	workspacePriorities map[int]time.Time
+	// priorities holds the distinct priorities of customer requests, the highest priority
+	// (the lowest number) first. nextUpdate is when they are determined again at the latest
+	// if workspaces have priorities.
 	priorities []int
+	nextUpdate time.Time
 }
 
+const (
+	// priorityMemory is how long a priority of a workspace counts after its last request. A
+	// priority that no request has would be refused first, without any effect on the load.
+	priorityMemory = 30 * time.Second
+	// priorityUpdateInterval is how often priorities that have not been used are dropped.
+	priorityUpdateInterval = time.Second
+)
+
 type routeOrigin struct {
 	calltree.Origin
 	priority int
+	// overridden is true if requests of the route have priorities of workspaces, and usedAt
+	// is when one last had that of the route nevertheless.
+	overridden bool
+	usedAt     time.Time
+}
+
+// counts reports whether customer requests have the priority of the route.
+func (o routeOrigin) counts(now time.Time) bool {
+	return o.Origin == calltree.Customers && (!o.overridden || now.Sub(o.usedAt) < priorityMemory)
 }
 
 func newCustomerAdmission(settings nodeconfig.Config) *customerAdmission {
 	a := &customerAdmission{
 		regionPressure: pressure.NewShedder(), routePressure: pressure.NewShedder(), ownRegion: settings.Region, origins: make(map[string]routeOrigin),
+		workspacePriorities: make(map[int]time.Time),
 	}
 	for _, region := range settings.RegionOf {
 		if !slices.Contains(a.regions, region) {
@@ -59,30 +80,72 @@
 	now := time.Now()
 	a.regionPressure.RecordLevel(now, pressure.Target{Route: req.route, Region: region}, res.report.level)
 	a.routePressure.RecordLevel(now, pressure.Target{Route: req.route}, res.report.level)
-	if res.report.origin == calltree.Unknown {
+	origin := res.report.origin
+	if req.workspace != "" {
+		origin = calltree.Customers
+	}
+	if origin == calltree.Unknown {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	reported := routeOrigin{res.report.origin, req.priority}
-	if a.origins[req.route] == reported {
-		return
+	before := a.origins[req.route]
+	reported := routeOrigin{Origin: origin, priority: before.priority, overridden: before.overridden || req.hasOwnPriority, usedAt: before.usedAt}
+	if !req.hasOwnPriority {
+		reported.priority, reported.usedAt = req.priority, now
 	}
 	a.origins[req.route] = reported
+	reported.usedAt = before.usedAt
+	if reported != before {
+		a.updatePriorities(now)
+	}
+}
+
+// usePriority records that a request has the priority of its workspace. The mutex must be
+// held.
+func (a *customerAdmission) usePriority(now time.Time, priority int) {
+	_, known := a.workspacePriorities[priority]
+	a.workspacePriorities[priority] = now
+	if !known || now.After(a.nextUpdate) {
+		a.updatePriorities(now)
+	}
+}
+
+// updatePriorities determines the priorities of customer requests. The mutex must be held.
+func (a *customerAdmission) updatePriorities(now time.Time) {
+	a.nextUpdate = now.Add(priorityUpdateInterval)
 	a.priorities = a.priorities[:0]
 	for _, o := range a.origins {
-		if o.Origin == calltree.Customers && !slices.Contains(a.priorities, o.priority) {
+		if o.counts(now) && !slices.Contains(a.priorities, o.priority) {
 			a.priorities = append(a.priorities, o.priority)
 		}
 	}
+	for priority, usedAt := range a.workspacePriorities {
+		if now.Sub(usedAt) >= priorityMemory {
+			delete(a.workspacePriorities, priority)
+			continue
+		}
+		if !slices.Contains(a.priorities, priority) {
+			a.priorities = append(a.priorities, priority)
+		}
+	}
 	slices.Sort(a.priorities)
 }
 
-// origin returns who calls the route, or calltree.Unknown if that is not known.
-func (a *customerAdmission) origin(route *desired.Route) calltree.Origin {
+// origin returns who made the request, or calltree.Unknown if that is not known. Backend
+// servers have no keys.
+func (a *customerAdmission) origin(req *request) calltree.Origin {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.origins[route.Name()].Origin
+	return a.originOf(req)
+}
+
+// originOf is origin with the mutex held.
+func (a *customerAdmission) originOf(req *request) calltree.Origin {
+	if req.workspace != "" {
+		return calltree.Customers
+	}
+	return a.origins[req.route].Origin
 }
 
 // admissionDecision is the decision on a request, with the values that led to
@@ -107,8 +170,7 @@
 )
 
 // queueRank returns the rank of a request in the slot queue, where lower ranks go
-// first. priorities holds the priorities of the routes that customers call, the highest
-// first.
+// first. priorities holds the priorities of customer requests, the highest first.
 //
 // It answers the load of a full service at the bottom of a call tree, which customers
 // also call directly. A call does not show which customer request it belongs to, and most
@@ -129,20 +191,23 @@
 // because the work already done for their customer request would otherwise be
 // lost. A request for which this region lacks capacity is sent to another
 // region as a whole: it then crosses regions once, and its child calls do not.
-func (a *customerAdmission) admit(route *desired.Route) (decision admissionDecision) {
+func (a *customerAdmission) admit(req *request) (decision admissionDecision) {
+	now := time.Now()
 	a.mu.Lock()
-	origin := a.origins[route.Name()].Origin
-	priorityIndex, priorityCount := slices.Index(a.priorities, route.Priority()), len(a.priorities)
-	decision.rank = queueRank(origin, route.Priority(), a.priorities)
+	if req.hasOwnPriority {
+		a.usePriority(now, req.priority)
+	}
+	origin := a.originOf(req)
+	priorityIndex, priorityCount := slices.Index(a.priorities, req.priority), len(a.priorities)
+	decision.rank = queueRank(origin, req.priority, a.priorities)
 	a.mu.Unlock()
-	now := time.Now()
-	key := pressure.Target{Route: route.Name(), Region: a.ownRegion}
+	key := pressure.Target{Route: req.route, Region: a.ownRegion}
 	decision.level = a.regionPressure.Level(now, key)
 	if origin != calltree.Customers || priorityIndex < 0 || a.regionPressure.Admit(now, key, priorityIndex, priorityCount) {
 		decision.admitted = true
 		return decision
 	}
-	decision.targetRegion, decision.admitted = a.regionWithCapacity(route.Name(), a.ownRegion)
+	decision.targetRegion, decision.admitted = a.regionWithCapacity(req.route, a.ownRegion)
 	return decision
 }
 
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -46,6 +46,7 @@
 	metrics   *metrics.Metrics
 	lifecycle *lifecycle
 	admission *customerAdmission
+	access    *accessControl
 	// quarantine holds the requests that crash backend servers.
 	quarantine *quarantine.List
 	// responseTimes has the time from the arrival of a request to the end of its last
@@ -69,12 +70,22 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	access := i.access.check(state, route, r.Header)
+	if access.refusal != nil {
+		i.refuseAccess(w, r, route, access)
+		return
+	}
 	req, ok := i.accept(w, r, state, route, receivedAt)
 	if !ok {
 		return
 	}
+	if access = i.recheckAccess(r, state, route, access); access.refusal != nil {
+		i.refuseAccess(w, r, route, access)
+		return
+	}
+	access.apply(req)
 	i.sidecar.links.RecordCall(route.Name(), req.callerDeadline)
-	origin := i.admission.origin(route)
+	origin := i.admission.origin(req)
 	if origin == calltree.Servers {
 		i.sidecar.recordCall(receivedAt)
 	}
@@ -90,7 +101,7 @@
 		return
 	}
 	i.budget.recordRequest(req.service, req.repeatShare)
-	decision := i.admission.admit(route)
+	decision := i.admission.admit(req)
 	req.targetRegion, req.rank, req.fromCustomer = decision.targetRegion, decision.rank, origin == calltree.Customers
 	if !decision.admitted {
 		res := notRunResult(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is overloaded: pressure level %.2f", decision.level))
@@ -128,6 +139,7 @@
 		route: route.Name(), kind: route.Kind(), priority: route.Priority(), deadline: receivedAt.Add(timeout), callerDeadline: receivedAt.Add(callerTimeout(r.Header)),
 	}
 	req.header.Del("Content-Length")
+	platform.DropCallerIdentity(req.header)
 	var err error
 	if r.ContentLength != 0 {
 		controller := http.NewResponseController(w)
@@ -284,6 +296,8 @@
 func (i *ingress) writeError(w http.ResponseWriter, res *result) {
 	w.Header().Set("Content-Length", "0")
 	switch {
+	case res.reason == call.ReasonUnauthorized:
+		w.WriteHeader(http.StatusUnauthorized)
 	case res.outcome == call.NotRun && res.retryAfter > 0:
 		platform.SetRetryAfter(w.Header(), res.retryAfter)
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -135,7 +135,7 @@
 			func() *upstream.Tracker { return upstream.New(settings.Service, settings.Backend) },
 			func(dir *fleet.Directory) *retryBudget { return newRetryBudget(settings.Bounds, dir.Table().Len) },
 			metrics.New, newListeners, newDesiredState, newBalancer, newSidecar, newDirectory, newExchange, newWatcherSelection, newLifecycle,
-			newAnnouncementHandler, newCustomerAdmission, quarantine.New, newQuarantineSync, newIngress, newPeerHandler, newServers,
+			newAnnouncementHandler, newCustomerAdmission, newAccessControl, quarantine.New, newQuarantineSync, newIngress, newPeerHandler, newServers,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle, s *servers, b *balancer, e *exchange, w *watcherSelection, a *announcementHandler, sc *sidecar, d *desiredState, dir *fleet.Directory, q *quarantineSync) {
 			l.components = components{servers: s, balancer: b, exchange: e, watchers: w, announcements: a, sidecar: sc, desired: d, directory: dir, quarantine: q}
@@ -168,10 +168,10 @@
 	return &announcementHandler{settings: settings, tracker: t, sidecar: s, directory: dir, exchange: e, desired: d, events: events, released: make(chan struct{})}
 }
 
-func newIngress(settings nodeconfig.Config, d *desiredState, b *balancer, s *sidecar, e *exchange, events eventRecorder, m *metrics.Metrics, l *lifecycle, admission *customerAdmission, retries *retryBudget, list *quarantine.List) *ingress {
+func newIngress(settings nodeconfig.Config, d *desiredState, b *balancer, s *sidecar, e *exchange, events eventRecorder, m *metrics.Metrics, l *lifecycle, admission *customerAdmission, access *accessControl, retries *retryBudget, list *quarantine.List) *ingress {
 	return &ingress{
 		settings: settings, desired: d, splitter: desired.NewSplitter(), balancer: b, sidecar: s, exchange: e,
-		budget: retries, events: events, metrics: m, lifecycle: l, admission: admission, quarantine: list,
+		budget: retries, events: events, metrics: m, lifecycle: l, admission: admission, access: access, quarantine: list,
 		responseTimes: newLongestTimes(),
 	}
 }
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -46,9 +46,11 @@
 	workspace string
 	route     string
 	kind      desired.Kind
-	// priority is the priority of the route; 0 is the highest. It is known only at
-	// the ingress node.
+	// priority is the priority of the workspace, if it has one, or else that of the route; 0
+	// is the highest. It is known only at the ingress node.
 	priority int
+	// hasOwnPriority is true if priority is that of the workspace.
+	hasOwnPriority bool
 	// rank orders the requests in the slot queue; lower ranks go first.
 	rank int
 	// deadline is when the response must arrive.
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -234,6 +234,9 @@
 	httpReq := req.httpRequest(func(h http.Header) {
 		platform.SetTimeLeft(h, timeLeft)
 		platform.SetCaller(h, req.caller)
+		if req.workspace != "" {
+			platform.SetWorkspace(h, req.workspace)
+		}
 		if server.Instance() != "" {
 			platform.SetExpectedInstance(h, server.Instance())
 		}
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -96,6 +96,7 @@
 		id: platform.RequestID(r.Header), method: r.Method, host: r.Host, target: r.RequestURI,
 		header: endToEndHeader(r.Header),
 	}
+	platform.DropCallerIdentity(req.header)
 	for n, dest := range []*string{&req.service, &req.caller, &req.route} {
 		if *dest, err = url.QueryUnescape(fields[n]); err != nil {
 			return nil, 0, err
--- a/pressure/shedder.go
+++ b/pressure/shedder.go
@@ -21,6 +21,8 @@
 	// minAdmittedShare is the share of the requests of each rank that the local
 	// region always admits, so that answers report when the overload is over.
 	minAdmittedShare = 0.1
+	// initialCredit is the credit of a rank before its first request.
+	initialCredit = 0.5
 
 	// maxRemoteLevel is the level from which on no requests are sent to another
 	// region, because they would displace that region's own requests.
@@ -42,9 +44,9 @@
 type targetState struct {
 	level     float64
 	updatedAt time.Time
-	// credit accumulates the admitted share of each request. A request is
-	// admitted when it reaches 1, and uses up 1.
-	credit float64
+	// credits accumulate the admitted share of each request, by its rank. A request is
+	// admitted when that of its rank reaches 1, and uses up 1.
+	credits map[int]float64
 }
 
 // NewShedder returns a shedder that admits all requests until levels are reported.
@@ -62,7 +64,7 @@
 		if level == 0 || len(s.targets) >= maxTargets {
 			return
 		}
-		state = &targetState{updatedAt: now.Add(-levelTimeConstant), credit: 0.5}
+		state = &targetState{updatedAt: now.Add(-levelTimeConstant), credits: make(map[int]float64)}
 		s.targets[target] = state
 	}
 	elapsed := now.Sub(state.updatedAt)
@@ -88,16 +90,16 @@
 // requests are divided into ranks by importance. rank is the rank of the request,
 // with 0 for the most important one, and ranks is the number of ranks.
 func (s *Shedder) Admit(now time.Time, target Target, rank, ranks int) (ok bool) {
-	return s.admit(now, target, func(level float64) float64 { return Share(level, rank, ranks) })
+	return s.admit(now, target, rank, func(level float64) float64 { return Share(level, rank, ranks) })
 }
 
 // AdmitRemote reports whether a request that the local region refuses may be
 // sent to the target, which is in another region.
 func (s *Shedder) AdmitRemote(now time.Time, target Target) (ok bool) {
-	return s.admit(now, target, func(level float64) float64 { return max(1-level/maxRemoteLevel, 0) })
+	return s.admit(now, target, 0, func(level float64) float64 { return max(1-level/maxRemoteLevel, 0) })
 }
 
-func (s *Shedder) admit(now time.Time, target Target, shareAt func(level float64) float64) (ok bool) {
+func (s *Shedder) admit(now time.Time, target Target, rank int, shareAt func(level float64) float64) (ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.targets[target]
@@ -107,12 +109,17 @@
 	share := shareAt(state.levelAt(now))
 	// Evenly spaced refusals keep the rate of admitted requests steadier than
 	// random ones.
-	state.credit += share
-	if state.credit < 1 {
-		return false
+	credit, ok := state.credits[rank]
+	if !ok {
+		credit = initialCredit
 	}
-	state.credit--
-	return true
+	credit += share
+	ok = credit >= 1
+	if ok {
+		credit--
+	}
+	state.credits[rank] = credit
+	return ok
 }
 
 // Share returns the share of the requests of a rank that is admitted at a level,
