--- a/call/reason.go
+++ b/call/reason.go
@@ -46,6 +46,9 @@
 	// ReasonUnauthorized means that the request needs a key of a workspace and has none that
 	// is known.
 	ReasonUnauthorized Reason = "unauthorized"
+	// ReasonUnproven means that the node can't prove that its settings are the newest, so
+	// that they may not decide on the request.
+	ReasonUnproven Reason = "unproven"
 	// ReasonBadRequest means that the request is malformed.
 	ReasonBadRequest Reason = "badRequest"
 	// ReasonTooLarge means that the request body exceeds its maximum size. The
--- a/desired/desired_test.go
+++ b/desired/desired_test.go
@@ -1,6 +1,9 @@
 package desired_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -57,3 +60,31 @@
 		must.Eq(t, "y", splitter.Next(moved))
 	}
 }
+
+// The lookup must not depend on the number of keys, since each request of a customer needs
+// one.
+func BenchmarkWorkspaceOf(b *testing.B) {
+	for _, keys := range []int{76, 50_000} {
+		b.Run(strconv.Itoa(keys), func(b *testing.B) {
+			const keysPerWorkspace = 10
+			var workspaces []*desired.Workspace
+			var all []string
+			for n := 0; len(all) < keys; n++ {
+				var own []string
+				for range min(keysPerWorkspace, keys-len(all)) {
+					own = append(own, fmt.Sprintf("%032x", rand.Uint64()))
+				}
+				all = append(all, own...)
+				workspaces = append(workspaces, desired.NewWorkspace(strconv.Itoa(n), desired.WithKeys(own...)))
+			}
+			state := desired.New(1, nil, nil, desired.Limits{}, desired.WithWorkspaces(workspaces...))
+			rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				if _, ok := state.WorkspaceOf(all[n%len(all)]); !ok {
+					b.Fatal("the key is unknown")
+				}
+			}
+		})
+	}
+}
--- a/event/settings.go
+++ b/event/settings.go
@@ -11,6 +11,8 @@
 	SnapshotIgnored  ID = 6005
 	SettingsFromPeer ID = 6006
 	SettingsRestored ID = 6007
+	ProofMissing     ID = 6008
+	ProofRenewed     ID = 6009
 )
 
 var settingsEvents = []Description{
@@ -21,4 +23,6 @@
 	{ID: SnapshotIgnored, Name: "snapshotIgnored", Level: slog.LevelDebug, Meaning: "A snapshot was ignored because it covers fewer records than this node has read."},
 	{ID: SettingsFromPeer, Name: "settingsFromPeer", Level: slog.LevelInfo, Meaning: "Settings were received from another node."},
 	{ID: SettingsRestored, Name: "settingsRestored", Level: slog.LevelInfo, Meaning: "A snapshot from the log replaced the records that this node had missed."},
+	{ID: ProofMissing, Name: "proofMissing", Level: slog.LevelWarn, Meaning: "The node can't prove any more that its desired state is the newest, because it has reached neither the log service nor a node that has, so it refuses requests with a key with status 503. The attribute ageMs is the age of the last proof."},
+	{ID: ProofRenewed, Name: "proofRenewed", Level: slog.LevelInfo, Meaning: "The node has a proof that its desired state is the newest, and serves requests with a key."},
 }
--- /dev/null
+++ b/freshness/freshness.go
@@ -0,0 +1,227 @@
+// Package freshness decides for how long the desired state in force at a node is proven to be
+// the newest one, and when the node must ask for the next proof.
+//
+// A proof is a time before which the log service had acknowledged no newer version. It comes
+// from a read of the log, or from the response of another node, which states the age of its
+// own proof. The time of a proof is counted from when the node sent its own request, so ages
+// only grow along a chain of nodes, and nodes that confirm each other in a ring prove nothing.
+//
+// All times are readings of one clock of this VM, as durations since any fixed moment. The
+// clock must count the time during which the VM is suspended, and must not be set.
+//
+// # Usage
+//
+//	tracker := freshness.New(5 * time.Second)
+//	tracker.RecordRead(freshness.Read{SentAt: sent, Era: 1, Version: 7, Complete: true}, inForce)
+//	tracker.RecordResponse(freshness.Response{SentAt: sent, ReceivedAt: now, Age: age, Version: 7}, inForce)
+//	if tracker.Serves(now) { ... }
+//
+// # Load
+//
+// The decisions take constant time and memory for each request, response and read. They are
+// designed for 1,100 nodes; see [Tracker.Due] for the requests that they cause.
+package freshness
+
+import "time"
+
+// Shares of the revocation time.
+const (
+	// serveShare is the age of a proof up to which requests with a key are served. The rest
+	// covers the difference between the rates of two clocks.
+	serveShare = 0.9
+	// readerShare is the age at which a reader of the log asks it for the next proof.
+	readerShare = 0.15
+	// pollShare and followShare are the ages from which a request that waits at another node
+	// ends with a younger proof: for nodes that relay proofs, and for all others.
+	pollShare   = 0.15
+	followShare = 0.25
+	// helpShare is by how much the proof must be younger.
+	helpShare = 0.05
+	// A node asks other nodes from an age of askShare on, and the log from logShare on, plus
+	// up to spreadShare.
+	askShare    = 0.45
+	logShare    = 0.6
+	spreadShare = 0.05
+)
+
+const (
+	// readerRetry is the mean pause between two reads of a reader that fail.
+	readerRetry = 150 * time.Millisecond
+	// askInterval is the mean pause between two requests to other nodes.
+	askInterval = 300 * time.Millisecond
+	// logInterval is the mean pause between two reads of a node that is no reader. If other
+	// nodes answer, it is logIntervalPerNode for each of them at least: then a proof that one
+	// of them reads reaches all.
+	logInterval        = time.Second
+	logIntervalPerNode = 10 * time.Millisecond
+)
+
+// Tracker holds the newest proof. It is not safe for concurrent use.
+type Tracker struct {
+	revoke time.Duration
+	// provenAt is the time of the newest proof, if there is one.
+	provenAt time.Duration
+	proven   bool
+	// logVersion is the highest version that the log had in the era logEra.
+	logEra, logVersion int64
+	// announced is the highest version that another node has stated.
+	announced int64
+}
+
+// New returns a tracker without a proof. revoke is the time after which a withdrawn key must
+// admit no request.
+func New(revoke time.Duration) *Tracker { return &Tracker{revoke: revoke} }
+
+// SetRevoke changes the revocation time.
+func (t *Tracker) SetRevoke(revoke time.Duration) { t.revoke = revoke }
+
+// Read is the result of a read of the log that succeeded.
+type Read struct {
+	SentAt time.Duration
+	// Era is the era of the log.
+	Era int64
+	// Version is the highest version that the read returned, or 0 if it returned none.
+	Version int64
+	// Complete is true if the log had no version after those that were returned, when it
+	// received the read.
+	Complete bool
+}
+
+// RecordRead records a read of the log after the versions that it returned have come into
+// force. inForce is the version in force now. It returns whether the proof is renewed.
+//
+// A log that was restored from an earlier copy may lack the newest version. Its responses
+// prove nothing until it has the version in force here, and the versions that other nodes
+// have stated.
+func (t *Tracker) RecordRead(r Read, inForce int64) (renewed bool) {
+	if r.Era < t.logEra {
+		return false
+	}
+	if r.Era > t.logEra {
+		t.logEra, t.logVersion = r.Era, 0
+	}
+	t.logVersion = max(t.logVersion, r.Version)
+	if !r.Complete || t.logVersion < inForce || inForce < t.announced {
+		return false
+	}
+	return t.renew(r.SentAt)
+}
+
+// Response is the response of another node that has a proof.
+type Response struct {
+	SentAt, ReceivedAt time.Duration
+	// Held is how long the other node kept the request before it stated the age.
+	Held time.Duration
+	// Age is the age of the proof when the other node responded.
+	Age time.Duration
+	// Version is the version in force at the other node.
+	Version int64
+}
+
+// RecordResponse records the response of another node. It counts only if both nodes have the
+// same version in force. It returns whether the proof is renewed.
+func (t *Tracker) RecordResponse(r Response, inForce int64) (renewed bool) {
+	if r.Version != inForce || inForce == 0 {
+		return false
+	}
+	held := min(max(r.Held, 0), max(r.ReceivedAt-r.SentAt, 0))
+	return t.renew(r.SentAt + held - max(r.Age, 0))
+}
+
+// RecordAnnounced records the version that is in force at another node.
+func (t *Tracker) RecordAnnounced(version int64) { t.announced = max(t.announced, version) }
+
+func (t *Tracker) renew(provenAt time.Duration) (renewed bool) {
+	if t.proven && provenAt <= t.provenAt {
+		return false
+	}
+	t.provenAt, t.proven = provenAt, true
+	return true
+}
+
+// Age returns the age of the proof. ok is false if there is none.
+func (t *Tracker) Age(now time.Duration) (age time.Duration, ok bool) {
+	if !t.proven {
+		return 0, false
+	}
+	return max(now-t.provenAt, 0), true
+}
+
+// YoungerThan reports whether there is a proof below the age.
+func (t *Tracker) YoungerThan(now, limit time.Duration) bool {
+	age, ok := t.Age(now)
+	return ok && age < limit
+}
+
+// Serves reports whether requests with a key are served.
+func (t *Tracker) Serves(now time.Duration) bool { return t.YoungerThan(now, t.ServeLimit()) }
+
+// ServeLimit returns the age of a proof up to which requests with a key are served.
+func (t *Tracker) ServeLimit() time.Duration { return t.share(serveShare) }
+
+func (t *Tracker) share(share float64) time.Duration {
+	return time.Duration(share * float64(t.revoke))
+}
+
+// Helps reports whether the proof is young enough to end the waiting request of another node,
+// whose proof has the given age now. If not, after is when that node's proof will be old
+// enough, or 0 if the proof here must be renewed first. relays is true if the other node
+// passes proofs on.
+func (t *Tracker) Helps(now, theirAge time.Duration, relays bool) (helps bool, after time.Duration) {
+	own, ok := t.Age(now)
+	if !ok || own+t.share(helpShare) > theirAge {
+		return false, 0
+	}
+	threshold := t.share(followShare)
+	if relays {
+		threshold = t.share(pollShare)
+	}
+	if theirAge < threshold {
+		return false, threshold - theirAge
+	}
+	return true, 0
+}
+
+// Situation is what [Tracker.Due] depends on besides the proof.
+type Situation struct {
+	// Reader is true for the few nodes that read the log for all others.
+	Reader bool
+	// LastAsk and LastRead are when the node last sent a request to another node and to the
+	// log for the sake of a proof, or when it started.
+	LastAsk, LastRead time.Duration
+	// Peers is the number of other nodes that can be reached. PeersAnswer is true if the last
+	// one that was asked answered.
+	Peers       int
+	PeersAnswer bool
+	// Jitter is a random number from 0 to 1. It is chosen anew after each request.
+	Jitter float64
+}
+
+// Due decides whether the node asks another node and whether it reads the log now.
+//
+// In calm conditions only readers read, one after the other, because the proof of one reaches
+// the others with forwarded requests or not at all: with three readers and a revocation time
+// of 5 s, 1.3 to 4 reads a second in deployments of any size. If the log is unavailable, they
+// repeat the read, and from 0.6 of the revocation time on all other nodes read too: N nodes
+// 100 times a second together, or each once a second if there are fewer than 100.
+func (t *Tracker) Due(now time.Duration, s Situation) (ask, read bool) {
+	age, ok := t.Age(now)
+	if !ok {
+		age = t.revoke
+	}
+	spread := s.Jitter * spreadShare
+	pause := 0.5 + s.Jitter
+	ask = s.Peers > 0 && age >= t.share(askShare+spread) && now-s.LastAsk >= scale(askInterval, pause)
+	if s.Reader {
+		return ask, age >= t.share(readerShare) && now-s.LastRead >= scale(readerRetry, pause)
+	}
+	interval := logInterval
+	if s.Peers > 0 && s.PeersAnswer {
+		interval = max(interval, time.Duration(s.Peers)*logIntervalPerNode)
+	}
+	return ask, age >= t.share(logShare+spread) && now-s.LastRead >= scale(interval, pause)
+}
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(factor * float64(d))
+}
--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -325,6 +325,24 @@
 	return peers
 }
 
+// firstReachable returns the reachable nodes, including this one, that come first in the
+// order of watchers.
+func (b *balancer) firstReachable(number int) (peers []*peer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.peers {
+		if p.unreachable {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(peers, p.watcherOrder, func(p *peer, order uint64) int { return cmp.Compare(p.watcherOrder, order) })
+		if at < number {
+			peers = slices.Insert(peers, at, p)
+			peers = peers[:min(number, len(peers))]
+		}
+	}
+	return peers
+}
+
 // reachableByZone returns the number of reachable nodes of each zone.
 func (b *balancer) reachableByZone() (nodes map[string]int) {
 	b.mu.Lock()
--- a/mesh/desired_state.go
+++ b/mesh/desired_state.go
@@ -17,6 +17,7 @@
 // from the log or from another node. It never reverts to an older version.
 type desiredState struct {
 	events eventRecorder
+	proofs *proofs
 	state  atomic.Pointer[desired.State]
 	// loaded is closed when the first desired state has been received.
 	loaded chan struct{}
@@ -34,12 +35,13 @@
 	follower *follow.Follower
 }
 
-func newDesiredState(logClient *platform.LogClient, era *follow.EraTracker, events eventRecorder) *desiredState {
+func newDesiredState(p *proofs, era *follow.EraTracker, events eventRecorder) *desiredState {
 	d := &desiredState{
-		events: events, loaded: make(chan struct{}), changed: make(chan struct{}), readsLog: func() bool { return true },
+		events: events, proofs: p, loaded: make(chan struct{}), changed: make(chan struct{}), readsLog: func() bool { return true },
 		maxWait: func() time.Duration { return minDesiredStateWait },
 	}
-	d.follower = follow.New(logClient, platform.DesiredStateTopic, events, d.applyRecords, follow.WithEra(era),
+	p.desired = d
+	d.follower = follow.New(p, platform.DesiredStateTopic, events, d.applyRecords, follow.WithEra(era),
 		follow.WithMaxWait(func() time.Duration { return d.maxWait() }), follow.WithEnabled(func() bool { return d.readsLog() }))
 	return d
 }
@@ -71,18 +73,19 @@
 }
 
 // apply puts a document into force if its version is newer than the current
-// one. source names the log or the node that it came from.
-func (d *desiredState) apply(document []byte, source string) {
+// one. source names the log or the node that it came from. It returns the version of the
+// document, or 0 if the document is invalid.
+func (d *desiredState) apply(document []byte, source string) (version int64) {
 	state, err := platform.DecodeDesiredState(document)
 	if err != nil {
 		d.events.Record(event.SettingsRejected, slog.String("source", source), slog.String("error", err.Error()))
-		return
+		return 0
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	current := d.state.Load()
 	if current != nil && state.Version() <= current.Version() {
-		return
+		return state.Version()
 	}
 	d.document = document
 	d.state.Store(state)
@@ -92,15 +95,22 @@
 		close(d.loaded)
 	}
 	d.events.Record(event.SettingsAccepted, slog.Int64("version", state.Version()), slog.String("source", source))
+	return state.Version()
 }
 
-// applyRecords applies the records of the operator's topic.
+// applyRecords applies the records that the follower has read.
 func (d *desiredState) applyRecords(records []platform.Record) {
+	d.proofs.recordTopicRead(d.applyAll(records))
+}
+
+// applyAll applies records of the operator's topic, and returns the highest version of them.
+func (d *desiredState) applyAll(records []platform.Record) (highest int64) {
 	for _, record := range records {
 		if record.Key == platform.DesiredStateKey && record.Value != nil {
-			d.apply(record.Value, "log")
+			highest = max(highest, d.apply(record.Value, "log"))
 		}
 	}
+	return highest
 }
 
 // run reads the operator's topic, and follows it while this node reads the log, until
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -87,6 +87,13 @@
 	Suspects []suspectRequest `json:"suspects,omitempty"`
 	// ReadsLog is true if the sender reads the log itself.
 	ReadsLog bool `json:"watches,omitempty"`
+
+	// ProofAgeMs is the age of the sender's proof that its version is the newest, or missing
+	// if it has none. In a response, HeldMs is for how long the request was held before.
+	ProofAgeMs *int64 `json:"proofAge,omitempty"`
+	HeldMs     int64  `json:"held,omitempty"`
+	// ProofOnly makes a long poll wait for a younger proof only.
+	ProofOnly bool `json:"proofOnly,omitempty"`
 }
 
 // exchange synchronizes nodes directly, without the log: it supplies nodes that
@@ -100,6 +107,7 @@
 	events     eventRecorder
 	client     *http.Client
 	quarantine *quarantineSync
+	proofs     *proofs
 	// readsLog reports whether this node reads the log itself.
 	readsLog func() bool
 	// tableID identifies the member table of this process.
@@ -123,30 +131,34 @@
 	fetching map[string]bool
 }
 
-func newExchange(b *balancer, directory *fleet.Directory, d *desiredState, era *follow.EraTracker, q *quarantineSync, events eventRecorder) *exchange {
+func newExchange(b *balancer, directory *fleet.Directory, d *desiredState, era *follow.EraTracker, q *quarantineSync, proofs *proofs, events eventRecorder) *exchange {
 	stopping := make(chan struct{})
 	e := &exchange{
-		quarantine: q,
-		stopping:   stopping, endWaits: sync.OnceFunc(func() { close(stopping) }),
+		quarantine: q, proofs: proofs,
+		stopping: stopping, endWaits: sync.OnceFunc(func() { close(stopping) }),
 		balancer: b, directory: directory, desired: d, era: era, events: events, fetching: make(map[string]bool),
 		readsLog: func() bool { return true }, tableID: rand.Int64(), ownRecordFetched: make(chan struct{}), ownRecordWait: defaultOwnRecordWait, startedAt: time.Now(),
 		client: &http.Client{Transport: &http.Transport{DialContext: hop.Dialer().DialContext, MaxIdleConnsPerHost: -1}},
 	}
+	proofs.balancer, proofs.exchange = b, e
 	q.send, q.ownMessage, q.directory = e.send, e.ownMessage, directory
 	return e
 }
 
 // ownMessage returns a message with the state of this node.
 func (e *exchange) ownMessage() exchangeMessage {
+	// The age is determined before the version: it holds for all later versions.
+	age := e.proofs.statedAge()
 	table := e.directory.Table()
 	return exchangeMessage{
-		Self: e.directory.Self(), Version: e.desired.version(), Era: e.era.Known(), Digest: table.Digest(),
+		ProofAgeMs: age.milliseconds(), Self: e.directory.Self(), Version: e.desired.version(), Era: e.era.Known(), Digest: table.Digest(),
 		TableID: e.tableID, ReadsLog: e.readsLog(), Suspects: encodeEvidence(e.quarantine.list.Restricting(time.Now())),
 	}
 }
 
 // ServeHTTP responds to an exchange that another node started.
 func (e *exchange) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	receivedAt := e.proofs.clock()
 	var received exchangeMessage
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxExchangeBytes)).Decode(&received); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -162,8 +174,10 @@
 	if received.WaitMs > 0 {
 		changed, seenChanges = e.awaitChanges(r.Context(), received)
 	}
+	// The time is determined before the age of the proof, which grows meanwhile.
+	held := e.proofs.clock() - receivedAt
 	reply := e.ownMessage()
-	reply.SeenChanges, reply.Members = seenChanges, changed
+	reply.SeenChanges, reply.Members, reply.HeldMs = seenChanges, changed, held.Milliseconds()
 	reply.Suspects = append(reply.Suspects, outdated...)
 	if received.Version < reply.Version {
 		reply.State = e.desired.currentDocument()
@@ -189,7 +203,8 @@
 
 // awaitChanges waits until records have changed that the sender has not seen, until a
 // newer version of the desired state is in force, until a higher era of the log is
-// known, until this node stops, or until the wait time has elapsed.
+// known, until this node has a proof that helps the sender, until this node stops, or until
+// the wait time has elapsed.
 // It returns the changed records and the total number of changes.
 func (e *exchange) awaitChanges(ctx context.Context, received exchangeMessage) (changed []fleet.Member, changes int64) {
 	if received.TableID != e.tableID {
@@ -197,16 +212,22 @@
 	}
 	timeout := time.NewTimer(min(time.Duration(received.WaitMs)*time.Millisecond, maxChangeWait))
 	defer timeout.Stop()
+	helpful := e.proofs.helpful(ctx, received)
 	for {
 		changed, changes, next := e.directory.Table().Since(received.SeenChanges)
 		newer, newState := e.desired.since(received.Version)
 		higherEra, eraRisen := e.era.Since(received.Era)
 		// A message without an era is from a node that knows of none, or of an earlier
 		// release.
+		if received.ProofOnly {
+			changed, next = nil, nil
+		}
 		if len(changed) > 0 || newer || higherEra && received.Era > 0 {
 			return changed, changes
 		}
 		select {
+		case <-helpful:
+			return nil, changes
 		case <-newState:
 		case <-eraRisen:
 		case <-next:
@@ -243,6 +264,7 @@
 	if err != nil {
 		return reply, err
 	}
+	sentAt := e.proofs.clock()
 	resp, err := e.client.Do(httpReq)
 	if err != nil {
 		return reply, err
@@ -262,6 +284,7 @@
 	if len(reply.State) > 0 {
 		e.desired.apply(reply.State, reply.Self.Node)
 	}
+	e.proofs.recordResponse(sentAt, time.Duration(reply.HeldMs)*time.Millisecond, reply.proofAge(), reply.Version)
 	e.directory.Merge(append(reply.Members, reply.Self)...)
 	e.balancer.markReachable(reply.Self.Node)
 	if reply.Self.Node != msg.Self.Node {
--- /dev/null
+++ b/mesh/freshness.go
@@ -0,0 +1,451 @@
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/follow"
+	"github.com/lacewingslip/lacewingslip/freshness"
+	"github.com/lacewingslip/lacewingslip/metrics"
+	"github.com/lacewingslip/lacewingslip/nodeconfig"
+	"github.com/lacewingslip/lacewingslip/platform"
+)
+
+const (
+	// proofReaders is the number of nodes in the whole deployment that read the log for
+	// proofs.
+	proofReaders = 3
+	// proofReadTimeout bounds a read for a proof. It does not wait for records, and the log
+	// usually responds within 4 ms.
+	proofReadTimeout = 500 * time.Millisecond
+	// maxProofReads bounds the reads that follow each other until one returns no record.
+	maxProofReads = 3
+	// positionLifetime is how long after a read for a proof the next one continues there.
+	// Afterwards, the newest version is read, since there may be many in between.
+	positionLifetime = time.Minute
+	// maxProofAsks bounds the requests to other nodes in progress. A frozen node answers none.
+	maxProofAsks = 4
+	// proofPollPause is the pause after a waiting request that brought no proof.
+	proofPollPause = 300 * time.Millisecond
+	// maxProofAge bounds the ages that other nodes state.
+	maxProofAge = 24 * time.Hour
+)
+
+// proofs holds the proof that the desired state in force is the newest, and renews it. It
+// does nothing unless the deployment fails closed and the desired state has workspaces.
+type proofs struct {
+	settings nodeconfig.Config
+	clock    bootClock
+	log      *platform.LogClient
+	events   eventRecorder
+	metrics  *metrics.Metrics
+	bounds   atomic.Pointer[nodeconfig.Bounds]
+	// desired, balancer, exchange and watchers are set once all of them have been built.
+	desired  *desiredState
+	balancer *balancer
+	exchange *exchange
+	watchers *watcherSelection
+
+	mu      sync.Mutex
+	tracker *freshness.Tracker
+	// renewed is closed and replaced when the proof is renewed.
+	renewed chan struct{}
+	// topicRead is the read of the operator's topic whose records are being applied.
+	topicRead freshness.Read
+	// position continues the last read of the topic, at the time readAt.
+	position platform.Position
+	readAt   time.Duration
+	// situation has the times of the last requests for proofs. reading is true while the log
+	// is read, polling while a request waits at a reader, and asking counts those to other
+	// nodes.
+	situation        freshness.Situation
+	reading, polling bool
+	asking           int
+	// readerIndex selects the reader that is polled.
+	readerIndex int
+	// serving is whether requests with a key are served, as last recorded.
+	serving bool
+}
+
+func newProofs(settings nodeconfig.Config, logClient *platform.LogClient, m *metrics.Metrics, events eventRecorder) (p *proofs, err error) {
+	clock, err := newBootClock()
+	if err != nil {
+		return nil, err
+	}
+	p = &proofs{
+		settings: settings, clock: clock, log: logClient, metrics: m, events: events,
+		tracker: freshness.New(settings.Bounds.Revoke), renewed: make(chan struct{}),
+	}
+	p.bounds.Store(&settings.Bounds)
+	return p, nil
+}
+
+// reload applies changed bounds.
+func (p *proofs) reload(bounds nodeconfig.Bounds) {
+	p.bounds.Store(&bounds)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tracker.SetRevoke(bounds.Revoke)
+}
+
+// failsClosed reports whether requests with a key need a proof.
+func (p *proofs) failsClosed() bool {
+	bounds := p.bounds.Load()
+	return bounds.FailClosed && bounds.Revoke > 0
+}
+
+// inUse reports whether the deployment needs proofs now.
+func (p *proofs) inUse() bool {
+	state := p.desired.current()
+	return p.failsClosed() && state != nil && state.HasWorkspaces()
+}
+
+// serves reports whether a request with a key that has been read may run.
+func (p *proofs) serves() bool {
+	if !p.failsClosed() {
+		return true
+	}
+	// A log that was restored while this node started may have an older version than the
+	// other nodes.
+	if !p.exchange.hasAskedPeers() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// The clock is read with the mutex held, so that the proof is not younger than the time.
+	return p.tracker.Serves(p.clock())
+}
+
+// knowsVersions reports whether all versions are known that may be in force for longer than
+// the time in which a version must take effect.
+func (p *proofs) knowsVersions() bool {
+	if !p.failsClosed() {
+		return !p.watchers.readsLog() || p.desired.follower.LogReachable()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit := p.tracker.ServeLimit()
+	if apply := p.bounds.Load().ConfigApply; apply > 0 {
+		limit = min(limit, apply)
+	}
+	return p.tracker.YoungerThan(p.clock(), limit)
+}
+
+// proofAge is the age of a proof, if it is known.
+type proofAge struct {
+	age   time.Duration
+	known bool
+}
+
+// milliseconds returns the age, rounded up, or nil if it is unknown.
+func (a proofAge) milliseconds() (age *int64) {
+	if !a.known {
+		return nil
+	}
+	ms := int64((a.age + time.Millisecond - 1) / time.Millisecond)
+	return &ms
+}
+
+// proofAgeOf returns the age in milliseconds that another node has stated. A value that no
+// node states counts as unknown.
+func proofAgeOf(ms *int64) proofAge {
+	if ms == nil || *ms < 0 || *ms > maxProofAge.Milliseconds() {
+		return proofAge{}
+	}
+	return proofAge{time.Duration(*ms) * time.Millisecond, true}
+}
+
+func (m exchangeMessage) proofAge() proofAge { return proofAgeOf(m.ProofAgeMs) }
+
+// statedAge returns the age of the proof for other nodes. It is unknown where the deployment
+// needs no proofs.
+func (p *proofs) statedAge() (a proofAge) {
+	if !p.inUse() {
+		return proofAge{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a.age, a.known = p.tracker.Age(p.clock())
+	return a
+}
+
+// recordResponse records that another node has responded to a request that was sent at the
+// time.
+func (p *proofs) recordResponse(sentAt, held time.Duration, age proofAge, version int64) {
+	if version > platform.MaxVersion || !p.failsClosed() {
+		return
+	}
+	inForce := p.desired.version()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tracker.RecordAnnounced(version)
+	if !age.known {
+		return
+	}
+	p.recordRenewal(p.tracker.RecordResponse(freshness.Response{
+		SentAt: sentAt, ReceivedAt: p.clock(), Held: held, Age: age.age, Version: version,
+	}, inForce))
+}
+
+// recordRenewal wakes those that wait for the next proof. The mutex must be held.
+func (p *proofs) recordRenewal(renewed bool) {
+	if renewed {
+		close(p.renewed)
+		p.renewed = make(chan struct{})
+	}
+}
+
+// Newest implements the reader of the topic that a follower uses.
+func (p *proofs) Newest(ctx context.Context, topic string) (records []platform.Record, next platform.Position, err error) {
+	sentAt := p.clock()
+	records, next, err = p.log.Newest(ctx, topic)
+	if err == nil {
+		p.setTopicRead(freshness.Read{SentAt: sentAt, Era: next.Era, Complete: true})
+	}
+	return records, next, err
+}
+
+// Read implements the reader of the topic that a follower uses. A read that has waited proves
+// only that there was nothing newer when it was sent, which is too long ago to be of use.
+func (p *proofs) Read(ctx context.Context, topic string, from platform.Position, wait time.Duration) (records []platform.Record, next platform.Position, err error) {
+	sentAt := p.clock()
+	records, next, err = p.log.Read(ctx, topic, from, wait)
+	if err == nil && next.Era == from.Era && next.Offset >= from.Offset {
+		p.setTopicRead(freshness.Read{SentAt: sentAt, Era: next.Era, Complete: len(records) == 0 && next.Offset == from.Offset})
+	}
+	return records, next, err
+}
+
+func (p *proofs) setTopicRead(read freshness.Read) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.topicRead = read
+}
+
+// recordTopicRead records the read of the operator's topic after its records have been
+// applied. highest is the highest version among them.
+func (p *proofs) recordTopicRead(highest int64) {
+	inForce := p.desired.version()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.topicRead.Version = highest
+	p.recordRenewal(p.tracker.RecordRead(p.topicRead, inForce))
+}
+
+// run renews the proof until the context ends.
+func (p *proofs) run(ctx context.Context) {
+	p.mu.Lock()
+	now := p.clock()
+	p.situation = freshness.Situation{LastAsk: now - time.Minute, LastRead: now, Jitter: rand.Float64()}
+	p.mu.Unlock()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if p.inUse() {
+				p.renew(ctx)
+			}
+		}
+	}
+}
+
+// renew starts the requests for a proof that are due.
+func (p *proofs) renew(ctx context.Context) {
+	others := p.balancer.reachablePeers("")
+	readers, isReader := p.readers()
+	relays := !isReader && p.watchers.readsLog()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock()
+	p.situation.Reader, p.situation.Peers = isReader, len(others)
+	ask, read := p.tracker.Due(now, p.situation)
+	if ask && p.asking < maxProofAsks {
+		p.asking++
+		p.situation.LastAsk, p.situation.Jitter = now, rand.Float64()
+		go p.ask(ctx, others[rand.IntN(len(others))])
+	}
+	if read && !p.reading {
+		p.reading = true
+		p.situation.LastRead, p.situation.Jitter = now, rand.Float64()
+		go p.readLog(ctx)
+	}
+	if relays && len(readers) > 0 && !p.polling {
+		p.polling = true
+		go p.poll(ctx, readers[p.readerIndex%len(readers)])
+	}
+	p.recordServing(now)
+}
+
+// recordServing records when requests with a key begin or cease to be refused. The mutex must
+// be held.
+func (p *proofs) recordServing(now time.Duration) {
+	age, ok := p.tracker.Age(now)
+	if ok {
+		p.metrics.SetProofAge(age)
+	}
+	serving := p.tracker.Serves(now)
+	if serving == p.serving {
+		return
+	}
+	p.serving = serving
+	id := event.ProofMissing
+	if serving {
+		id = event.ProofRenewed
+	}
+	p.events.Record(id, attrMs("ageMs", age), slog.Bool("proven", ok), slog.Int64("version", p.desired.version()))
+}
+
+// readers returns the other nodes that read the log for proofs, and whether this node does.
+func (p *proofs) readers() (others []*peer, self bool) {
+	for _, candidate := range p.balancer.firstReachable(proofReaders) {
+		if candidate.node == p.settings.Node {
+			self = true
+			continue
+		}
+		others = append(others, candidate)
+	}
+	return others, self
+}
+
+// ask requests the proof of another node.
+func (p *proofs) ask(ctx context.Context, from *peer) {
+	err := p.exchange.exchangeWith(ctx, from, false)
+	if err != nil && ctx.Err() == nil {
+		p.balancer.markUnreachable(from, err.Error())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asking--
+	p.situation.PeersAnswer = err == nil
+}
+
+// poll waits for the next proof of a reader.
+func (p *proofs) poll(ctx context.Context, reader *peer) {
+	before := p.nextRenewal()
+	message := p.exchange.ownMessage()
+	message.WaitMs, message.ProofOnly = maxChangeWait.Milliseconds(), true
+	_, err := p.exchange.send(ctx, reader, message)
+	if err != nil && ctx.Err() == nil {
+		p.balancer.markUnreachable(reader, err.Error())
+	}
+	if err != nil || p.nextRenewal() == before {
+		follow.Pause(ctx, proofPollPause)
+		p.mu.Lock()
+		p.readerIndex++
+		p.mu.Unlock()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.polling = false
+}
+
+// nextRenewal returns a channel that is closed at the next renewal of the proof.
+func (p *proofs) nextRenewal() (renewed <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.renewed
+}
+
+// readLog reads the operator's topic without waiting, until there is nothing more.
+func (p *proofs) readLog(ctx context.Context) {
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.reading = false
+	}()
+	ctx, cancel := context.WithTimeout(ctx, proofReadTimeout)
+	defer cancel()
+	for range maxProofReads {
+		if more, err := p.readOnce(ctx); err != nil || !more {
+			return
+		}
+	}
+}
+
+// readOnce reads from the position of the last read, or the newest version. more is true if
+// there may be further versions. An error has the effect that the next read is of the newest
+// version: the log may have been restored or have deleted the records.
+func (p *proofs) readOnce(ctx context.Context) (more bool, err error) {
+	p.mu.Lock()
+	sentAt, from := p.clock(), p.position
+	known := from != platform.Position{} && sentAt-p.readAt < positionLifetime
+	p.position = platform.Position{}
+	p.mu.Unlock()
+	var records []platform.Record
+	var next platform.Position
+	if known {
+		records, next, err = p.log.Read(ctx, platform.DesiredStateTopic, from, 0)
+	} else {
+		records, next, err = p.log.Newest(ctx, platform.DesiredStateTopic)
+	}
+	if err != nil {
+		p.keepPosition(ctx, from)
+		return false, err
+	}
+	if known && (next.Era != from.Era || next.Offset < from.Offset) {
+		return true, nil
+	}
+	complete := !known || next.Offset == from.Offset
+	highest := p.desired.applyAll(records)
+	inForce := p.desired.version()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.position, p.readAt = next, sentAt
+	p.recordRenewal(p.tracker.RecordRead(freshness.Read{SentAt: sentAt, Era: next.Era, Version: highest, Complete: complete}, inForce))
+	return !complete, nil
+}
+
+// keepPosition continues at the position after a read that timed out. The document may be
+// large, so it is read only where the position may no longer be valid.
+func (p *proofs) keepPosition(ctx context.Context, from platform.Position) {
+	if ctx.Err() == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.position = from
+}
+
+// helpful returns a channel that is closed once the proof of this node helps the sender of a
+// message that waits here, or nil if that can't happen.
+func (p *proofs) helpful(ctx context.Context, received exchangeMessage) <-chan struct{} {
+	age := received.proofAge()
+	if !p.inUse() || !age.known && !received.ProofOnly {
+		return nil
+	}
+	if !age.known {
+		age.age = p.bounds.Load().Revoke
+	}
+	helps := make(chan struct{})
+	startedAt := p.clock()
+	go func() {
+		for ctx.Err() == nil {
+			p.mu.Lock()
+			now, renewed := p.clock(), p.renewed
+			ok, after := p.tracker.Helps(now, age.age+now-startedAt, received.ProofOnly)
+			p.mu.Unlock()
+			if ok {
+				close(helps)
+				return
+			}
+			var due <-chan time.Time
+			if after > 0 {
+				due = time.After(after)
+			}
+			select {
+			case <-renewed:
+			case <-due:
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return helps
+}
--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -34,6 +34,8 @@
 	// ownRecordWait replaces that of nodes that are started, so that the time in which other
 	// nodes answer on a busy machine has no effect. It is not replaced if it is 0.
 	ownRecordWait time.Duration
+	// bounds are those on keys and caps.
+	bounds nodeconfig.Bounds
 }
 
 // vm is a VM with a backend server and a node.
@@ -45,6 +47,23 @@
 	sequence int64
 	// started is true once the node has been started.
 	started bool
+	// logGate is between the node and the log of a deployment that fails closed. suspended is
+	// added to its boot clock.
+	logGate   *logGate
+	suspended atomic.Int64
+}
+
+// logGate passes requests to the log unless it is closed. It then ends their connections.
+type logGate struct {
+	http.Handler
+	closed atomic.Bool
+}
+
+func (g *logGate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.closed.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	g.Handler.ServeHTTP(w, r)
 }
 
 // firstOwnRecordWait is the wait for other nodes at the first start of a VM's node, which
@@ -56,7 +75,13 @@
 
 func newDeployment(t *testing.T, services ...string) *deployment {
 	t.Helper()
-	d := &deployment{t: t, log: keyedlog.New()}
+	return newDeploymentWithBounds(t, nodeconfig.Bounds{}, services...)
+}
+
+// newDeploymentWithBounds returns a deployment whose nodes have the bounds on keys and caps.
+func newDeploymentWithBounds(t *testing.T, bounds nodeconfig.Bounds, services ...string) *deployment {
+	t.Helper()
+	d := &deployment{t: t, log: keyedlog.New(), bounds: bounds}
 	logServer := httptest.NewServer(d.log)
 	t.Cleanup(logServer.Close)
 	d.logAddr = logServer.Listener.Addr().String()
@@ -98,15 +123,24 @@
 	must.NoError(d.t, err)
 	d.t.Cleanup(s.Close)
 	v := &vm{server: s, startMs: time.Now().UnixMilli()}
+	logAddr := d.logAddr
+	if d.bounds.FailClosed {
+		v.logGate = &logGate{Handler: d.log}
+		gate := httptest.NewServer(v.logGate)
+		d.t.Cleanup(gate.Close)
+		logAddr = gate.Listener.Addr().String()
+	}
 	free, err := loopback.FreeAddresses(ip, 5)
 	must.NoError(d.t, err)
 	v.settings = nodeconfig.Config{
 		Node: fmt.Sprintf("node-%d", n), Region: "addis", Zone: "addis-a", IP: ip, Service: service, Backend: s.Address(),
 		RegionOf: map[string]string{"addis-a": "addis", "dire-a": "dire"},
 		Listen:   nodeconfig.Listen{Caller: free[0], Peer: free[1], Ready: free[2], Announce: free[3]},
-		Log:      d.logAddr,
+		Log:      logAddr,
 		Bounds: nodeconfig.Bounds{
 			Drain: time.Second, Grace: 2 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
+			ConfigApply: d.bounds.ConfigApply, FailClosed: d.bounds.FailClosed, Revoke: d.bounds.Revoke,
+			CapWindow: d.bounds.CapWindow, CapOver: d.bounds.CapOver, CapSlack: d.bounds.CapSlack,
 		},
 	}
 	_, port, err := net.SplitHostPort(free[4])
@@ -134,6 +168,9 @@
 	}
 	v.started = true
 	e.client.Transport = &killableTransport{RoundTripper: e.client.Transport}
+	proofs := n.lifecycle.components.proofs
+	clock := proofs.clock
+	proofs.clock = func() time.Duration { return clock() + time.Duration(v.suspended.Load()) }
 	must.NoError(d.t, n.Start(context.Background()))
 	v.node = n
 	d.t.Cleanup(func() { kill(n) })
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -63,6 +63,10 @@
 		return
 	}
 	route, ok := state.Match(r.Host, requestPath(r))
+	if !ok && !i.access.mayDeny(state) {
+		i.reject(w, r, unprovenResult())
+		return
+	}
 	if !ok {
 		i.events.Record(event.CallNotRun, attrRequest(platform.RequestID(r.Header)), attrHop(metrics.Ingress),
 			attrReason(call.ReasonUnknownRoute), slog.String("host", r.Host), slog.Int64("version", state.Version()))
@@ -80,7 +84,7 @@
 		return
 	}
 	if access = i.recheckAccess(r, state, route, access); access.refusal != nil {
-		i.refuseAccess(w, r, route, access)
+		i.respond(w, req, access.refusal, receivedAt, state.Version())
 		return
 	}
 	access.apply(req)
@@ -238,7 +242,9 @@
 	if p.node == i.settings.Node {
 		return i.sidecar.run(ctx, req)
 	}
+	sentAt := i.access.proofs.clock()
 	res, peerVersion := i.balancer.send(ctx, p, req, version)
+	i.access.proofs.recordResponse(sentAt, 0, res.proofAge, peerVersion)
 	i.exchange.fetchIfNewer(p, peerVersion)
 	return res
 }
--- a/mesh/lifecycle.go
+++ b/mesh/lifecycle.go
@@ -69,6 +69,7 @@
 	desired       *desiredState
 	directory     interface{ Run(ctx context.Context) }
 	quarantine    *quarantineSync
+	proofs        *proofs
 }
 
 func newLifecycle(settings nodeconfig.Config, m *metrics.Metrics, events eventRecorder) *lifecycle {
@@ -88,6 +89,7 @@
 	l.background.Go(func() { l.components.directory.Run(ctx) })
 	l.background.Go(func() { l.components.exchange.pollPeers(ctx) })
 	l.background.Go(func() { l.components.watchers.run(ctx) })
+	l.background.Go(func() { l.components.proofs.run(ctx) })
 	l.background.Go(func() { l.components.announcements.restoreServerState(ctx) })
 	l.background.Go(func() { l.runPeriodicWork(ctx) })
 	l.events.Record(event.NodeStarted, attrService(l.settings.Service))
@@ -154,6 +156,7 @@
 // reload applies the bounds of changed settings.
 func (l *lifecycle) reload(settings nodeconfig.Config) {
 	l.bounds.Store(&settings.Bounds)
+	l.components.proofs.reload(settings.Bounds)
 	l.events.Record(event.NodeReloaded, attrMs("graceMs", settings.Bounds.Grace))
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -27,14 +27,16 @@
 // # Files
 //
 // The path of a request is ingress.go (accepts requests and decides on attempts),
-// customer_admission.go (refuses customer requests under pressure), node_selector.go and
+// workspaces.go (admits requests by their key), customer_admission.go (refuses customer
+// requests under pressure), node_selector.go and
 // balancer.go (choose the next node), retry_budget.go (decides whether a failed request
 // is sent again), and sidecar.go (runs requests at the backend server, over the
 // connections of instance_pool.go). crash.go detects that the server has crashed under a
 // request, and quarantine.go shares with other nodes which requests do that. repeats.go
 // estimates which calls belong to repeated runs. announcements.go tracks the backend
 // server, desired_state.go the operator's desired state, and exchange.go and watchers.go
-// other nodes. servers.go serves callers and other nodes, connections.go decides when
+// other nodes. freshness.go proves that the desired state is the newest, by the clock in
+// boot_clock.go. servers.go serves callers and other nodes, connections.go decides when
 // their connections are closed, and connection_ends.go records those that end without an
 // answer. lifecycle.go starts and stops everything, and stop_schedule.go
 // decides which requests a stopping node accepts, by the response times in longest_times.go.
@@ -135,12 +137,13 @@
 			func() *upstream.Tracker { return upstream.New(settings.Service, settings.Backend) },
 			func(dir *fleet.Directory) *retryBudget { return newRetryBudget(settings.Bounds, dir.Table().Len) },
 			metrics.New, newListeners, newDesiredState, newBalancer, newSidecar, newDirectory, newExchange, newWatcherSelection, newLifecycle,
-			newAnnouncementHandler, newCustomerAdmission, newAccessControl, quarantine.New, newQuarantineSync, newIngress, newPeerHandler, newServers,
+			newAnnouncementHandler, newCustomerAdmission, newAccessControl, newProofs, quarantine.New, newQuarantineSync, newIngress, newPeerHandler, newServers,
 		),
-		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle, s *servers, b *balancer, e *exchange, w *watcherSelection, a *announcementHandler, sc *sidecar, d *desiredState, dir *fleet.Directory, q *quarantineSync) {
-			l.components = components{servers: s, balancer: b, exchange: e, watchers: w, announcements: a, sidecar: sc, desired: d, directory: dir, quarantine: q}
+		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle, s *servers, b *balancer, e *exchange, w *watcherSelection, a *announcementHandler, sc *sidecar, d *desiredState, dir *fleet.Directory, q *quarantineSync, p *proofs) {
+			l.components = components{servers: s, balancer: b, exchange: e, watchers: w, announcements: a, sidecar: sc, desired: d, directory: dir, quarantine: q, proofs: p}
 			sc.crashes.onSuspects, sc.crashes.onReleased = q.serverCrashed, q.requestReleased
 			s.caller.Handler = l.trackActive(s.caller.Handler)
+			p.watchers = w
 			dir.SetReadsLog(w.readsLog)
 			d.readsLog, d.maxWait = w.readsDesiredState, w.maxWaitForDesiredState
 			dir.OnPublishError(func() { e.sendOwnRecord(context.Background()) })
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -97,6 +97,8 @@
 	node string
 	// report is the load that the node beside the backend server reported.
 	report loadReport
+	// proofAge is the age of the proof at that node.
+	proofAge proofAge
 }
 
 func notRunResult(reason call.Reason, detail string) *result {
--- a/mesh/servers.go
+++ b/mesh/servers.go
@@ -171,14 +171,15 @@
 	sidecar  *sidecar
 	exchange *exchange
 	desired  *desiredState
+	proofs   *proofs
 	events   eventRecorder
 	router   *mux.Router
 	// active counts the forwarded requests in progress.
 	active *atomic.Int64
 }
 
-func newPeerHandler(s *sidecar, e *exchange, d *desiredState, events *timeline.Recorder, l *lifecycle) *peerHandler {
-	p := &peerHandler{sidecar: s, exchange: e, desired: d, events: events, router: mux.NewRouter(), active: &l.active}
+func newPeerHandler(s *sidecar, e *exchange, d *desiredState, proofs *proofs, events *timeline.Recorder, l *lifecycle) *peerHandler {
+	p := &peerHandler{sidecar: s, exchange: e, desired: d, proofs: proofs, events: events, router: mux.NewRouter(), active: &l.active}
 	p.router.Handle(exchangePath, e).Methods(http.MethodPost)
 	return p
 }
@@ -216,6 +217,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	req.announceUnreadBody(w)
+	// The age is determined before the version: it holds for all later versions.
+	res.proofAge = p.proofs.statedAge()
 	if err = writeResult(w, req.id, res, p.desired.version()); err != nil && !errors.Is(r.Context().Err(), context.Canceled) {
 		p.events.Record(event.AnswerCut, attrRequest(req.id), attrHop(metrics.Sidecar), attrDetail(err.Error()))
 	}
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -44,6 +44,10 @@
 	// fieldWorkspace is the optional field with the name of the caller's workspace.
 	fieldWorkspace = "w"
 
+	// fieldProofAge is the optional field of a response with the age in milliseconds of the
+	// proof that the version is the newest.
+	fieldProofAge = "a"
+
 	kindAtMostOnce, kindIdempotent = "o", "i"
 	// emptyReason stands for an empty reason. An empty last field would leave a
 	// trailing space, which HTTP strips from header values.
@@ -174,9 +178,13 @@
 	if reason == "" {
 		reason = emptyReason
 	}
-	h.Set(headerHop, fmt.Sprintf("%x %s %d %d %d %d %d %d %d %d %s", requestIDHash(id), res.outcome, version,
+	value := fmt.Sprintf("%x %s %d %d %d %d %d %d %d %d %s", requestIDHash(id), res.outcome, version,
 		res.report.Running, res.report.Waiting, res.report.Limit, res.report.MeanRun.Milliseconds(),
-		int(res.report.level*levelScale), res.report.origin, boolToInt(res.report.leaf), reason))
+		int(res.report.level*levelScale), res.report.origin, boolToInt(res.report.leaf), reason)
+	if age := res.proofAge.milliseconds(); age != nil {
+		value += fmt.Sprintf(" %s=%d", fieldProofAge, *age)
+	}
+	h.Set(headerHop, value)
 	status := res.status
 	if status == 0 {
 		status = call.HTTPStatus(res.outcome, res.reason)
@@ -274,6 +282,13 @@
 			MeanRun: time.Duration(numbers[4]) * time.Millisecond,
 		},
 	}
+	if text, ok := optionalField(fields[responseFieldCount:], fieldProofAge); ok {
+		age, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return nil, 0, err
+		}
+		res.proofAge = proofAgeOf(&age)
+	}
 	return res, numbers[0], nil
 }
 
--- a/mesh/workspaces.go
+++ b/mesh/workspaces.go
@@ -10,9 +10,9 @@
 )
 
 // accessControl decides for which workspace a request of a caller runs, if for any.
-type accessControl struct{}
+type accessControl struct{ proofs *proofs }
 
-func newAccessControl() *accessControl { return &accessControl{} }
+func newAccessControl(p *proofs) *accessControl { return &accessControl{proofs: p} }
 
 // access is the decision on the key of a request.
 type access struct {
@@ -23,16 +23,33 @@
 }
 
 // check decides on a request of the route by its key. A request of an anonymous route runs
-// without a workspace if its key is unknown.
+// without a workspace if its key is unknown or may have been withdrawn.
 func (c *accessControl) check(state *desired.State, route *desired.Route, h http.Header) (a access) {
 	if !state.HasWorkspaces() {
 		return access{}
 	}
 	workspace, known := state.WorkspaceOf(platform.APIKey(h))
-	if !known && !route.Anonymous() {
+	switch {
+	case known && c.proofs.serves():
+		return access{workspace: workspace}
+	case route.Anonymous():
+		return access{}
+	case known || !c.mayDeny(state):
+		return access{refusal: unprovenResult()}
+	default:
 		return access{refusal: notRunResult(call.ReasonUnauthorized, "the request has no key of a workspace")}
 	}
-	return access{workspace: workspace}
+}
+
+// mayDeny reports whether what the state does not allow is denied for good. Otherwise, a
+// newer version that this node does not know yet may allow it.
+func (c *accessControl) mayDeny(state *desired.State) bool {
+	return !state.HasWorkspaces() || c.proofs.knowsVersions()
+}
+
+// unprovenResult returns the result of a request on which this node can't decide.
+func unprovenResult() *result {
+	return notRunResult(call.ReasonUnproven, "the desired state in force may not be the newest")
 }
 
 // apply sets the workspace of a request, and its priority if it has one.
@@ -47,19 +64,26 @@
 }
 
 // recheckAccess decides again once the whole request has been read: its key may have been
-// withdrawn meanwhile. before is the decision by the earlier state.
+// withdrawn meanwhile. before is the decision by the earlier state. The decision is by the
+// state in force after it, because a proof holds for the version in force.
 func (i *ingress) recheckAccess(r *http.Request, earlier *desired.State, route *desired.Route, before access) access {
-	state := i.desired.current()
-	if state == earlier && r.ContentLength == 0 {
-		return before
-	}
-	if current, ok := state.Match(r.Host, requestPath(r)); ok {
-		route = current
+	for checked := r.ContentLength == 0; ; checked = true {
+		state := i.desired.current()
+		if state == earlier && checked {
+			return before
+		}
+		if current, ok := state.Match(r.Host, requestPath(r)); ok {
+			route = current
+		}
+		before, earlier = i.access.check(state, route, r.Header), state
+		if before.refusal != nil {
+			return before
+		}
 	}
-	return i.access.check(state, route, r.Header)
 }
 
-// refuseAccess writes the response to a request that must not run.
+// refuseAccess writes the response to a request that must not run and whose body has not been
+// read.
 func (i *ingress) refuseAccess(w http.ResponseWriter, r *http.Request, route *desired.Route, a access) {
 	i.metrics.CallEnded(metrics.Call{
 		Hop: metrics.Ingress, Service: route.Targets()[0].Service, Importance: importanceOf(route.Priority()), Outcome: call.NotRun, Reason: a.refusal.reason,
--- a/mesh/workspaces_test.go
+++ b/mesh/workspaces_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"testing"
@@ -130,3 +131,34 @@
 	admission.usePriority(now.Add(priorityMemory), 1)
 	must.Eq(t, []int{1}, admission.priorities)
 }
+
+// Guards against a request that runs for a key that was withdrawn while its body arrived, and
+// against one that is refused because its key is no longer at hand once the body has been read.
+func TestKeyIsCheckedAgainAfterTheBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		next   operator.Workspace
+		status int
+	}{
+		"kept":      {north, 200},
+		"withdrawn": {south, 401},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, "orders")
+			d.publishWorkspaces(north)
+			d.awaitConvergence()
+			body, rest := io.Pipe()
+			request, err := operator.Request(d.vms[0].settings.Listen.Caller, http.MethodPost, "/once/", name, 2*time.Second)
+			must.NoError(t, err)
+			operator.AddKey(request, "k1")
+			request.Body = body
+			go func() {
+				_, _ = io.WriteString(rest, "first")
+				d.publishWorkspaces(c.next)
+				d.awaitConvergence()
+				rest.Close()
+			}()
+			must.Eq(t, c.status, roundTrip(request).status)
+			must.Eq(t, c.status == 200, d.runs(name) == 1)
+		})
+	}
+}
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -115,6 +115,10 @@
 		Name: "lacewingslip.desired.version", Exported: "lacewingslip_desired_version", Kind: Gauge, Unit: "{version}",
 		Meaning: "Version of the desired state in force at this node.",
 	}
+	proofAge = Instrument{
+		Name: "lacewingslip.proof.age", Exported: "lacewingslip_proof_age_seconds", Kind: Gauge, Unit: "s",
+		Meaning: "Age of the proof that the desired state in force is the newest. Requests with a key are refused from nine tenths of the revocation time on.",
+	}
 	blockedRequests = Instrument{
 		Name: "lacewingslip.blocked.requests", Exported: "lacewingslip_blocked_requests", Kind: Gauge, Unit: "{request}",
 		Meaning: "Number of different calls that this node refuses because they crash backend servers.",
@@ -125,6 +129,6 @@
 func Catalogue() []Instrument {
 	return []Instrument{
 		calls, callDuration, retries, queueLength, running, limit,
-		bookings, crossRegionBytes, members, settingsOffset, pressure, desiredVersion, blockedRequests,
+		bookings, crossRegionBytes, members, settingsOffset, pressure, desiredVersion, proofAge, blockedRequests,
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -74,6 +74,7 @@
 	settingsOffset   metric.Int64Gauge
 	pressure         metric.Float64Gauge
 	desiredVersion   metric.Int64Gauge
+	proofAge         metric.Float64Gauge
 	blockedRequests  metric.Int64Gauge
 
 	// Label sets are cached per combination of values, because creating one sorts and
@@ -184,6 +185,11 @@
 	m.desiredVersion.Record(context.Background(), version)
 }
 
+// SetProofAge records the age of the proof that the desired state is the newest.
+func (m *Metrics) SetProofAge(age time.Duration) {
+	m.proofAge.Record(context.Background(), age.Seconds())
+}
+
 func (m *Metrics) createInstruments() error {
 	c := instrumentCreator{meter: m.provider.Meter(meterName)}
 	m.calls = c.counter(calls)
@@ -198,6 +204,7 @@
 	m.settingsOffset = c.gauge(settingsOffset)
 	m.pressure = c.floatGauge(pressure)
 	m.desiredVersion = c.gauge(desiredVersion)
+	m.proofAge = c.floatGauge(proofAge)
 	m.blockedRequests = c.gauge(blockedRequests)
 	return c.err
 }
