Let the first of three readers ask the log

Each of the three readers read the log whenever its own proof was old enough, 3.75 times a second together. Now they wait for each other's proofs too, and each reads 0.05 of the revocation time later than the one before it, so that the second takes over if the first one fails.

--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -29,8 +29,10 @@
 	// serveShare is the age of a proof up to which requests with a key are served. The rest
 	// covers the difference between the rates of two clocks.
 	serveShare = 0.9
-	// readerShare is the age at which a reader of the log asks it for the next proof.
-	readerShare = 0.15
+	// readerShare is the age at which the first reader of the log asks it for the next proof.
+	// Each further reader asks rankShare later, so that it takes over if those before it fail.
+	readerShare = 0.2
+	rankShare   = 0.05
 	// pollShare and followShare are the ages from which a request that waits at another node
 	// ends with a younger proof: for nodes that relay proofs, and for all others.
 	pollShare   = 0.15
@@ -46,7 +48,7 @@
 
 const (
 	// readerRetry is the mean pause between two reads of a reader that fail.
-	readerRetry = 150 * time.Millisecond
+	readerRetry = 200 * time.Millisecond
 	// askInterval is the mean pause between two requests to other nodes.
 	askInterval = 300 * time.Millisecond
 	// logInterval is the mean pause between two reads of a node that is no reader. If other
@@ -184,8 +186,10 @@
 
 // Situation is what [Tracker.Due] depends on besides the proof.
 type Situation struct {
-	// Reader is true for the few nodes that read the log for all others.
+	// Reader is true for the few nodes that read the log for all others. Rank is the place of
+	// this one among them, from 0.
 	Reader bool
+	Rank   int
 	// LastAsk and LastRead are when the node last sent a request to another node and to the
 	// log for the sake of a proof, or when it started.
 	LastAsk, LastRead time.Duration
@@ -199,11 +203,11 @@
 
 // Due decides whether the node asks another node and whether it reads the log now.
 //
-// In calm conditions only readers read, one after the other, because the proof of one reaches
-// the others with forwarded requests or not at all: with three readers and a revocation time
-// of 5 s, 1.3 to 4 reads a second in deployments of any size. If the log is unavailable, they
-// repeat the read, and from 0.6 of the revocation time on all other nodes read too: N nodes
-// 100 times a second together, or each once a second if there are fewer than 100.
+// In calm conditions only the first reader reads, because its proof reaches all others: with
+// a revocation time of 5 s, once a second in deployments of any size. If the log is
+// unavailable, the readers repeat the read, and from 0.6 of the revocation time on all other
+// nodes read too: N nodes 100 times a second together, or each once a second if there are
+// fewer than 100.
 func (t *Tracker) Due(now time.Duration, s Situation) (ask, read bool) {
 	age, ok := t.Age(now)
 	if !ok {
@@ -213,7 +217,7 @@
 	pause := 0.5 + s.Jitter
 	ask = s.Peers > 0 && age >= t.share(askShare+spread) && now-s.LastAsk >= scale(askInterval, pause)
 	if s.Reader {
-		return ask, age >= t.share(readerShare) && now-s.LastRead >= scale(readerRetry, pause)
+		return ask, age >= t.share(readerShare+float64(s.Rank)*rankShare) && now-s.LastRead >= scale(readerRetry, pause)
 	}
 	interval := logInterval
 	if s.Peers > 0 && s.PeersAnswer {
--- a/mesh/freshness.go
+++ b/mesh/freshness.go
@@ -260,12 +260,12 @@
 // renew starts the requests for a proof that are due.
 func (p *proofs) renew(ctx context.Context) {
 	others := p.balancer.reachablePeers("")
-	readers, isReader := p.readers()
-	relays := !isReader && p.watchers.readsLog()
+	readers, rank, isReader := p.readers()
+	relays := isReader || p.watchers.readsLog()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock()
-	p.situation.Reader, p.situation.Peers = isReader, len(others)
+	p.situation.Reader, p.situation.Rank, p.situation.Peers = isReader, rank, len(others)
 	ask, read := p.tracker.Due(now, p.situation)
 	if ask && p.asking < maxProofAsks {
 		p.asking++
@@ -303,16 +303,17 @@
 	p.events.Record(id, attrMs("ageMs", age), slog.Bool("proven", ok), slog.Int64("version", p.desired.version()))
 }
 
-// readers returns the other nodes that read the log for proofs, and whether this node does.
-func (p *proofs) readers() (others []*peer, self bool) {
-	for _, candidate := range p.balancer.firstReachable(proofReaders) {
+// readers returns the other nodes that read the log for proofs, and the rank of this node
+// among them if it is one of them.
+func (p *proofs) readers() (others []*peer, rank int, self bool) {
+	for n, candidate := range p.balancer.firstReachable(proofReaders) {
 		if candidate.node == p.settings.Node {
-			self = true
+			rank, self = n, true
 			continue
 		}
 		others = append(others, candidate)
 	}
-	return others, self
+	return others, rank, self
 }
 
 // ask requests the proof of another node.
