Keep and pass on digests of keys

The desired state goes from node to node as the operator wrote it, with the keys of all workspaces. Keys must not appear in messages.

--- a/desired/desired.go
+++ b/desired/desired.go
@@ -129,7 +129,7 @@
 	priorities []int
 	workspaces []*Workspace
 	// byKey has the workspace of each key.
-	byKey map[string]*Workspace
+	byKey map[KeyDigest]*Workspace
 }
 
 // StateOption configures a new desired state.
--- a/desired/workspace.go
+++ b/desired/workspace.go
@@ -1,9 +1,20 @@
 package desired
 
+import "crypto/sha256"
+
+// KeyDigest is a digest of a key. Nodes keep and exchange digests in place of keys.
+type KeyDigest [16]byte
+
+// DigestOf returns the digest of a key: the first half of its SHA-256 sum.
+func DigestOf(key string) KeyDigest {
+	sum := sha256.Sum256([]byte(key))
+	return KeyDigest(sum[:len(KeyDigest{})])
+}
+
 // Workspace is a customer's account: the keys of its callers, and how much they may ask for.
 type Workspace struct {
 	name        string
-	keys        []string
+	keys        []KeyDigest
 	priority    int
 	hasPriority bool
 	rate, burst float64
@@ -12,8 +23,21 @@
 // WorkspaceOption configures a new workspace.
 type WorkspaceOption func(*Workspace)
 
-// WithKeys sets the keys that callers of the workspace send.
-func WithKeys(keys ...string) WorkspaceOption { return func(w *Workspace) { w.keys = keys } }
+// WithKeys adds keys that callers of the workspace send. Empty ones are ignored.
+func WithKeys(keys ...string) WorkspaceOption {
+	return func(w *Workspace) {
+		for _, key := range keys {
+			if key != "" {
+				w.keys = append(w.keys, DigestOf(key))
+			}
+		}
+	}
+}
+
+// WithKeyDigests adds the keys with the digests.
+func WithKeyDigests(digests ...KeyDigest) WorkspaceOption {
+	return func(w *Workspace) { w.keys = append(w.keys, digests...) }
+}
 
 // WithWorkspacePriority sets the priority that takes precedence over the priority of the
 // route. 0 is the highest.
@@ -55,10 +79,10 @@
 func WithWorkspaces(workspaces ...*Workspace) StateOption {
 	return func(s *State) {
 		s.workspaces = workspaces
-		s.byKey = make(map[string]*Workspace, len(workspaces))
+		s.byKey = make(map[KeyDigest]*Workspace, len(workspaces))
 		for _, w := range workspaces {
 			for _, key := range w.keys {
-				if _, taken := s.byKey[key]; !taken && key != "" {
+				if _, taken := s.byKey[key]; !taken {
 					s.byKey[key] = w
 				}
 			}
@@ -74,6 +98,9 @@
 
 // WorkspaceOf returns the workspace that has the key.
 func (s *State) WorkspaceOf(key string) (w *Workspace, ok bool) {
-	w, ok = s.byKey[key]
+	if len(s.byKey) == 0 || key == "" {
+		return nil, false
+	}
+	w, ok = s.byKey[DigestOf(key)]
 	return w, ok
 }
--- a/mesh/desired_state.go
+++ b/mesh/desired_state.go
@@ -29,9 +29,9 @@
 	mu sync.Mutex
 	// changed is closed and replaced when a newer version has come into force.
 	changed chan struct{}
-	// document is the state as the operator wrote it. It is sent to nodes that
+	// document returns the state in force with digests of the keys. It is sent to nodes that
 	// can't read the log.
-	document []byte
+	document func() []byte
 	follower *follow.Follower
 }
 
@@ -57,11 +57,30 @@
 	return 0
 }
 
-// currentDocument returns the state in force as the operator wrote it.
+// currentDocument returns the state in force with digests in place of keys, or nil if there is
+// none.
 func (d *desiredState) currentDocument() (document []byte) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.document
+	current := d.document
+	d.mu.Unlock()
+	if current == nil {
+		return nil
+	}
+	return current()
+}
+
+// withKeyDigests returns a function that returns a document for other nodes.
+func (d *desiredState) withKeyDigests(state *desired.State, document []byte) func() []byte {
+	if !state.HasWorkspaces() {
+		return func() []byte { return document }
+	}
+	return sync.OnceValue(func() []byte {
+		digested, err := platform.WithKeyDigests(document)
+		if err != nil {
+			d.events.Record(event.SettingsRejected, slog.Int64("version", state.Version()), slog.String("error", err.Error()))
+		}
+		return digested
+	})
 }
 
 // since returns whether the version in force is newer than the given one, and a channel
@@ -87,7 +106,7 @@
 	if current != nil && state.Version() <= current.Version() {
 		return state.Version()
 	}
-	d.document = document
+	d.document = d.withKeyDigests(state, document)
 	d.state.Store(state)
 	close(d.changed)
 	d.changed = make(chan struct{})
--- a/mesh/freshness_test.go
+++ b/mesh/freshness_test.go
@@ -1,6 +1,9 @@
 package mesh
 
 import (
+	"io"
+	"net"
+	"net/http"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -10,6 +13,7 @@
 
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
+	"github.com/lacewingslip/lacewingslip/timeline"
 )
 
 var failClosed = nodeconfig.Bounds{FailClosed: true, Revoke: 5 * time.Second, ConfigApply: 3 * time.Second}
@@ -63,7 +67,7 @@
 // only if it was answered.
 func (d *deployment) mustAnswer(v *vm, status int, path, key string) {
 	d.t.Helper()
-	id := path + key + strconv.FormatInt(requestNumber.Add(1), 10)
+	id := "r-" + strconv.FormatInt(requestNumber.Add(1), 10)
 	result := d.callWithKey(v, path, id, key)
 	must.NoError(d.t, result.err)
 	must.Eq(d.t, status, result.status)
@@ -210,3 +214,28 @@
 
 // requestNumber numbers the requests of the tests.
 var requestNumber atomic.Int64
+
+// Guards against keys in what a node sends to others, records or exports.
+func TestNodesPassOnNoKeys(t *testing.T) {
+	d := newKeyedDeployment(t, "orders", "orders", "orders")
+	d.publishWorkspaces(operator.Workspace{Name: "west", Keys: []string{"secret-key"}})
+	d.awaitConvergence()
+	d.awaitServing(d.vms...)
+	for _, v := range d.vms {
+		d.mustAnswer(v, 200, "/once/", "secret-key")
+		d.mustAnswer(v, 401, "/once/", "secret-other")
+		document := v.node.lifecycle.components.desired.currentDocument()
+		must.StrContains(t, string(document), "west")
+		operatorAddress := net.JoinHostPort(v.settings.IP, strconv.Itoa(v.settings.FirstPort))
+		for _, path := range []string{metricsPath, timeline.EventsPath} {
+			response, err := http.Get("http://" + operatorAddress + path)
+			must.NoError(t, err)
+			body, err := io.ReadAll(response.Body)
+			response.Body.Close()
+			must.NoError(t, err)
+			must.Eq(t, 200, response.StatusCode)
+			document = append(document, body...)
+		}
+		must.StrNotContains(t, string(document), "secret")
+	}
+}
