End requests in progress when a test cuts a node off

The tests of proofs cut a node off from the log and from other nodes for new requests only. A waiting read or exchange in progress could still bring a version or a proof afterwards, depending on which nodes were watchers.

--- a/mesh/freshness_test.go
+++ b/mesh/freshness_test.go
@@ -56,11 +56,10 @@
 	}
 }
 
-// setCutOff cuts a node off from the log and from other nodes, or connects it again. Requests
-// in progress go on.
+// setCutOff cuts a node off from the log and from other nodes, or connects it again.
 func (v *vm) setCutOff(cutOff bool) {
-	v.logGate.closed.Store(cutOff)
-	v.node.lifecycle.components.exchange.client.Transport.(*killableTransport).killed.Store(cutOff)
+	v.logGate.set(cutOff)
+	v.node.lifecycle.components.exchange.client.Transport.(*killableTransport).set(cutOff)
 }
 
 // mustAnswer sends a request with the key to a node and checks the status, and that it ran
@@ -104,7 +103,7 @@
 func TestSilentLogEndsProofs(t *testing.T) {
 	d := newKeyedDeployment(t, "orders", "orders", "orders", "orders")
 	for _, v := range d.vms {
-		v.logGate.closed.Store(true)
+		v.logGate.set(true)
 	}
 	suspend(failClosed.Revoke, d.vms...)
 	// The nodes ask each other meanwhile.
@@ -115,7 +114,7 @@
 		d.mustAnswer(v, 503, "/once/", "k1")
 	}
 	for _, v := range d.vms {
-		v.logGate.closed.Store(false)
+		v.logGate.set(false)
 	}
 	d.awaitServing(d.vms...)
 }
@@ -127,7 +126,7 @@
 	d.awaitWatchers()
 	for _, connected := range d.vms {
 		for _, v := range d.vms {
-			v.logGate.closed.Store(v != connected)
+			v.logGate.set(v != connected)
 		}
 		suspend(failClosed.Revoke, d.vms...)
 		d.awaitServing(d.vms...)
@@ -142,10 +141,10 @@
 			d := newKeyedDeployment(t, "orders", "orders", "catalogue")
 			v, others := d.vms[0], d.vms[1:]
 			kill(v.node)
-			v.logGate.closed.Store(true)
+			v.logGate.set(true)
 			if !othersProven {
 				for _, other := range others {
-					other.logGate.closed.Store(true)
+					other.logGate.set(true)
 				}
 				suspend(failClosed.Revoke, others...)
 			}
--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -53,17 +55,61 @@
 	suspended atomic.Int64
 }
 
-// logGate passes requests to the log unless it is closed. It then ends their connections.
+// cutSwitch ends the requests of one kind, those in progress too, while it is cut.
+type cutSwitch struct {
+	mu     sync.Mutex
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newCutSwitch() *cutSwitch {
+	s := &cutSwitch{}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
+}
+
+func (s *cutSwitch) set(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancel()
+	if !cut {
+		s.ctx, s.cancel = context.WithCancel(context.Background())
+	}
+}
+
+// context returns a context for a request that ends with the parent or when the switch is
+// cut.
+func (s *cutSwitch) context(parent context.Context) context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ctx, cancel := context.WithCancel(parent)
+	// AfterFunc calls the function later, also if the switch is cut already.
+	if s.ctx.Err() != nil {
+		cancel()
+	}
+	context.AfterFunc(s.ctx, cancel)
+	return ctx
+}
+
+// logGate passes requests to the log unless it is cut. It then ends their connections.
 type logGate struct {
 	http.Handler
-	closed atomic.Bool
+	*cutSwitch
 }
 
 func (g *logGate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.closed.Load() {
+	ctx := g.context(r.Context())
+	response := httptest.NewRecorder()
+	if ctx.Err() == nil {
+		g.Handler.ServeHTTP(response, r.WithContext(ctx))
+	}
+	if ctx.Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
-	g.Handler.ServeHTTP(w, r)
+	maps.Copy(w.Header(), response.Header())
+	w.WriteHeader(response.Code)
+	// An error means that the node has disconnected.
+	_, _ = w.Write(response.Body.Bytes())
 }
 
 // firstOwnRecordWait is the wait for other nodes at the first start of a VM's node, which
@@ -125,7 +171,7 @@
 	v := &vm{server: s, startMs: time.Now().UnixMilli()}
 	logAddr := d.logAddr
 	if d.bounds.FailClosed {
-		v.logGate = &logGate{Handler: d.log}
+		v.logGate = &logGate{Handler: d.log, cutSwitch: newCutSwitch()}
 		gate := httptest.NewServer(v.logGate)
 		d.t.Cleanup(gate.Close)
 		logAddr = gate.Listener.Addr().String()
@@ -167,7 +213,7 @@
 		e.ownRecordWait = d.ownRecordWait
 	}
 	v.started = true
-	e.client.Transport = &killableTransport{RoundTripper: e.client.Transport}
+	e.client.Transport = &killableTransport{RoundTripper: e.client.Transport, cutSwitch: newCutSwitch()}
 	proofs := n.lifecycle.components.proofs
 	clock := proofs.clock
 	proofs.clock = func() time.Duration { return clock() + time.Duration(v.suspended.Load()) }
@@ -176,17 +222,19 @@
 	d.t.Cleanup(func() { kill(n) })
 }
 
-// killableTransport sends nothing once its node has been killed.
+// killableTransport sends nothing once its node has been killed, and while it is cut off.
 type killableTransport struct {
 	http.RoundTripper
+	*cutSwitch
 	killed atomic.Bool
 }
 
 func (k *killableTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	if k.killed.Load() {
+	ctx := k.context(r.Context())
+	if k.killed.Load() || ctx.Err() != nil {
 		return nil, net.ErrClosed
 	}
-	return k.RoundTripper.RoundTrip(r)
+	return k.RoundTripper.RoundTrip(r.WithContext(ctx))
 }
 
 // kill ends a node without a planned stop.
