Determine every half second which nodes read the log for proofs

A node with FailClosed went through all nodes three times in each tick of 100 ms. It now does so every 500 ms.

TestForwardedRequestRenewsProof covers the age in responses to forwarded requests.

--- a/mesh/freshness.go
+++ b/mesh/freshness.go
@@ -32,6 +32,8 @@
 	maxProofAsks = 4
 	// proofPollPause is the pause after a waiting request that brought no proof.
 	proofPollPause = 300 * time.Millisecond
+	// rolesInterval is how often a node determines which nodes read the log for proofs.
+	rolesInterval = 500 * time.Millisecond
 	// maxProofAge bounds the ages that other nodes state.
 	maxProofAge = 24 * time.Hour
 )
@@ -70,6 +72,22 @@
 	readerIndex int
 	// serving is whether requests with a key are served, as last recorded.
 	serving bool
+
+	// roles are used by run only.
+	roles proofRoles
+}
+
+// proofRoles are the nodes from which a node gets proofs.
+type proofRoles struct {
+	determinedAt time.Time
+	// others are the other nodes that can be reached, and readers those of them that read the
+	// log for proofs.
+	others, readers []*peer
+	// isReader is true if this node is a reader, of the rank.
+	isReader bool
+	rank     int
+	// relays is true if other nodes wait for the proofs of this node.
+	relays bool
 }
 
 func newProofs(settings nodeconfig.Config, logClient *platform.LogClient, m *metrics.Metrics, events eventRecorder) (p *proofs, err error) {
@@ -259,31 +277,45 @@
 
 // renew starts the requests for a proof that are due.
 func (p *proofs) renew(ctx context.Context) {
-	others := p.balancer.reachablePeers("")
-	readers, rank, isReader := p.readers()
-	relays := isReader || p.watchers.readsLog()
+	if time.Since(p.roles.determinedAt) >= rolesInterval {
+		p.roles = p.determineRoles()
+	}
+	roles := p.roles
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock()
-	p.situation.Reader, p.situation.Rank, p.situation.Peers = isReader, rank, len(others)
+	p.situation.Reader, p.situation.Rank, p.situation.Peers = roles.isReader, roles.rank, len(roles.others)
 	ask, read := p.tracker.Due(now, p.situation)
 	if ask && p.asking < maxProofAsks {
 		p.asking++
 		p.situation.LastAsk, p.situation.Jitter = now, rand.Float64()
-		go p.ask(ctx, others[rand.IntN(len(others))])
+		go p.ask(ctx, roles.others[rand.IntN(len(roles.others))])
 	}
 	if read && !p.reading {
 		p.reading = true
 		p.situation.LastRead, p.situation.Jitter = now, rand.Float64()
 		go p.readLog(ctx)
 	}
-	if relays && len(readers) > 0 && !p.polling {
+	if roles.relays && len(roles.readers) > 0 && !p.polling {
 		p.polling = true
-		go p.poll(ctx, readers[p.readerIndex%len(readers)])
+		go p.poll(ctx, roles.readers[p.readerIndex%len(roles.readers)])
 	}
 	p.recordServing(now)
 }
 
+func (p *proofs) determineRoles() (r proofRoles) {
+	r.determinedAt, r.others = time.Now(), p.balancer.reachablePeers("")
+	for n, candidate := range p.balancer.firstReachable(proofReaders) {
+		if candidate.node == p.settings.Node {
+			r.isReader, r.rank = true, n
+			continue
+		}
+		r.readers = append(r.readers, candidate)
+	}
+	r.relays = r.isReader || p.watchers.readsLog()
+	return r
+}
+
 // recordServing records when requests with a key begin or cease to be refused. The mutex must
 // be held.
 func (p *proofs) recordServing(now time.Duration) {
@@ -303,19 +335,6 @@
 	p.events.Record(id, attrMs("ageMs", age), slog.Bool("proven", ok), slog.Int64("version", p.desired.version()))
 }
 
-// readers returns the other nodes that read the log for proofs, and the rank of this node
-// among them if it is one of them.
-func (p *proofs) readers() (others []*peer, rank int, self bool) {
-	for n, candidate := range p.balancer.firstReachable(proofReaders) {
-		if candidate.node == p.settings.Node {
-			rank, self = n, true
-			continue
-		}
-		others = append(others, candidate)
-	}
-	return others, rank, self
-}
-
 // ask requests the proof of another node.
 func (p *proofs) ask(ctx context.Context, from *peer) {
 	err := p.exchange.exchangeWith(ctx, from, false)
--- a/mesh/freshness_test.go
+++ b/mesh/freshness_test.go
@@ -133,6 +133,18 @@
 	}
 }
 
+// Guards against forwarded requests whose responses do not renew the proof, so that a node
+// refuses keys although it reaches others.
+func TestForwardedRequestRenewsProof(t *testing.T) {
+	d := newKeyedDeployment(t, "catalogue", "orders")
+	v := d.vms[0]
+	v.setCutOff(true)
+	suspend(failClosed.Revoke, v)
+	d.mustAnswer(v, 503, "/once/", "k1")
+	d.mustAnswer(v, 200, "/open/", "k1")
+	d.mustAnswer(v, 200, "/once/", "k1")
+}
+
 // Guards against a started node that serves requests with a key without a proof, and against
 // one that does not take that of another node because the log is silent.
 func TestNodeRestartsBesideSilentLog(t *testing.T) {
