--- a/mesh/desired_state.go
+++ b/mesh/desired_state.go
@@ -17,6 +17,7 @@
 // from the log or from another node. It never reverts to an older version.
 type desiredState struct {
 	events eventRecorder
+	proofs *proofs
 	state  atomic.Pointer[desired.State]
 	// loaded is closed when the first desired state has been received.
 	loaded chan struct{}
@@ -28,18 +29,19 @@
 	mu sync.Mutex
 	// changed is closed and replaced when a newer version has come into force.
 	changed chan struct{}
-	// document is the state as the operator wrote it. It is sent to nodes that
+	// document returns the state in force with digests of the keys. It is sent to nodes that
 	// can't read the log.
-	document []byte
+	document func() []byte
 	follower *follow.Follower
 }
 
-func newDesiredState(logClient *platform.LogClient, era *follow.EraTracker, events eventRecorder) *desiredState {
+func newDesiredState(p *proofs, era *follow.EraTracker, events eventRecorder) *desiredState {
 	d := &desiredState{
-		events: events, loaded: make(chan struct{}), changed: make(chan struct{}), readsLog: func() bool { return true },
+		events: events, proofs: p, loaded: make(chan struct{}), changed: make(chan struct{}), readsLog: func() bool { return true },
 		maxWait: func() time.Duration { return minDesiredStateWait },
 	}
-	d.follower = follow.New(logClient, platform.DesiredStateTopic, events, d.applyRecords, follow.WithEra(era),
+	p.desired = d
+	d.follower = follow.New(p, platform.DesiredStateTopic, events, d.applyRecords, follow.WithEra(era),
 		follow.WithMaxWait(func() time.Duration { return d.maxWait() }), follow.WithEnabled(func() bool { return d.readsLog() }))
 	return d
 }
@@ -55,11 +57,30 @@
 	return 0
 }
 
-// currentDocument returns the state in force as the operator wrote it.
+// currentDocument returns the state in force with digests in place of keys, or nil if there is
+// none.
 func (d *desiredState) currentDocument() (document []byte) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.document
+	current := d.document
+	d.mu.Unlock()
+	if current == nil {
+		return nil
+	}
+	return current()
+}
+
+// withKeyDigests returns a function that returns a document for other nodes.
+func (d *desiredState) withKeyDigests(state *desired.State, document []byte) func() []byte {
+	if !state.HasWorkspaces() {
+		return func() []byte { return document }
+	}
+	return sync.OnceValue(func() []byte {
+		digested, err := platform.WithKeyDigests(document)
+		if err != nil {
+			d.events.Record(event.SettingsRejected, slog.Int64("version", state.Version()), slog.String("error", err.Error()))
+		}
+		return digested
+	})
 }
 
 // since returns whether the version in force is newer than the given one, and a channel
@@ -71,20 +92,21 @@
 }
 
 // apply puts a document into force if its version is newer than the current
-// one. source names the log or the node that it came from.
-func (d *desiredState) apply(document []byte, source string) {
+// one. source names the log or the node that it came from. It returns the version of the
+// document, or 0 if the document is invalid.
+func (d *desiredState) apply(document []byte, source string) (version int64) {
 	state, err := platform.DecodeDesiredState(document)
 	if err != nil {
 		d.events.Record(event.SettingsRejected, slog.String("source", source), slog.String("error", err.Error()))
-		return
+		return 0
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	current := d.state.Load()
 	if current != nil && state.Version() <= current.Version() {
-		return
+		return state.Version()
 	}
-	d.document = document
+	d.document = d.withKeyDigests(state, document)
 	d.state.Store(state)
 	close(d.changed)
 	d.changed = make(chan struct{})
@@ -92,15 +114,22 @@
 		close(d.loaded)
 	}
 	d.events.Record(event.SettingsAccepted, slog.Int64("version", state.Version()), slog.String("source", source))
+	return state.Version()
 }
 
-// applyRecords applies the records of the operator's topic.
+// applyRecords applies the records that the follower has read.
 func (d *desiredState) applyRecords(records []platform.Record) {
+	d.proofs.recordTopicRead(d.applyAll(records))
+}
+
+// applyAll applies records of the operator's topic, and returns the highest version of them.
+func (d *desiredState) applyAll(records []platform.Record) (highest int64) {
 	for _, record := range records {
 		if record.Key == platform.DesiredStateKey && record.Value != nil {
-			d.apply(record.Value, "log")
+			highest = max(highest, d.apply(record.Value, "log"))
 		}
 	}
+	return highest
 }
 
 // run reads the operator's topic, and follows it while this node reads the log, until
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -46,6 +46,7 @@
 	metrics   *metrics.Metrics
 	lifecycle *lifecycle
 	admission *customerAdmission
+	access    *accessControl
 	// quarantine holds the requests that crash backend servers.
 	quarantine *quarantine.List
 	// responseTimes has the time from the arrival of a request to the end of its last
@@ -62,6 +63,10 @@
 		return
 	}
 	route, ok := state.Match(r.Host, requestPath(r))
+	if !ok && !i.access.mayDeny(state) {
+		i.reject(w, r, unprovenResult())
+		return
+	}
 	if !ok {
 		i.events.Record(event.CallNotRun, attrRequest(platform.RequestID(r.Header)), attrHop(metrics.Ingress),
 			attrReason(call.ReasonUnknownRoute), slog.String("host", r.Host), slog.Int64("version", state.Version()))
@@ -69,12 +74,22 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	access := i.access.check(state, route, r.Header)
+	if access.refusal != nil {
+		i.refuseAccess(w, r, route, access)
+		return
+	}
 	req, ok := i.accept(w, r, state, route, receivedAt)
 	if !ok {
 		return
 	}
+	if access = i.recheckAccess(r, state, route, access); access.refusal != nil {
+		i.respond(w, req, access.refusal, receivedAt, state.Version())
+		return
+	}
+	access.apply(req)
 	i.sidecar.links.RecordCall(route.Name(), req.callerDeadline)
-	origin := i.admission.origin(route)
+	origin := i.admission.origin(req)
 	if origin == calltree.Servers {
 		i.sidecar.recordCall(receivedAt)
 	}
@@ -90,7 +105,7 @@
 		return
 	}
 	i.budget.recordRequest(req.service, req.repeatShare)
-	decision := i.admission.admit(route)
+	decision := i.admission.admit(req)
 	req.targetRegion, req.rank, req.fromCustomer = decision.targetRegion, decision.rank, origin == calltree.Customers
 	if !decision.admitted {
 		res := notRunResult(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is overloaded: pressure level %.2f", decision.level))
@@ -128,6 +143,7 @@
 		route: route.Name(), kind: route.Kind(), priority: route.Priority(), deadline: receivedAt.Add(timeout), callerDeadline: receivedAt.Add(callerTimeout(r.Header)),
 	}
 	req.header.Del("Content-Length")
+	platform.DropCallerIdentity(req.header)
 	var err error
 	if r.ContentLength != 0 {
 		controller := http.NewResponseController(w)
@@ -226,7 +242,9 @@
 	if p.node == i.settings.Node {
 		return i.sidecar.run(ctx, req)
 	}
+	sentAt := i.access.proofs.clock()
 	res, peerVersion := i.balancer.send(ctx, p, req, version)
+	i.access.proofs.recordResponse(sentAt, 0, res.proofAge, peerVersion)
 	i.exchange.fetchIfNewer(p, peerVersion)
 	return res
 }
@@ -284,6 +302,8 @@
 func (i *ingress) writeError(w http.ResponseWriter, res *result) {
 	w.Header().Set("Content-Length", "0")
 	switch {
+	case res.reason == call.ReasonUnauthorized:
+		w.WriteHeader(http.StatusUnauthorized)
 	case res.outcome == call.NotRun && res.retryAfter > 0:
 		platform.SetRetryAfter(w.Header(), res.retryAfter)
 		w.WriteHeader(http.StatusServiceUnavailable)
