Add quota: caps of workspaces without agreement between nodes

The caps of the requirements were to be leased by all nodes to one keeper of each workspace, while there is demand. A node without demand sends nothing, so its share would never reach the keeper, and callers that are all at one of 69 nodes would get 1/69 of their cap. With leases of all nodes, each keeper would hear from each node in each term of a lease: the number of nodes squared.

Here a cap is divided between up to 32 fixed keepers, chosen by rendezvous hash among all known nodes. Each owns its part for good, so no lease and no clock of another node is needed. A node asks keepers that it can reach and that are expected to have tokens.

--- /dev/null
+++ b/quota/network_test.go
@@ -0,0 +1,313 @@
+package quota_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lacewingslip/lacewingslip/quota"
+)
+
+const (
+	workspace    = "calculators"
+	lossTimeout  = 400 * time.Millisecond
+	seedOfNodes  = 7
+	clockOffset  = 1000 * time.Hour
+	sameZone     = time.Millisecond
+	otherRegion  = 20 * time.Millisecond
+	nodesPerZone = 12
+)
+
+var start = time.Unix(1e9, 0)
+
+// network passes messages between nodes in virtual time. Each node has its own clock.
+type network struct {
+	random *rand.Rand
+	terms  quota.Terms
+	cap    quota.Cap
+	now    time.Time
+	events eventQueue
+	// sequence orders events of the same time.
+	sequence int
+	nodes    []*testNode
+	names    []string
+	lossPct  int
+	// admitted has the times at which requests were admitted, and granted those at which tokens
+	// were granted, in order.
+	admitted, granted []time.Time
+	// offered has the times at which requests were sent, in order.
+	offered  []time.Time
+	messages int
+}
+
+// testNode is a node. Requests and messages that arrive while it is suspended wait.
+type testNode struct {
+	name      string
+	index     int
+	offset    time.Duration
+	accounts  *quota.Accounts
+	purse     *quota.Purse
+	side      int
+	epoch     int
+	suspended time.Time
+	// cap is the one in the desired state that is in force at the node.
+	cap     quota.Cap
+	version int
+	waiting []*testRequest
+}
+
+type testRequest struct {
+	arrived time.Time
+	// passive is true once no more credit is asked for.
+	passive bool
+}
+
+type testEvent struct {
+	at       time.Time
+	sequence int
+	run      func()
+}
+
+type eventQueue []testEvent
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].sequence < q[j].sequence
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(testEvent)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func newNetwork(nodes int, c quota.Cap, seed uint64) *network {
+	n := &network{random: rand.New(rand.NewPCG(seed, seedOfNodes)), terms: quota.NewTerms(window, 0.1), now: start}
+	for i := range nodes {
+		n.names = append(n.names, fmt.Sprintf("node-%d", i))
+	}
+	for i, name := range n.names {
+		node := &testNode{name: name, index: i, cap: c, offset: time.Duration(n.random.Int64N(int64(clockOffset)))}
+		n.nodes = append(n.nodes, node)
+		n.startProcess(node)
+	}
+	return n
+}
+
+// startProcess starts a process on a node that the others know.
+func (n *network) startProcess(node *testNode) {
+	node.epoch++
+	node.waiting = nil
+	node.accounts, node.purse = quota.NewAccounts(node.name, n.terms), quota.NewPurse(n.terms, n.random.Float64)
+	node.accounts.Restore(node.clock(n), quota.NewNodes(n.names))
+	node.purse.SetNodes(quota.NewNodes(n.names))
+}
+
+// join adds a node that the others do not know. Each of them learns of it within the time.
+func (n *network) join(within time.Duration) {
+	name := fmt.Sprintf("node-%d", len(n.names))
+	n.names = append(n.names, name)
+	node := &testNode{name: name, index: len(n.nodes), cap: n.nodes[0].cap, accounts: quota.NewAccounts(name, n.terms), purse: quota.NewPurse(n.terms, n.random.Float64)}
+	n.nodes = append(n.nodes, node)
+	nodes := quota.NewNodes(n.names)
+	for _, other := range n.nodes {
+		delay := time.Duration(n.random.Int64N(int64(within)))
+		if other == node {
+			delay = 0
+		}
+		n.at(other, delay, func() {
+			other.accounts.SetNodes(other.clock(n), nodes)
+			other.purse.SetNodes(nodes)
+		})
+	}
+	n.run(within)
+}
+
+// publish puts a version with a cap into force at each node within the time.
+func (n *network) publish(version int, c quota.Cap, within time.Duration) {
+	for _, node := range n.nodes {
+		n.at(node, time.Duration(n.random.Int64N(int64(within))), func() {
+			if version > node.version {
+				node.version, node.cap = version, c
+			}
+		})
+	}
+}
+
+// kill ends the process of a node, which is started again after the time.
+func (n *network) kill(node *testNode, down time.Duration) {
+	node.epoch++
+	node.waiting, node.suspended = nil, n.now.Add(down)
+	n.after(down, func() { n.startProcess(node) })
+}
+
+func (node *testNode) clock(n *network) time.Time { return n.now.Add(node.offset) }
+
+// after runs a function after a time.
+func (n *network) after(d time.Duration, run func()) {
+	n.sequence++
+	heap.Push(&n.events, testEvent{n.now.Add(d), n.sequence, run})
+}
+
+// at runs a function on a node, unless its process has ended by then.
+func (n *network) at(node *testNode, d time.Duration, run func()) {
+	epoch := node.epoch
+	n.after(d, func() {
+		if pause := node.suspended.Sub(n.now); pause > 0 && node.epoch == epoch {
+			n.at(node, pause, run)
+		} else if node.epoch == epoch {
+			run()
+		}
+	})
+}
+
+// run runs events for a time.
+func (n *network) run(d time.Duration) {
+	end := n.now.Add(d)
+	for len(n.events) > 0 && n.events[0].at.Before(end) {
+		e := heap.Pop(&n.events).(testEvent)
+		n.now = e.at
+		e.run()
+	}
+	n.now = end
+}
+
+func (n *network) delay(a, b *testNode) time.Duration {
+	if a.index/nodesPerZone == b.index/nodesPerZone {
+		return sameZone
+	}
+	return otherRegion
+}
+
+func (n *network) distance(from *testNode) quota.Distance {
+	return func(node string) (int, bool) {
+		var index int
+		_, _ = fmt.Sscanf(node, "node-%d", &index)
+		return int(n.delay(from, n.nodes[index]) / otherRegion), true
+	}
+}
+
+// offer sends requests to a node at a rate for a time, at random intervals.
+func (n *network) offer(node *testNode, rate float64, d time.Duration) {
+	pause := time.Duration(n.random.ExpFloat64() / rate * float64(time.Second))
+	if pause > d || rate <= 0 {
+		return
+	}
+	n.after(pause, func() {
+		n.at(node, 0, func() { n.request(node) })
+		n.offer(node, rate, d-pause)
+	})
+}
+
+func (n *network) request(node *testNode) {
+	n.offered = append(n.offered, n.now)
+	node.purse.Enter(node.clock(n), workspace, node.cap)
+	node.waiting = append(node.waiting, &testRequest{arrived: n.now})
+	n.serve(node)
+	for _, d := range []time.Duration{51 * time.Millisecond, n.terms.Ask(), n.terms.Hold} {
+		n.at(node, d, func() { n.serve(node) })
+	}
+}
+
+// serve admits the requests that wait at a node, sends questions for them and refuses those
+// that must not wait any longer.
+func (n *network) serve(node *testNode) {
+	now := node.clock(n)
+	var waiting []*testRequest
+	for _, r := range node.waiting {
+		_, ok := node.purse.Take(now, workspace)
+		if ok {
+			n.admitted = append(n.admitted, n.now)
+		} else {
+			waiting = append(waiting, r)
+		}
+		if !r.passive && (ok || n.now.Sub(r.arrived) >= n.terms.Ask()) {
+			node.purse.Leave(workspace)
+			r.passive = true
+		}
+	}
+	node.waiting = nil
+	asks := node.purse.Asks(now, workspace, n.distance(node))
+	for _, r := range waiting {
+		if n.now.Sub(r.arrived) < n.terms.Hold && node.purse.Awaits(workspace) {
+			node.waiting = append(node.waiting, r)
+			continue
+		}
+		if !r.passive {
+			node.purse.Leave(workspace)
+		}
+	}
+	for _, ask := range asks {
+		n.ask(node, ask)
+	}
+}
+
+func (n *network) ask(from *testNode, ask quota.Ask) {
+	n.messages++
+	sent := from.clock(n)
+	var to *testNode
+	for _, node := range n.nodes {
+		if node.name == ask.Node {
+			to = node
+		}
+	}
+	answered := false
+	d := n.delay(from, to)
+	if from == to {
+		d = 0
+	}
+	pass := func(receiver *testNode, run func()) {
+		if from.side == to.side && n.random.IntN(100) >= n.lossPct {
+			n.at(receiver, d, run)
+		}
+	}
+	pass(to, func() {
+		g := to.accounts.Grant(to.clock(n), workspace, to.cap, ask.Tokens)
+		n.granted = append(n.granted, slices.Repeat([]time.Time{n.now}, g.Tokens)...)
+		pass(from, func() {
+			if answered {
+				return
+			}
+			answered = true
+			from.purse.Answer(sent, from.clock(n), workspace, ask, g)
+			n.serve(from)
+		})
+	})
+	n.at(from, lossTimeout, func() {
+		if !answered {
+			answered = true
+			from.purse.Fail(from.clock(n), workspace, ask)
+			n.serve(from)
+		}
+	})
+}
+
+// owed returns how many of the offered requests one token bucket with the cap admits, which is
+// full at first.
+func (n *network) owed(c quota.Cap) (owed int) {
+	burst := max(c.Burst, 1)
+	level := burst
+	for i, at := range n.offered {
+		level = min(level+c.Rate*at.Sub(n.offered[max(i-1, 0)]).Seconds(), burst)
+		if level >= 1 {
+			level--
+			owed++
+		}
+	}
+	return owed
+}
+
+// most returns the highest number of the times, which are in order, in any window.
+func most(times []time.Time, window time.Duration) (most int) {
+	first := 0
+	for i, at := range times {
+		for at.Sub(times[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
--- /dev/null
+++ b/quota/purse.go
@@ -0,0 +1,360 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// silentAfter is how long a keeper may take to answer before another one is asked. The
+	// longest network path takes 40 ms.
+	silentAfter = 50 * time.Millisecond
+	// avoidTime is how long a keeper that failed or did not answer is not asked.
+	avoidTime = time.Second
+	// rateTime is the time constant of the measured request rates.
+	rateTime = 500 * time.Millisecond
+	// advanceTime is the time whose requests a node asks credit for in advance, at most. It is
+	// shorter than the lifetime of credit, so that little of it expires.
+	advanceTime = 150 * time.Millisecond
+	// advancePart is the part of the lifetime of credit that bounds advanceTime.
+	advancePart = 0.6
+	// minAdvance is the least number of tokens that are asked for in advance. The rates of fewer
+	// requests are too uncertain.
+	minAdvance = 2
+	// minRefusalRetry and maxRefusalRetry bound the time after which a refused caller may
+	// come again.
+	minRefusalRetry = 400 * time.Millisecond
+	maxRefusalRetry = 2 * time.Second
+	// refusalSpread is the share of this time by which it is increased at random, at most.
+	refusalSpread = 1.0
+	// minAdmitted is added to the rate of admitted requests per second, so that a few refused
+	// requests do not count as a large excess.
+	minAdmitted = 2
+)
+
+// Credit admits one request. It is to be given back if the request has certainly not run.
+type Credit struct {
+	expires time.Time
+	// issuer is the purse entry that the credit belongs to.
+	issuer *holding
+}
+
+// Ask asks a keeper for a number of tokens.
+type Ask struct {
+	Node   string
+	Tokens int
+	// Limit is the cap by which the keeper was chosen.
+	Limit Cap
+}
+
+// Refusal says why there is no credit for a request.
+type Refusal struct {
+	// OverCap is true if a keeper has no tokens left, and false if no keeper could be asked.
+	OverCap bool
+	// Retry is when the caller may come again.
+	Retry time.Duration
+}
+
+// Distance returns how far away a node is, from 0 for this node. ok is false if the node can't
+// be reached.
+type Distance func(node string) (distance int, ok bool)
+
+// Purse holds the credit of a node that receives requests, for all workspaces.
+type Purse struct {
+	terms Terms
+	// random returns a number in [0, 1).
+	random       func() float64
+	nodes        Nodes
+	nodesVersion int
+	holdings     map[string]*holding
+}
+
+// holding is the credit for a workspace.
+type holding struct {
+	cap     Cap
+	batches []batch
+	// waiting is the number of requests that have no credit yet.
+	waiting int
+	// requests and admitted are the rates of requests and of those with credit.
+	requests, admitted rate
+	nodesVersion       int
+	keepers            []*keeper
+}
+
+// rate is a measured rate in events per second, which falls while there are none.
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+func (r *rate) count(now time.Time) {
+	r.value = r.now(now) + 1/rateTime.Seconds()
+	r.at = now
+}
+
+func (r *rate) now(now time.Time) float64 {
+	return r.value * math.Exp(-max(now.Sub(r.at), 0).Seconds()/rateTime.Seconds())
+}
+
+// batch is a number of tokens that expire together.
+type batch struct {
+	expires time.Time
+	tokens  int
+}
+
+// keeper is what a node knows of a keeper of a workspace.
+type keeper struct {
+	node string
+	// asked is the number of tokens that the keeper was asked for at askedAt, or 0 if no
+	// answer is awaited.
+	asked   int
+	askedAt time.Time
+	// level is the number of tokens at the time answeredAt, as far as is known.
+	level      float64
+	answeredAt time.Time
+	// retryAt is when the keeper may be asked again.
+	retryAt time.Time
+	// empty is true if the last answer had less than was asked for.
+	empty bool
+}
+
+// NewPurse returns a purse without credit.
+func NewPurse(terms Terms, random func() float64) *Purse {
+	return &Purse{terms: terms, random: random, holdings: make(map[string]*holding)}
+}
+
+// SetNodes replaces the set of nodes.
+func (p *Purse) SetNodes(nodes Nodes) {
+	if !p.nodes.Equal(nodes) {
+		p.nodes = nodes
+		p.nodesVersion++
+	}
+}
+
+// Retain removes the credit of all workspaces for which keep returns false and for which no
+// request waits.
+func (p *Purse) Retain(keep func(workspace string) bool) {
+	for workspace, h := range p.holdings {
+		if h.waiting == 0 && !keep(workspace) {
+			delete(p.holdings, workspace)
+		}
+	}
+}
+
+// Enter records a request that needs credit. Leave must follow.
+func (p *Purse) Enter(now time.Time, workspace string, c Cap) {
+	h := p.holdings[workspace]
+	if h == nil {
+		h = &holding{}
+		p.holdings[workspace] = h
+	}
+	if c.Rate < h.cap.Rate || c.Burst < h.cap.Burst {
+		// Less may be granted now, so earlier credit is given up.
+		h.batches = nil
+	}
+	if h.cap != c || h.nodesVersion != p.nodesVersion {
+		h.cap, h.nodesVersion = c, p.nodesVersion
+		h.setKeepers(p.nodes.Keepers(workspace, c.keepers(p.terms, p.nodes.Len())), p.terms)
+	}
+	h.waiting++
+	h.requests.count(now)
+}
+
+// Leave records that no more credit is to be asked for because of a request: it has credit, is
+// refused, or has waited for [Terms.Ask].
+func (p *Purse) Leave(workspace string) {
+	if h := p.holdings[workspace]; h != nil {
+		h.waiting--
+	}
+}
+
+// setKeepers replaces the keepers and keeps what is known of those that remain.
+func (h *holding) setKeepers(nodes []string, terms Terms) {
+	known := h.keepers
+	h.keepers = make([]*keeper, len(nodes))
+	for i, node := range nodes {
+		if k := slices.IndexFunc(known, func(k *keeper) bool { return k.node == node }); k >= 0 {
+			h.keepers[i] = known[k]
+			continue
+		}
+		h.keepers[i] = &keeper{node: node, level: h.cap.burst(terms) / float64(len(nodes))}
+	}
+}
+
+// expected returns how many tokens a keeper has at most if it has granted none since its last
+// answer.
+func (h *holding) expected(now time.Time, k *keeper, terms Terms) float64 {
+	share := 1 / float64(len(h.keepers))
+	if k.answeredAt.IsZero() {
+		return k.level
+	}
+	return min(k.level+share*h.cap.Rate*max(now.Sub(k.answeredAt), 0).Seconds(), share*h.cap.burst(terms))
+}
+
+// Take takes credit for one request, that which expires first.
+func (p *Purse) Take(now time.Time, workspace string) (c Credit, ok bool) {
+	h := p.holdings[workspace]
+	if h == nil {
+		return Credit{}, false
+	}
+	h.dropExpired(now)
+	if len(h.batches) == 0 {
+		return Credit{}, false
+	}
+	first := &h.batches[0]
+	first.tokens--
+	c = Credit{expires: first.expires, issuer: h}
+	if first.tokens == 0 {
+		h.batches = h.batches[1:]
+	}
+	h.admitted.count(now)
+	return c, true
+}
+
+// GiveBack returns credit that no request has used. It can be taken again until it expires.
+func (p *Purse) GiveBack(now time.Time, c Credit) {
+	if c.issuer != nil && now.Before(c.expires) {
+		c.issuer.add(batch{c.expires, 1})
+	}
+}
+
+func (h *holding) add(b batch) {
+	at, found := slices.BinarySearchFunc(h.batches, b, func(x, y batch) int { return x.expires.Compare(y.expires) })
+	if found {
+		h.batches[at].tokens += b.tokens
+		return
+	}
+	h.batches = slices.Insert(h.batches, at, b)
+}
+
+func (h *holding) dropExpired(now time.Time) {
+	for len(h.batches) > 0 && !now.Before(h.batches[0].expires) {
+		h.batches = h.batches[1:]
+	}
+}
+
+// Asks returns which keepers to ask for how much. The caller must report each answer to
+// [Purse.Answer] or [Purse.Fail].
+func (p *Purse) Asks(now time.Time, workspace string, distance Distance) (asks []Ask) {
+	h := p.holdings[workspace]
+	if h == nil {
+		return nil
+	}
+	missing := h.missing(now, p.terms)
+	for missing > 0 {
+		k := p.choose(now, h, distance, missing)
+		if k == nil {
+			break
+		}
+		k.asked, k.askedAt = min(missing, max(int(h.expected(now, k, p.terms)), 1)), now
+		missing -= k.asked
+		asks = append(asks, Ask{Node: k.node, Tokens: k.asked, Limit: h.cap})
+	}
+	return asks
+}
+
+// missing returns how many tokens are needed in addition to those at hand and those that
+// have been asked for.
+func (h *holding) missing(now time.Time, terms Terms) (tokens int) {
+	h.dropExpired(now)
+	advance := min(advanceTime, scale(terms.Lifetime, advancePart))
+	// Credit is asked for in advance once half of it is used.
+	expected := int(h.requests.now(now) * advance.Seconds())
+	if expected < minAdvance {
+		expected = 0
+	}
+	have := 0
+	for _, b := range h.batches {
+		have += b.tokens
+	}
+	for _, k := range h.keepers {
+		if k.asked > 0 && now.Sub(k.askedAt) <= silentAfter {
+			have += k.asked
+		}
+	}
+	if have >= h.waiting+expected/2 {
+		return 0
+	}
+	return h.waiting + expected - have
+}
+
+// choose returns the keeper to ask next: of those that are expected to have tokens, the
+// nearest one and of these one with many.
+func (p *Purse) choose(now time.Time, h *holding, distance Distance, missing int) (chosen *keeper) {
+	best := 0.0
+	for _, k := range h.keepers {
+		if k.asked > 0 || k.retryAt.After(now) {
+			continue
+		}
+		away, ok := distance(k.node)
+		if !ok {
+			continue
+		}
+		score := min(h.expected(now, k, p.terms)/float64(missing), 1) + p.random() - 2*float64(away)
+		if chosen == nil || score > best {
+			chosen, best = k, score
+		}
+	}
+	return chosen
+}
+
+// Answer records the answer of a keeper to an ask that was sent at the time sent. Credit
+// expires by the time at which it was asked for, since the keeper has granted it later.
+func (p *Purse) Answer(sent, now time.Time, workspace string, ask Ask, g Grant) {
+	h, k := p.keeper(workspace, ask.Node)
+	if h == nil {
+		return
+	}
+	if expires := sent.Add(p.terms.Lifetime); g.Tokens > 0 && now.Before(expires) && ask.Limit == h.cap {
+		h.add(batch{expires, min(g.Tokens, ask.Tokens)})
+	}
+	if k == nil {
+		return
+	}
+	k.asked, k.level, k.answeredAt, k.retryAt = 0, g.Level, now, now
+	k.empty = g.Keeper && g.Tokens < ask.Tokens
+	switch {
+	case !g.Keeper:
+		k.retryAt = now.Add(avoidTime)
+	case k.empty:
+		k.retryAt = now.Add(min(max(g.Retry, minRetry), maxRetry))
+	}
+}
+
+// Fail records that a keeper has not answered.
+func (p *Purse) Fail(now time.Time, workspace string, ask Ask) {
+	if _, k := p.keeper(workspace, ask.Node); k != nil {
+		k.asked, k.empty, k.retryAt = 0, false, now.Add(avoidTime)
+	}
+}
+
+func (p *Purse) keeper(workspace, node string) (h *holding, k *keeper) {
+	h = p.holdings[workspace]
+	if h == nil {
+		return nil, nil
+	}
+	if i := slices.IndexFunc(h.keepers, func(k *keeper) bool { return k.node == node }); i >= 0 {
+		k = h.keepers[i]
+	}
+	return h, k
+}
+
+// Awaits reports whether an answer for the workspace may still come.
+func (p *Purse) Awaits(workspace string) bool {
+	h := p.holdings[workspace]
+	return h != nil && slices.ContainsFunc(h.keepers, func(k *keeper) bool { return k.asked > 0 })
+}
+
+// Refuse returns why a request has no credit. Callers come again later the smaller the part
+// of them is that this node admits, and at random times.
+func (p *Purse) Refuse(now time.Time, workspace string) (r Refusal) {
+	excess := 1.0
+	if h := p.holdings[workspace]; h != nil {
+		r.OverCap = slices.ContainsFunc(h.keepers, func(k *keeper) bool { return k.empty && now.Sub(k.retryAt) < avoidTime })
+		excess = h.requests.now(now) / (h.admitted.now(now) + minAdmitted)
+	}
+	r.Retry = min(scale(minRefusalRetry, max(excess, 1)), maxRefusalRetry)
+	r.Retry += scale(r.Retry, refusalSpread*p.random())
+	return r
+}
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,118 @@
+// Package quota decides which requests of a workspace are within its cap, a rate and a burst
+// over all nodes together, without agreement between the nodes.
+//
+// A cap is divided between a few fixed nodes, the keepers of the workspace. Each has a token
+// bucket with an equal part of the rate and of the burst, and grants credit from it to the
+// nodes that receive the requests. Keepers are chosen by rendezvous hash among all known
+// nodes, also those that can't be reached, so a part is never granted by two nodes: keepers
+// that are cut off or down take their parts with them.
+//
+// The package does no I/O, and its types are not safe for concurrent use. It is designed for
+// 1,100 nodes and 5,000 workspaces. All times must come from a clock that also runs while the
+// VM is suspended. Only times of the same node are compared.
+//
+// # Usage
+//
+// A keeper has [Accounts]:
+//
+//	accounts := quota.NewAccounts("node-1", terms)
+//	accounts.SetNodes(now, quota.NewNodes(names))
+//	grant := accounts.Grant(now, "workspace", quota.Cap{Rate: 20, Burst: 20}, 1)
+//
+// A node that receives requests has a [Purse]:
+//
+//	purse := quota.NewPurse(terms, rand.Float64)
+//	purse.SetNodes(quota.NewNodes(names))
+//	purse.Enter(now, "workspace", c)
+//	credit, ok := purse.Take(now, "workspace")
+//	asks := purse.Asks(now, "workspace", distance)
+//	purse.Answer(sent, now, "workspace", asks[0], grant)
+//	purse.Leave("workspace")
+//
+// # Terms
+//
+// A token admits one request. The share of a keeper is the part of the rate and the burst that
+// it grants. Credit is a number of tokens that a keeper has granted and that expire.
+package quota
+
+import (
+	"time"
+)
+
+const (
+	// MaxKeepers limits the messages for a workspace whose callers are all at one node.
+	MaxKeepers = 32
+	// minTokensPerKeeper is the burst that each keeper has at least, if the cap has more than
+	// one keeper. A bucket of less loses tokens because it is full between two requests.
+	minTokensPerKeeper = 3
+	// HandoverDelay is how long a node must have been the keeper by each of its views of the
+	// nodes before it grants credit. Within this time, the earlier keeper learns of the change.
+	HandoverDelay = 2 * time.Second
+
+	// maxLifetime and maxHold bound the times that depend on the window.
+	maxLifetime = time.Second
+	maxHold     = 150 * time.Millisecond
+	// These parts of the tolerated excess are used up if credit is spent just before it
+	// expires, by requests that are held, and by bursts that are raised by AddedBurst.
+	lifetimePart, holdPart, addedBurstPart = 0.5, 0.3, 0.2
+
+	defaultWindow = 5 * time.Second
+	defaultOver   = 0.1
+)
+
+// Cap is the limit of a workspace over all nodes.
+type Cap struct {
+	// Rate is in requests per second. Burst is the number of requests above the rate that
+	// may arrive at once.
+	Rate, Burst float64
+}
+
+// Terms are the times that follow from the tolerance of the deployment.
+//
+// Requests that are sent in a window can spend credit that was granted up to Lifetime before
+// it, and be admitted up to Hold after it. They can exceed rate x window + burst by the rate
+// times these times and AddedBurst, which together is at most the tolerated share of the window.
+type Terms struct {
+	// Lifetime is how long credit is valid.
+	Lifetime time.Duration
+	// Hold is how long a request may wait for credit.
+	Hold time.Duration
+	// AddedBurst is the time for whose requests the buckets have room in addition to the burst.
+	// Several small buckets, or one without burst, refuse requests that one bucket admits.
+	AddedBurst time.Duration
+}
+
+// NewTerms returns the terms for a deployment in which the requests in any window may exceed a
+// cap by the share over. Defaults are used for numbers of 0 or less.
+func NewTerms(window time.Duration, over float64) (t Terms) {
+	if window <= 0 {
+		window = defaultWindow
+	}
+	if over <= 0 {
+		over = defaultOver
+	}
+	tolerated := time.Duration(float64(window) * over)
+	return Terms{
+		Lifetime:   min(scale(tolerated, lifetimePart), maxLifetime),
+		Hold:       min(scale(tolerated, holdPart), maxHold),
+		AddedBurst: scale(tolerated, addedBurstPart),
+	}
+}
+
+// Ask returns how long credit is asked for while a request waits. Later answers would come too
+// late for it.
+func (t Terms) Ask() time.Duration { return max(t.Hold-silentAfter, t.Hold/2) }
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
+
+// burst returns the size of the buckets of all keepers together.
+func (c Cap) burst(t Terms) float64 {
+	return max(c.Burst+c.Rate*t.AddedBurst.Seconds(), 1)
+}
+
+// keepers returns the number of keepers that the cap has among the number of nodes.
+func (c Cap) keepers(t Terms, nodes int) int {
+	return max(min(int(c.burst(t)/minTokensPerKeeper), MaxKeepers, nodes), 1)
+}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,90 @@
+package quota_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/quota"
+)
+
+var (
+	testTerms = quota.NewTerms(window, 0.1)
+	testCap   = quota.Cap{Rate: 20, Burst: 4}
+)
+
+// Guards against a part of a cap that two nodes grant, or one twice: by a node that the others
+// do not know yet, by one that knows no others, and by the next process of a node.
+func TestKeeperBeginsEmptyAndLate(t *testing.T) {
+	self := quota.NewNodes([]string{"a"})
+	grant := func(a *quota.Accounts, after time.Duration) quota.Grant {
+		return a.Grant(start.Add(after), workspace, testCap, 100)
+	}
+	started := quota.NewAccounts("a", testTerms)
+	must.False(t, grant(started, time.Hour).Keeper)
+	started.SetNodes(start.Add(time.Hour), self)
+	must.False(t, grant(started, time.Hour+quota.HandoverDelay-1).Keeper)
+	must.Eq(t, quota.Grant{Keeper: true, Retry: 50 * time.Millisecond}, grant(started, time.Hour+quota.HandoverDelay))
+
+	restarted := quota.NewAccounts("a", testTerms)
+	restarted.Restore(start, self)
+	must.Eq(t, 0, grant(restarted, 0).Tokens)
+	must.Eq(t, 2, grant(restarted, 100*time.Millisecond).Tokens)
+	must.Eq(t, 6, grant(restarted, time.Hour).Tokens)
+}
+
+// Guards against a node that goes on as keeper after another one has taken its place, and
+// against one whose part does not shrink when there are more.
+func TestKeeperStopsAtOnce(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	all := quota.NewNodes(names)
+	replaced := all.Keepers(workspace, 2)
+	without := quota.NewNodes(slices.DeleteFunc(names, func(name string) bool { return name == replaced[0] }))
+	third := without.Keepers(workspace, 2)[1]
+	accounts := quota.NewAccounts(third, testTerms)
+	accounts.Restore(start, without)
+	c := quota.Cap{Rate: 20, Burst: 6}
+	must.Eq(t, 4, accounts.Grant(start.Add(time.Hour), workspace, c, 100).Tokens)
+	must.Eq(t, 1, accounts.Grant(start.Add(time.Hour+100*time.Millisecond), workspace, c, 1).Tokens)
+	accounts.SetNodes(start.Add(2*time.Hour), all)
+	must.False(t, accounts.Grant(start.Add(2*time.Hour), workspace, c, 1).Keeper)
+}
+
+// Guards against credit that is spent after it has expired, when its answer is late or the VM
+// was suspended, and against credit that is lost although its request has not run.
+func TestCreditExpires(t *testing.T) {
+	cases := map[string]struct {
+		answered, taken time.Duration
+		ok              bool
+	}{
+		"at once":     {time.Millisecond, time.Millisecond, true},
+		"last moment": {time.Millisecond, testTerms.Lifetime - 1, true},
+		"suspended":   {time.Millisecond, testTerms.Lifetime, false},
+		"late answer": {testTerms.Lifetime - 2, testTerms.Lifetime, false},
+		"too late":    {testTerms.Lifetime, testTerms.Lifetime, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := quota.NewPurse(testTerms, rand.Float64)
+			p.SetNodes(quota.NewNodes([]string{"a"}))
+			p.Enter(start, workspace, testCap)
+			asks := p.Asks(start, workspace, func(string) (int, bool) { return 0, true })
+			must.Eq(t, []quota.Ask{{Node: "a", Tokens: 1, Limit: testCap}}, asks)
+			p.Answer(start, start.Add(c.answered), workspace, asks[0], quota.Grant{Keeper: true, Tokens: 1})
+			credit, ok := p.Take(start.Add(c.taken), workspace)
+			must.Eq(t, c.ok, ok)
+			if !ok {
+				return
+			}
+			p.GiveBack(start.Add(c.taken), credit)
+			_, ok = p.Take(start.Add(c.taken), workspace)
+			must.True(t, ok)
+			p.GiveBack(start.Add(testTerms.Lifetime), credit)
+			_, ok = p.Take(start.Add(testTerms.Lifetime), workspace)
+			must.False(t, ok)
+		})
+	}
+}
