Keep waiting requests in the purse, so that the shell only does I/O

The test network and the shell would each have had their own loop that decides when to ask, wait and refuse.

--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -18,6 +18,8 @@
 	Level float64
 	// Retry is when the keeper may be asked again, if it could not grant all tokens.
 	Retry time.Duration
+	// Lifetime is how long the credit is valid, or 0 for the time by the terms of the node.
+	Lifetime time.Duration
 	// Keeper is false if the node does not keep the account.
 	Keeper bool
 }
@@ -107,7 +109,7 @@
 	if acc.share == 0 {
 		return Grant{}
 	}
-	g = Grant{Keeper: true, Tokens: max(min(want, int(acc.level)), 0)}
+	g = Grant{Keeper: true, Lifetime: a.terms.Lifetime, Tokens: max(min(want, int(acc.level)), 0)}
 	acc.level -= float64(g.Tokens)
 	g.Level = acc.level
 	if g.Tokens < want {
--- a/quota/network_test.go
+++ b/quota/network_test.go
@@ -55,13 +55,6 @@
 	// cap is the one in the desired state that is in force at the node.
 	cap     quota.Cap
 	version int
-	waiting []*testRequest
-}
-
-type testRequest struct {
-	arrived time.Time
-	// passive is true once no more credit is asked for.
-	passive bool
 }
 
 type testEvent struct {
@@ -100,7 +93,6 @@
 // startProcess starts a process on a node that the others know.
 func (n *network) startProcess(node *testNode) {
 	node.epoch++
-	node.waiting = nil
 	node.accounts, node.purse = quota.NewAccounts(node.name, n.terms), quota.NewPurse(n.terms, n.random.Float64)
 	node.accounts.Restore(node.clock(n), quota.NewNodes(n.names))
 	node.purse.SetNodes(quota.NewNodes(n.names))
@@ -140,7 +132,7 @@
 // kill ends the process of a node, which is started again after the time.
 func (n *network) kill(node *testNode, down time.Duration) {
 	node.epoch++
-	node.waiting, node.suspended = nil, n.now.Add(down)
+	node.suspended = n.now.Add(down)
 	n.after(down, func() { n.startProcess(node) })
 }
 
@@ -204,43 +196,23 @@
 
 func (n *network) request(node *testNode) {
 	n.offered = append(n.offered, n.now)
-	node.purse.Enter(node.clock(n), workspace, node.cap)
-	node.waiting = append(node.waiting, &testRequest{arrived: n.now})
-	n.serve(node)
-	for _, d := range []time.Duration{51 * time.Millisecond, n.terms.Ask(), n.terms.Hold} {
-		n.at(node, d, func() { n.serve(node) })
-	}
-}
-
-// serve admits the requests that wait at a node, sends questions for them and refuses those
-// that must not wait any longer.
-func (n *network) serve(node *testNode) {
-	now := node.clock(n)
-	var waiting []*testRequest
-	for _, r := range node.waiting {
-		_, ok := node.purse.Take(now, workspace)
-		if ok {
+	decided := false
+	r := node.purse.Arrive(node.clock(n), workspace, node.cap, func(v quota.Verdict) {
+		if decided = true; v.Admitted {
 			n.admitted = append(n.admitted, n.now)
-		} else {
-			waiting = append(waiting, r)
-		}
-		if !r.passive && (ok || n.now.Sub(r.arrived) >= n.terms.Ask()) {
-			node.purse.Leave(workspace)
-			r.passive = true
 		}
-	}
-	node.waiting = nil
-	asks := node.purse.Asks(now, workspace, n.distance(node))
-	for _, r := range waiting {
-		if n.now.Sub(r.arrived) < n.terms.Hold && node.purse.Awaits(workspace) {
-			node.waiting = append(node.waiting, r)
-			continue
-		}
-		if !r.passive {
-			node.purse.Leave(workspace)
+	})
+	var check func()
+	check = func() {
+		if n.serve(node); !decided {
+			n.at(node, node.purse.NextCheck(node.clock(n), r), check)
 		}
 	}
-	for _, ask := range asks {
+	check()
+}
+
+func (n *network) serve(node *testNode) {
+	for _, ask := range node.purse.Serve(node.clock(n), workspace, n.distance(node)) {
 		n.ask(node, ask)
 	}
 }
--- a/quota/purse.go
+++ b/quota/purse.go
@@ -36,10 +36,30 @@
 // Credit admits one request. It is to be given back if the request has certainly not run.
 type Credit struct {
 	expires time.Time
-	// issuer is the purse entry that the credit belongs to.
+	// issuer is the holding that the credit belongs to.
 	issuer *holding
 }
 
+// Verdict is the decision on a request.
+type Verdict struct {
+	Admitted bool
+	// Credit is what an admitted request uses.
+	Credit Credit
+	// OverCap is true for a refused request if a keeper has no tokens left, and false if no
+	// keeper could be asked.
+	OverCap bool
+	// Retry is when the caller of a refused request may come again.
+	Retry time.Duration
+}
+
+// Request is a request that needs credit.
+type Request struct {
+	holding   *holding
+	arrivedAt time.Time
+	// onVerdict is called once, during a call of [Purse.Serve].
+	onVerdict func(v Verdict)
+}
+
 // Ask asks a keeper for a number of tokens.
 type Ask struct {
 	Node   string
@@ -48,14 +68,6 @@
 	Limit Cap
 }
 
-// Refusal says why there is no credit for a request.
-type Refusal struct {
-	// OverCap is true if a keeper has no tokens left, and false if no keeper could be asked.
-	OverCap bool
-	// Retry is when the caller may come again.
-	Retry time.Duration
-}
-
 // Distance returns how far away a node is, from 0 for this node. ok is false if the node can't
 // be reached.
 type Distance func(node string) (distance int, ok bool)
@@ -72,10 +84,11 @@
 
 // holding is the credit for a workspace.
 type holding struct {
-	cap     Cap
-	batches []batch
-	// waiting is the number of requests that have no credit yet.
-	waiting int
+	workspace string
+	cap       Cap
+	batches   []batch
+	// queue has the requests that have no credit yet, in the order of their arrival.
+	queue []*Request
 	// requests and admitted are the rates of requests and of those with credit.
 	requests, admitted rate
 	nodesVersion       int
@@ -136,17 +149,17 @@
 // request waits.
 func (p *Purse) Retain(keep func(workspace string) bool) {
 	for workspace, h := range p.holdings {
-		if h.waiting == 0 && !keep(workspace) {
+		if len(h.queue) == 0 && !keep(workspace) {
 			delete(p.holdings, workspace)
 		}
 	}
 }
 
-// Enter records a request that needs credit. Leave must follow.
-func (p *Purse) Enter(now time.Time, workspace string, c Cap) {
+// Arrive records a request that needs credit. [Purse.Serve] decides on it.
+func (p *Purse) Arrive(now time.Time, workspace string, c Cap, onVerdict func(v Verdict)) *Request {
 	h := p.holdings[workspace]
 	if h == nil {
-		h = &holding{}
+		h = &holding{workspace: workspace}
 		p.holdings[workspace] = h
 	}
 	if c.Rate < h.cap.Rate || c.Burst < h.cap.Burst {
@@ -157,16 +170,59 @@
 		h.cap, h.nodesVersion = c, p.nodesVersion
 		h.setKeepers(p.nodes.Keepers(workspace, c.keepers(p.terms, p.nodes.Len())), p.terms)
 	}
-	h.waiting++
 	h.requests.count(now)
+	r := &Request{holding: h, arrivedAt: now, onVerdict: onVerdict}
+	h.queue = append(h.queue, r)
+	return r
 }
 
-// Leave records that no more credit is to be asked for because of a request: it has credit, is
-// refused, or has waited for [Terms.Ask].
-func (p *Purse) Leave(workspace string) {
-	if h := p.holdings[workspace]; h != nil {
-		h.waiting--
+// Cancel removes a request that has no verdict yet.
+func (p *Purse) Cancel(r *Request) {
+	r.holding.queue = slices.DeleteFunc(r.holding.queue, func(other *Request) bool { return other == r })
+}
+
+// Serve gives the requests of a workspace credit, refuses those for which none will come in
+// time, and returns which keepers to ask for how much. Each answer must be reported to
+// [Purse.Answer] or [Purse.Fail]. Serve must be called after each arrival and answer, and when
+// [Purse.NextCheck] says.
+func (p *Purse) Serve(now time.Time, workspace string, distance Distance) (asks []Ask) {
+	h := p.holdings[workspace]
+	if h == nil {
+		return nil
 	}
+	served := 0
+	for _, r := range h.queue {
+		credit, ok := h.take(now)
+		if !ok {
+			break
+		}
+		served++
+		h.admitted.count(now)
+		r.onVerdict(Verdict{Admitted: true, Credit: credit})
+	}
+	h.queue = slices.Delete(h.queue, 0, served)
+	asks = p.asks(now, h, distance)
+	awaits := slices.ContainsFunc(h.keepers, func(k *keeper) bool { return k.asked > 0 })
+	h.queue = slices.DeleteFunc(h.queue, func(r *Request) bool {
+		refused := !awaits || now.Sub(r.arrivedAt) >= p.terms.Hold
+		if refused {
+			r.onVerdict(p.refusal(now, h))
+		}
+		return refused
+	})
+	return asks
+}
+
+// NextCheck returns the time after which Serve must be called again for a request without
+// verdict.
+func (p *Purse) NextCheck(now time.Time, r *Request) time.Duration {
+	waited := now.Sub(r.arrivedAt)
+	for _, at := range []time.Duration{silentAfter + time.Millisecond, p.terms.ask(), p.terms.Hold} {
+		if waited < at {
+			return at - waited
+		}
+	}
+	return 0
 }
 
 // setKeepers replaces the keepers and keeps what is known of those that remain.
@@ -192,12 +248,8 @@
 	return min(k.level+share*h.cap.Rate*max(now.Sub(k.answeredAt), 0).Seconds(), share*h.cap.burst(terms))
 }
 
-// Take takes credit for one request, that which expires first.
-func (p *Purse) Take(now time.Time, workspace string) (c Credit, ok bool) {
-	h := p.holdings[workspace]
-	if h == nil {
-		return Credit{}, false
-	}
+// take takes credit for one request, that which expires first.
+func (h *holding) take(now time.Time) (c Credit, ok bool) {
 	h.dropExpired(now)
 	if len(h.batches) == 0 {
 		return Credit{}, false
@@ -208,7 +260,6 @@
 	if first.tokens == 0 {
 		h.batches = h.batches[1:]
 	}
-	h.admitted.count(now)
 	return c, true
 }
 
@@ -234,13 +285,8 @@
 	}
 }
 
-// Asks returns which keepers to ask for how much. The caller must report each answer to
-// [Purse.Answer] or [Purse.Fail].
-func (p *Purse) Asks(now time.Time, workspace string, distance Distance) (asks []Ask) {
-	h := p.holdings[workspace]
-	if h == nil {
-		return nil
-	}
+// asks returns which keepers to ask for how much.
+func (p *Purse) asks(now time.Time, h *holding, distance Distance) (asks []Ask) {
 	missing := h.missing(now, p.terms)
 	for missing > 0 {
 		k := p.choose(now, h, distance, missing)
@@ -257,14 +303,18 @@
 // missing returns how many tokens are needed in addition to those at hand and those that
 // have been asked for.
 func (h *holding) missing(now time.Time, terms Terms) (tokens int) {
-	h.dropExpired(now)
 	advance := min(advanceTime, scale(terms.Lifetime, advancePart))
 	// Credit is asked for in advance once half of it is used.
 	expected := int(h.requests.now(now) * advance.Seconds())
 	if expected < minAdvance {
 		expected = 0
 	}
-	have := 0
+	have, waiting := 0, 0
+	for _, r := range h.queue {
+		if now.Sub(r.arrivedAt) < terms.ask() {
+			waiting++
+		}
+	}
 	for _, b := range h.batches {
 		have += b.tokens
 	}
@@ -273,10 +323,10 @@
 			have += k.asked
 		}
 	}
-	if have >= h.waiting+expected/2 {
+	if have >= waiting+expected/2 {
 		return 0
 	}
-	return h.waiting + expected - have
+	return waiting + expected - have
 }
 
 // choose returns the keeper to ask next: of those that are expected to have tokens, the
@@ -306,7 +356,11 @@
 	if h == nil {
 		return
 	}
-	if expires := sent.Add(p.terms.Lifetime); g.Tokens > 0 && now.Before(expires) && ask.Limit == h.cap {
+	lifetime := p.terms.Lifetime
+	if g.Lifetime > 0 {
+		lifetime = min(lifetime, g.Lifetime)
+	}
+	if expires := sent.Add(lifetime); g.Tokens > 0 && now.Before(expires) && ask.Limit == h.cap {
 		h.add(batch{expires, min(g.Tokens, ask.Tokens)})
 	}
 	if k == nil {
@@ -340,21 +394,12 @@
 	return h, k
 }
 
-// Awaits reports whether an answer for the workspace may still come.
-func (p *Purse) Awaits(workspace string) bool {
-	h := p.holdings[workspace]
-	return h != nil && slices.ContainsFunc(h.keepers, func(k *keeper) bool { return k.asked > 0 })
-}
-
-// Refuse returns why a request has no credit. Callers come again later the smaller the part
-// of them is that this node admits, and at random times.
-func (p *Purse) Refuse(now time.Time, workspace string) (r Refusal) {
-	excess := 1.0
-	if h := p.holdings[workspace]; h != nil {
-		r.OverCap = slices.ContainsFunc(h.keepers, func(k *keeper) bool { return k.empty && now.Sub(k.retryAt) < avoidTime })
-		excess = h.requests.now(now) / (h.admitted.now(now) + minAdmitted)
-	}
-	r.Retry = min(scale(minRefusalRetry, max(excess, 1)), maxRefusalRetry)
-	r.Retry += scale(r.Retry, refusalSpread*p.random())
-	return r
+// refusal returns why a request has no credit. Callers come again later the smaller the part of
+// them is that this node admits, and at random times.
+func (p *Purse) refusal(now time.Time, h *holding) (v Verdict) {
+	v.OverCap = slices.ContainsFunc(h.keepers, func(k *keeper) bool { return k.empty && now.Sub(k.retryAt) < avoidTime })
+	excess := h.requests.now(now) / (h.admitted.now(now) + minAdmitted)
+	v.Retry = min(scale(minRefusalRetry, max(excess, 1)), maxRefusalRetry)
+	v.Retry += scale(v.Retry, refusalSpread*p.random())
+	return v
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -23,11 +23,10 @@
 //
 //	purse := quota.NewPurse(terms, rand.Float64)
 //	purse.SetNodes(quota.NewNodes(names))
-//	purse.Enter(now, "workspace", c)
-//	credit, ok := purse.Take(now, "workspace")
-//	asks := purse.Asks(now, "workspace", distance)
-//	purse.Answer(sent, now, "workspace", asks[0], grant)
-//	purse.Leave("workspace")
+//	purse.Arrive(now, "workspace", c, func(v quota.Verdict) { ... })
+//	for _, ask := range purse.Serve(now, "workspace", distance) { ... }
+//	purse.Answer(sent, now, "workspace", ask, grant)
+//	purse.Serve(now, "workspace", distance)
 //
 // # Terms
 //
@@ -35,9 +34,7 @@
 // it grants. Credit is a number of tokens that a keeper has granted and that expire.
 package quota
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// MaxKeepers limits the messages for a workspace whose callers are all at one node.
@@ -99,9 +96,9 @@
 	}
 }
 
-// Ask returns how long credit is asked for while a request waits. Later answers would come too
+// ask returns how long credit is asked for while a request waits. Later answers would come too
 // late for it.
-func (t Terms) Ask() time.Duration { return max(t.Hold-silentAfter, t.Hold/2) }
+func (t Terms) ask() time.Duration { return max(t.Hold-silentAfter, t.Hold/2) }
 
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(d) * factor)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -27,7 +27,7 @@
 	must.False(t, grant(started, time.Hour).Keeper)
 	started.SetNodes(start.Add(time.Hour), self)
 	must.False(t, grant(started, time.Hour+quota.HandoverDelay-1).Keeper)
-	must.Eq(t, quota.Grant{Keeper: true, Retry: 50 * time.Millisecond}, grant(started, time.Hour+quota.HandoverDelay))
+	must.Eq(t, quota.Grant{Keeper: true, Retry: 50 * time.Millisecond, Lifetime: testTerms.Lifetime}, grant(started, time.Hour+quota.HandoverDelay))
 
 	restarted := quota.NewAccounts("a", testTerms)
 	restarted.Restore(start, self)
@@ -70,21 +70,31 @@
 		t.Run(name, func(t *testing.T) {
 			p := quota.NewPurse(testTerms, rand.Float64)
 			p.SetNodes(quota.NewNodes([]string{"a"}))
-			p.Enter(start, workspace, testCap)
-			asks := p.Asks(start, workspace, func(string) (int, bool) { return 0, true })
+			serve := func(after time.Duration) []quota.Ask {
+				return p.Serve(start.Add(after), workspace, func(string) (int, bool) { return 0, true })
+			}
+			var verdict quota.Verdict
+			arrive := func(after time.Duration) {
+				verdict = quota.Verdict{}
+				p.Arrive(start.Add(after), workspace, testCap, func(v quota.Verdict) { verdict = v })
+			}
+			arrive(0)
+			asks := serve(0)
 			must.Eq(t, []quota.Ask{{Node: "a", Tokens: 1, Limit: testCap}}, asks)
 			p.Answer(start, start.Add(c.answered), workspace, asks[0], quota.Grant{Keeper: true, Tokens: 1})
-			credit, ok := p.Take(start.Add(c.taken), workspace)
-			must.Eq(t, c.ok, ok)
-			if !ok {
+			serve(c.taken)
+			must.Eq(t, c.ok, verdict.Admitted)
+			if !c.ok {
 				return
 			}
-			p.GiveBack(start.Add(c.taken), credit)
-			_, ok = p.Take(start.Add(c.taken), workspace)
-			must.True(t, ok)
-			p.GiveBack(start.Add(testTerms.Lifetime), credit)
-			_, ok = p.Take(start.Add(testTerms.Lifetime), workspace)
-			must.False(t, ok)
+			p.GiveBack(start.Add(c.taken), verdict.Credit)
+			arrive(c.taken)
+			serve(c.taken)
+			must.True(t, verdict.Admitted)
+			p.GiveBack(start.Add(testTerms.Lifetime), verdict.Credit)
+			arrive(testTerms.Lifetime)
+			serve(testTerms.Lifetime)
+			must.False(t, verdict.Admitted)
 		})
 	}
 }
