Apply the caps of workspaces at ingress

It is refused with 429 over the cap, and with 503 if no keeper answers, both with a Retry-After that grows with the excess and is spread. Credit of a request that does not run is given back until it expires.

--- a/call/reason.go
+++ b/call/reason.go
@@ -37,6 +37,11 @@
 	// ReasonQuarantined means that the call was not sent, because such calls have
 	// crashed backend servers.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonOverCap means that the workspace of the caller sends more than its cap.
+	ReasonOverCap Reason = "overCap"
+	// ReasonNoCredit means that no node could be asked whether the call is within the cap of
+	// the caller's workspace.
+	ReasonNoCredit Reason = "noCredit"
 	// ReasonCanceled means that the caller canceled the call or disconnected.
 	ReasonCanceled Reason = "canceled"
 	// ReasonUnknownService means that the settings have no such service.
@@ -82,7 +87,7 @@
 // and reason.
 func HTTPStatus(outcome Outcome, reason Reason) int {
 	switch reason {
-	case ReasonOverloaded, ReasonDisplaced, ReasonNoTokens:
+	case ReasonOverloaded, ReasonDisplaced, ReasonNoTokens, ReasonOverCap:
 		return http.StatusTooManyRequests
 	case ReasonTooLate, ReasonDeadline:
 		return http.StatusGatewayTimeout
--- a/event/admission.go
+++ b/event/admission.go
@@ -11,6 +11,9 @@
 	UpstreamAvoided ID = 4101
 	// QuarantineChanged is about calls that crash backend servers.
 	QuarantineChanged ID = 4102
+	// CapRefusalsStarted and CapRefusalsEnded are about the caps of workspaces.
+	CapRefusalsStarted ID = 4201
+	CapRefusalsEnded   ID = 4202
 )
 
 var admissionEvents = []Description{
@@ -19,5 +22,7 @@
 	{ID: SheddingStopped, Name: "sheddingStopped", Level: slog.LevelInfo, Meaning: "The sidecar stopped refusing calls."},
 	{ID: UpstreamAvoided, Name: "upstreamAvoided", Level: slog.LevelInfo, Meaning: "An upstream refused a call or failed, and receives fewer calls for a short time."},
 	{ID: QuarantineChanged, Name: "quarantineChanged", Level: slog.LevelWarn, Meaning: "The number of different calls that are refused because they crash backend servers changed. Such a call has ended at least three servers that ran it and was completed by none. Refused calls are recorded as callNotRun with the reason quarantined."},
+	{ID: CapRefusalsStarted, Name: "capRefusalsStarted", Level: slog.LevelInfo, Meaning: "This node started to refuse requests of a workspace because of its cap. The attribute overCap is true if the workspace sends more than its cap, and false if no keeper of the cap could be asked. The refused requests are recorded as callNotRun with the reason overCap or noCredit."},
+	{ID: CapRefusalsEnded, Name: "capRefusalsEnded", Level: slog.LevelInfo, Meaning: "This node has refused no request of the workspace because of its cap for 5 s. The attributes overCap and noKeeper are the numbers of refused requests."},
 	{ID: PressureChanged, Name: "pressureChanged", Level: slog.LevelInfo, Meaning: "The level at which customer requests for this backend server's service are refused changed by 0.1 or more. The attribute demand shows the cause: the demand as a share of the slots."},
 }
--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -338,6 +338,41 @@
 	return nodes
 }
 
+// size returns the number of known nodes.
+func (b *balancer) size() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.peers)
+}
+
+// quotaNodes returns the names of all known nodes, and those that can be asked for credit.
+func (b *balancer) quotaNodes() (all map[string]struct{}, reachable map[string]reachableNode) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all, reachable = make(map[string]struct{}, len(b.peers)), make(map[string]reachableNode, len(b.peers))
+	for node, p := range b.peers {
+		all[node] = struct{}{}
+		if !p.unreachable {
+			reachable[node] = reachableNode{p.address, b.distance(p)}
+		}
+	}
+	return all, reachable
+}
+
+// distance returns the distance of a node from this one. The mutex must be held.
+func (b *balancer) distance(p *peer) int {
+	switch {
+	case p.node == b.settings.Node:
+		return ownNode
+	case p.member.Zone == b.settings.Zone:
+		return ownZone
+	case p.region == b.settings.Region:
+		return ownRegion
+	default:
+		return otherRegion
+	}
+}
+
 // countServices returns the number of services that have nodes.
 func (b *balancer) countServices() int {
 	b.mu.Lock()
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -48,6 +48,7 @@
 	admission *customerAdmission
 	// quarantine holds the requests that crash backend servers.
 	quarantine *quarantine.List
+	caps       *caps
 	// responseTimes has the time from the arrival of a request to the end of its last
 	// attempt.
 	responseTimes *longestTimes
@@ -89,10 +90,16 @@
 		i.respond(w, req, quarantinedResult(verdict), receivedAt, state.Version())
 		return
 	}
+	credit, refusal := i.caps.admit(r.Context(), workspaceOf(state, route, r.Header))
+	if refusal != nil {
+		i.respond(w, req, refusal, receivedAt, state.Version())
+		return
+	}
 	i.budget.recordRequest(req.service, req.repeatShare)
 	decision := i.admission.admit(route)
 	req.targetRegion, req.rank, req.fromCustomer = decision.targetRegion, decision.rank, origin == calltree.Customers
 	if !decision.admitted {
+		i.caps.giveBack(credit)
 		res := notRunResult(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is overloaded: pressure level %.2f", decision.level))
 		i.respond(w, req, res, receivedAt, state.Version())
 		return
@@ -101,7 +108,9 @@
 	defer cancel()
 	req.answerBy = i.lifecycle.stopDeadline()
 	res := i.dispatch(ctx, req, route, state.Version())
-	if res.outcome != call.NotRun {
+	if res.outcome == call.NotRun {
+		i.caps.giveBack(credit)
+	} else {
 		i.responseTimes.record(time.Now(), req.route, time.Since(receivedAt))
 	}
 	i.respond(w, req, res, receivedAt, state.Version())
@@ -284,6 +293,9 @@
 func (i *ingress) writeError(w http.ResponseWriter, res *result) {
 	w.Header().Set("Content-Length", "0")
 	switch {
+	case res.outcome == call.NotRun && res.reason == call.ReasonOverCap:
+		platform.SetRetryAfter(w.Header(), res.retryAfter)
+		w.WriteHeader(http.StatusTooManyRequests)
 	case res.outcome == call.NotRun && res.retryAfter > 0:
 		platform.SetRetryAfter(w.Header(), res.retryAfter)
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/mesh/lifecycle.go
+++ b/mesh/lifecycle.go
@@ -69,6 +69,7 @@
 	desired       *desiredState
 	directory     interface{ Run(ctx context.Context) }
 	quarantine    *quarantineSync
+	caps          *caps
 }
 
 func newLifecycle(settings nodeconfig.Config, m *metrics.Metrics, events eventRecorder) *lifecycle {
@@ -205,6 +206,7 @@
 			l.components.balancer.tick(now)
 			l.components.sidecar.tick(now, l.components.balancer.countServices())
 			l.components.quarantine.tick(now)
+			l.components.caps.tick()
 			l.closeIdleConnections(now)
 			l.components.exchange.probeUnreachable(ctx, now)
 			l.updateMetrics()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -29,7 +29,7 @@
 // The path of a request is ingress.go (accepts requests and decides on attempts),
 // customer_admission.go (refuses customer requests under pressure), node_selector.go and
 // balancer.go (choose the next node), retry_budget.go (decides whether a failed request
-// is sent again), and sidecar.go (runs requests at the backend server, over the
+// is sent again), quota.go and quota_messages.go (apply the caps of workspaces), and sidecar.go (runs requests at the backend server, over the
 // connections of instance_pool.go). crash.go detects that the server has crashed under a
 // request, and quarantine.go shares with other nodes which requests do that. repeats.go
 // estimates which calls belong to repeated runs. announcements.go tracks the backend
@@ -135,10 +135,10 @@
 			func() *upstream.Tracker { return upstream.New(settings.Service, settings.Backend) },
 			func(dir *fleet.Directory) *retryBudget { return newRetryBudget(settings.Bounds, dir.Table().Len) },
 			metrics.New, newListeners, newDesiredState, newBalancer, newSidecar, newDirectory, newExchange, newWatcherSelection, newLifecycle,
-			newAnnouncementHandler, newCustomerAdmission, quarantine.New, newQuarantineSync, newIngress, newPeerHandler, newServers,
+			newAnnouncementHandler, newCustomerAdmission, quarantine.New, newQuarantineSync, newIngress, newCaps, newPeerHandler, newServers,
 		),
-		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle, s *servers, b *balancer, e *exchange, w *watcherSelection, a *announcementHandler, sc *sidecar, d *desiredState, dir *fleet.Directory, q *quarantineSync) {
-			l.components = components{servers: s, balancer: b, exchange: e, watchers: w, announcements: a, sidecar: sc, desired: d, directory: dir, quarantine: q}
+		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle, s *servers, b *balancer, e *exchange, w *watcherSelection, a *announcementHandler, sc *sidecar, d *desiredState, dir *fleet.Directory, q *quarantineSync, cp *caps) {
+			l.components = components{servers: s, balancer: b, exchange: e, watchers: w, announcements: a, sidecar: sc, desired: d, directory: dir, quarantine: q, caps: cp}
 			sc.crashes.onSuspects, sc.crashes.onReleased = q.serverCrashed, q.requestReleased
 			s.caller.Handler = l.trackActive(s.caller.Handler)
 			dir.SetReadsLog(w.readsLog)
@@ -168,10 +168,10 @@
 	return &announcementHandler{settings: settings, tracker: t, sidecar: s, directory: dir, exchange: e, desired: d, events: events, released: make(chan struct{})}
 }
 
-func newIngress(settings nodeconfig.Config, d *desiredState, b *balancer, s *sidecar, e *exchange, events eventRecorder, m *metrics.Metrics, l *lifecycle, admission *customerAdmission, retries *retryBudget, list *quarantine.List) *ingress {
+func newIngress(settings nodeconfig.Config, d *desiredState, b *balancer, s *sidecar, e *exchange, events eventRecorder, m *metrics.Metrics, l *lifecycle, admission *customerAdmission, retries *retryBudget, list *quarantine.List, c *caps) *ingress {
 	return &ingress{
 		settings: settings, desired: d, splitter: desired.NewSplitter(), balancer: b, sidecar: s, exchange: e,
-		budget: retries, events: events, metrics: m, lifecycle: l, admission: admission, quarantine: list,
+		budget: retries, events: events, metrics: m, lifecycle: l, admission: admission, quarantine: list, caps: c,
 		responseTimes: newLongestTimes(),
 	}
 }
--- /dev/null
+++ b/mesh/quota.go
@@ -0,0 +1,311 @@
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/desired"
+	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/fleet"
+	"github.com/lacewingslip/lacewingslip/hop"
+	"github.com/lacewingslip/lacewingslip/metrics"
+	"github.com/lacewingslip/lacewingslip/nodeconfig"
+	"github.com/lacewingslip/lacewingslip/platform"
+	"github.com/lacewingslip/lacewingslip/quota"
+)
+
+// refusalEndTime is how long no request of a workspace must have been refused until its
+// refusals count as ended.
+const refusalEndTime = 5 * time.Second
+
+// Distances to other nodes, by which keepers are chosen.
+const (
+	ownNode = iota
+	ownZone
+	ownRegion
+	otherRegion
+)
+
+// caps applies the caps of workspaces to the requests that this node receives, and answers
+// other nodes as a keeper of caps. Package quota decides.
+type caps struct {
+	settings  nodeconfig.Config
+	desired   *desiredState
+	balancer  *balancer
+	directory *fleet.Directory
+	events    eventRecorder
+	metrics   *metrics.Metrics
+	client    *http.Client
+	// now reads a clock that counts the time for which the VM is suspended.
+	now clock
+
+	mu       sync.Mutex
+	purse    *quota.Purse
+	accounts *quota.Accounts
+	// state is the desired state that byName belongs to, which has its workspaces with a cap.
+	state  *desired.State
+	byName map[string]quota.Cap
+	// nodes has the known nodes, and reachable those that can be asked.
+	nodes     map[string]struct{}
+	reachable map[string]reachableNode
+	// keeps is true once accounts knows the nodes.
+	keeps bool
+	links map[string]*quotaLink
+	// refusing has the workspaces of which requests are refused.
+	refusing map[string]*refusals
+}
+
+// reachableNode is a node that can be asked for credit.
+type reachableNode struct {
+	address  string
+	distance int
+}
+
+// refusals counts the refused requests of a workspace.
+type refusals struct {
+	overCap, noKeeper int
+	last              time.Time
+}
+
+func newCaps(settings nodeconfig.Config, d *desiredState, b *balancer, dir *fleet.Directory, m *metrics.Metrics, events eventRecorder) *caps {
+	terms := quota.NewTerms(settings.Bounds.CapWindow, settings.Bounds.CapOver)
+	return &caps{
+		settings: settings, desired: d, balancer: b, directory: dir, events: events, metrics: m, now: bootTime,
+		purse: quota.NewPurse(terms, rand.Float64), accounts: quota.NewAccounts(settings.Node, terms),
+		links: make(map[string]*quotaLink), refusing: make(map[string]*refusals),
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: hop.Dialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: quotaIdleTimeout, DisableCompression: true,
+		}},
+	}
+}
+
+// capCredit is what a request within its cap uses. The zero value is that of a request
+// without a cap.
+type capCredit struct{ credit quota.Credit }
+
+// admit decides on a request of a workspace, which is nil if the request has none. It waits
+// for the answers of keepers if this node has no credit at hand. refusal is nil if the request
+// is admitted.
+func (c *caps) admit(ctx context.Context, workspace *desired.Workspace) (credit capCredit, refusal *result) {
+	if workspace == nil || workspace.Rate() <= 0 {
+		return capCredit{}, nil
+	}
+	name := workspace.Name()
+	verdicts := make(chan quota.Verdict, 1)
+	c.mu.Lock()
+	if c.reachable == nil {
+		c.updateNodes(c.now())
+	}
+	now := c.now()
+	request := c.purse.Arrive(now, name, capOf(workspace), func(v quota.Verdict) { verdicts <- v })
+	c.serve(now, name)
+	c.mu.Unlock()
+	for {
+		select {
+		case v := <-verdicts:
+			return c.conclude(name, v)
+		default:
+		}
+		timer := time.NewTimer(c.nextCheck(request))
+		select {
+		case v := <-verdicts:
+			timer.Stop()
+			return c.conclude(name, v)
+		case <-timer.C:
+			c.mu.Lock()
+			c.serve(c.now(), name)
+			c.mu.Unlock()
+		case <-ctx.Done():
+			timer.Stop()
+			c.cancel(request, verdicts)
+			return capCredit{}, notRunResult(call.ReasonCanceled, "the caller disconnected while the request waited for credit of its workspace")
+		}
+	}
+}
+
+func (c *caps) nextCheck(r *quota.Request) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.purse.NextCheck(c.now(), r)
+}
+
+// cancel removes a request whose caller does not wait any longer.
+func (c *caps) cancel(r *quota.Request, verdicts <-chan quota.Verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.purse.Cancel(r)
+	select {
+	case v := <-verdicts:
+		c.purse.GiveBack(c.now(), v.Credit)
+	default:
+	}
+}
+
+// conclude returns the result of admit for a verdict.
+func (c *caps) conclude(workspace string, v quota.Verdict) (credit capCredit, refusal *result) {
+	switch {
+	case v.Admitted:
+		c.metrics.CapDecided(metrics.CapAdmitted)
+		return capCredit{v.Credit}, nil
+	case v.OverCap:
+		c.metrics.CapDecided(metrics.CapExceeded)
+		refusal = notRunResult(call.ReasonOverCap, "the workspace "+workspace+" is over its cap")
+	default:
+		c.metrics.CapDecided(metrics.CapUnavailable)
+		refusal = notRunResult(call.ReasonNoCredit, "no keeper of the cap of workspace "+workspace+" answers")
+	}
+	refusal.retryAfter = v.Retry
+	c.recordRefusal(workspace, v.OverCap)
+	return capCredit{}, refusal
+}
+
+// giveBack returns the credit of a request that has not run and will not.
+func (c *caps) giveBack(credit capCredit) {
+	if credit == (capCredit{}) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.purse.GiveBack(c.now(), credit.credit)
+}
+
+// serve decides on the waiting requests of a workspace and sends the questions to keepers that
+// this needs. The mutex must be held.
+func (c *caps) serve(now time.Time, workspace string) {
+	for again := true; again; {
+		again = false
+		for _, ask := range c.purse.Serve(now, workspace, c.distance) {
+			if ask.Node != c.settings.Node {
+				c.ask(workspace, ask)
+				continue
+			}
+			// More requests may be served now.
+			again = true
+			c.purse.Answer(now, now, workspace, ask, c.accounts.Grant(now, workspace, ask.Limit, ask.Tokens))
+		}
+	}
+}
+
+func (c *caps) distance(node string) (distance int, ok bool) {
+	n, ok := c.reachable[node]
+	return n.distance, ok
+}
+
+// tick does the periodic work.
+func (c *caps) tick() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	c.updateState()
+	if len(c.byName) > 0 || !c.keeps || c.balancer.size() != len(c.nodes) {
+		c.updateNodes(now)
+	}
+	if len(c.byName) > 0 {
+		c.metrics.SetCapAccounts(c.accounts.Keeps())
+	}
+	for workspace, r := range c.refusing {
+		if now.Sub(r.last) >= refusalEndTime {
+			delete(c.refusing, workspace)
+			c.events.Record(event.CapRefusalsEnded, attrWorkspace(workspace), slog.Int("overCap", r.overCap), slog.Int("noKeeper", r.noKeeper))
+		}
+	}
+}
+
+// updateNodes takes over the known and the reachable nodes. The mutex must be held.
+func (c *caps) updateNodes(now time.Time) {
+	nodes, reachable := c.balancer.quotaNodes()
+	c.reachable = reachable
+	changed := len(nodes) != len(c.nodes)
+	for node := range nodes {
+		if _, known := c.nodes[node]; !known {
+			changed = true
+		}
+	}
+	if changed {
+		c.nodes = nodes
+		c.purse.SetNodes(nodeSet(nodes))
+		for node := range c.links {
+			if _, known := nodes[node]; !known {
+				delete(c.links, node)
+			}
+		}
+	}
+	select {
+	case <-c.directory.Loaded():
+	default:
+		// A node that knows only some of the others would take itself for a keeper of caps
+		// that others keep.
+		return
+	}
+	switch {
+	case !c.keeps && c.directory.Earlier().Epoch > 0:
+		c.accounts.Restore(now, nodeSet(nodes))
+	case !c.keeps || changed:
+		c.accounts.SetNodes(now, nodeSet(nodes))
+	}
+	c.keeps = true
+}
+
+func nodeSet(nodes map[string]struct{}) quota.Nodes {
+	names := make([]string, 0, len(nodes))
+	for node := range nodes {
+		names = append(names, node)
+	}
+	return quota.NewNodes(names)
+}
+
+// updateState takes over the desired state in force. The mutex must be held.
+func (c *caps) updateState() {
+	state := c.desired.current()
+	if state == c.state {
+		return
+	}
+	c.state, c.byName = state, make(map[string]quota.Cap)
+	for _, workspace := range state.Workspaces() {
+		if workspace.Rate() > 0 {
+			c.byName[workspace.Name()] = capOf(workspace)
+		}
+	}
+	capped := func(workspace string) bool { return c.byName[workspace].Rate > 0 }
+	c.purse.Retain(capped)
+	c.accounts.Retain(capped)
+}
+
+func capOf(w *desired.Workspace) quota.Cap { return quota.Cap{Rate: w.Rate(), Burst: w.Burst()} }
+
+// recordRefusal records the begin of refusals of a workspace as an event, and counts them.
+func (c *caps) recordRefusal(workspace string, overCap bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.refusing[workspace]
+	if r == nil {
+		r = &refusals{}
+		c.refusing[workspace] = r
+		c.events.Record(event.CapRefusalsStarted, attrWorkspace(workspace), slog.Bool("overCap", overCap), slog.Int64("version", c.desired.version()))
+	}
+	r.last = c.now()
+	if overCap {
+		r.overCap++
+	} else {
+		r.noKeeper++
+	}
+}
+
+// workspaceOf returns the workspace of a request, or nil if it has none.
+func workspaceOf(state *desired.State, route *desired.Route, h http.Header) *desired.Workspace {
+	if route.Anonymous() || !state.HasWorkspaces() {
+		return nil
+	}
+	workspace, ok := state.WorkspaceOf(platform.APIKey(h))
+	if !ok {
+		return nil
+	}
+	return workspace
+}
+
+func attrWorkspace(name string) slog.Attr { return slog.String("workspace", name) }
--- /dev/null
+++ b/mesh/quota_test.go
@@ -0,0 +1,120 @@
+package mesh
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
+	"github.com/lacewingslip/lacewingslip/platform"
+	"github.com/lacewingslip/lacewingslip/quota"
+)
+
+const (
+	cappedWorkspace = "calculators"
+	cappedKey       = "k-1"
+)
+
+// newCappedDeployment returns a deployment whose caps are in force at all nodes, with full
+// buckets. The clock of the caps stands still from then on, so that no token is added and no
+// credit expires.
+func newCappedDeployment(t *testing.T, burst float64, services ...string) *deployment {
+	t.Helper()
+	d := newDeployment(t, services...)
+	d.version++
+	document := operator.EncodeDesiredState(d.version, []operator.Route{once("once"), {Name: "nowhere", Service: "nowhere", Attempts: 1}}, "orders")
+	d.log.Put(operator.DesiredStateTopic, operator.DesiredStateKey,
+		operator.AddWorkspaces(document, operator.Workspace{Name: cappedWorkspace, Key: cappedKey, Rate: 1, Burst: burst}))
+	d.awaitConvergence()
+	stopped := bootTime().Add(time.Minute)
+	for _, v := range d.vms {
+		c := v.node.lifecycle.components.caps
+		eventually(t, func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.keeps && len(c.nodes) == len(d.vms) && len(c.byName) == 1
+		})
+		c.mu.Lock()
+		c.now = func() time.Time { return stopped }
+		c.mu.Unlock()
+	}
+	return d
+}
+
+// callWithKey sends a request of the capped workspace.
+func (d *deployment) callWithKey(v *vm, path, id string) callerResult {
+	request, err := operator.Request(v.settings.Listen.Caller, http.MethodPost, path, id, 2*time.Second)
+	must.NoError(d.t, err)
+	operator.SetKey(request, cappedKey)
+	return roundTrip(request)
+}
+
+// Guards against a cap that each node applies alone, whole or in part, and against refusals
+// without a time to retry, of requests that run, or of requests without workspace.
+func TestCapHoldsOverAllNodes(t *testing.T) {
+	d := newCappedDeployment(t, 9, "orders", "orders", "orders")
+	answered := 0
+	for n := range 15 {
+		id := fmt.Sprintf("r-%d", n)
+		switch r := d.callWithKey(d.vms[n%2], "/once/a", id); r.status {
+		case http.StatusOK:
+			answered++
+		default:
+			must.Eq(t, http.StatusTooManyRequests, r.status)
+			must.Greater(t, 0, platform.RetryAfter(r.header))
+			must.Eq(t, 0, d.runs(id))
+		}
+	}
+	must.Eq(t, 9, answered)
+	must.Eq(t, http.StatusOK, d.call(d.vms[0], http.MethodPost, "/once/a", "without-key").status)
+}
+
+// Guards against requests that use up the cap although they do not run.
+func TestCreditOfRefusedRequestIsGivenBack(t *testing.T) {
+	d := newCappedDeployment(t, 2, "orders")
+	for n := range 5 {
+		must.Eq(t, http.StatusServiceUnavailable, d.callWithKey(d.vms[0], "/nowhere/a", fmt.Sprintf("r-%d", n)).status)
+	}
+	must.Eq(t, http.StatusOK, d.callWithKey(d.vms[0], "/once/a", "r").status)
+}
+
+// Guards against a cap of which a node gives itself a part while it can't reach the keeper, and
+// against the answer that the workspace is over its cap, which is not known then.
+func TestRequestWithoutKeeperIsNotRun(t *testing.T) {
+	d := newCappedDeployment(t, 1, "orders", "orders")
+	keeper, other := d.vms[0], d.vms[1]
+	if quota.NewNodes([]string{keeper.settings.Node, other.settings.Node}).Keepers(cappedWorkspace, 1)[0] != keeper.settings.Node {
+		keeper, other = other, keeper
+	}
+	kill(keeper.node)
+	r := d.callWithKey(other, "/once/a", "r")
+	must.Eq(t, http.StatusServiceUnavailable, r.status)
+	must.Greater(t, 0, platform.RetryAfter(r.header))
+	must.Eq(t, 0, d.runs("r"))
+}
+
+// Guards against a keeper that does not understand later nodes, and one that grants credit of
+// caps that it does not know.
+func TestQuotaEndpoint(t *testing.T) {
+	d := newCappedDeployment(t, 6, "orders")
+	cases := map[string]struct{ body, want string }{
+		"unknown field":     {`{"asks":{"calculators":2},"later":true}`, `{"node":%q,"lifetimeMs":250,"grants":{"calculators":{"tokens":2,"level":4.1}}}`},
+		"unknown workspace": {`{"asks":{"other":2}}`, `{"node":%q,"lifetimeMs":0,"grants":{}}`},
+	}
+	v := d.vms[0]
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r, err := http.Post("http://"+v.settings.Listen.Peer+quotaPath, "application/json", bytes.NewBufferString(c.body))
+			must.NoError(t, err)
+			body, err := io.ReadAll(r.Body)
+			r.Body.Close()
+			must.NoError(t, err)
+			must.Eq(t, fmt.Sprintf(c.want, v.settings.Node), string(body))
+		})
+	}
+}
--- a/mesh/servers.go
+++ b/mesh/servers.go
@@ -177,9 +177,10 @@
 	active *atomic.Int64
 }
 
-func newPeerHandler(s *sidecar, e *exchange, d *desiredState, events *timeline.Recorder, l *lifecycle) *peerHandler {
+func newPeerHandler(s *sidecar, e *exchange, c *caps, d *desiredState, events *timeline.Recorder, l *lifecycle) *peerHandler {
 	p := &peerHandler{sidecar: s, exchange: e, desired: d, events: events, router: mux.NewRouter(), active: &l.active}
 	p.router.Handle(exchangePath, e).Methods(http.MethodPost)
+	p.router.Handle(quotaPath, c).Methods(http.MethodPost)
 	return p
 }
 
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -54,6 +54,7 @@
 	labelVerdict    = "verdict"
 	labelRegion     = "region"
 	labelHealth     = "health"
+	labelResult     = "result"
 )
 
 var (
@@ -119,6 +120,20 @@
 		Name: "lacewingslip.blocked.requests", Exported: "lacewingslip_blocked_requests", Kind: Gauge, Unit: "{request}",
 		Meaning: "Number of different calls that this node refuses because they crash backend servers.",
 	}
+	capRequests = Instrument{
+		Name: "lacewingslip.cap.requests", Exported: "lacewingslip_cap_requests_total", Kind: Counter, Unit: "{request}",
+		Labels:  []string{labelVerdict},
+		Meaning: "Requests of workspaces with a cap by verdict: admitted, overCap, or noKeeper if no keeper of the cap could be asked.",
+	}
+	capMessages = Instrument{
+		Name: "lacewingslip.cap.messages", Exported: "lacewingslip_cap_messages_total", Kind: Counter, Unit: "{message}",
+		Labels:  []string{labelResult},
+		Meaning: "Messages by which this node has asked keepers of caps for credit, by result: answered or failed.",
+	}
+	capAccounts = Instrument{
+		Name: "lacewingslip.cap.accounts", Exported: "lacewingslip_cap_accounts", Kind: Gauge, Unit: "{workspace}",
+		Meaning: "Workspaces for which this node is a keeper of the cap and has been asked for credit.",
+	}
 )
 
 // Catalogue returns all instruments in the order of docs/operate/metrics.md.
@@ -126,5 +141,6 @@
 	return []Instrument{
 		calls, callDuration, retries, queueLength, running, limit,
 		bookings, crossRegionBytes, members, settingsOffset, pressure, desiredVersion, blockedRequests,
+		capRequests, capMessages, capAccounts,
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -52,6 +52,18 @@
 	Reason     call.Reason
 }
 
+// CapVerdict is the decision on a request of a workspace with a cap.
+type CapVerdict string
+
+const (
+	// CapAdmitted requests are within the cap.
+	CapAdmitted CapVerdict = "admitted"
+	// CapExceeded requests are over the cap.
+	CapExceeded CapVerdict = "overCap"
+	// CapUnavailable requests are refused because no keeper of the cap could be asked.
+	CapUnavailable CapVerdict = "noKeeper"
+)
+
 // Load is the state of the admission control of a sidecar.
 type Load struct {
 	Running, Limit, Queued int
@@ -75,6 +87,9 @@
 	pressure         metric.Float64Gauge
 	desiredVersion   metric.Int64Gauge
 	blockedRequests  metric.Int64Gauge
+	capRequests      metric.Int64Counter
+	capMessages      metric.Int64Counter
+	capAccounts      metric.Int64Gauge
 
 	// Label sets are cached per combination of values, because creating one sorts and
 	// allocates.
@@ -179,6 +194,25 @@
 	m.blockedRequests.Record(context.Background(), int64(requests))
 }
 
+// CapDecided counts a request of a workspace with a cap.
+func (m *Metrics) CapDecided(verdict CapVerdict) {
+	m.capRequests.Add(context.Background(), 1, m.pair(labelVerdict, string(verdict), "", "").add...)
+}
+
+// CapMessageSent counts a message to a keeper of caps.
+func (m *Metrics) CapMessageSent(answered bool) {
+	result := "failed"
+	if answered {
+		result = "answered"
+	}
+	m.capMessages.Add(context.Background(), 1, m.pair(labelResult, result, "", "").add...)
+}
+
+// SetCapAccounts records the number of workspaces whose cap this node keeps.
+func (m *Metrics) SetCapAccounts(workspaces int) {
+	m.capAccounts.Record(context.Background(), int64(workspaces))
+}
+
 // SetDesiredVersion records the version of the desired state that is in effect.
 func (m *Metrics) SetDesiredVersion(version int64) {
 	m.desiredVersion.Record(context.Background(), version)
@@ -199,6 +233,9 @@
 	m.pressure = c.floatGauge(pressure)
 	m.desiredVersion = c.gauge(desiredVersion)
 	m.blockedRequests = c.gauge(blockedRequests)
+	m.capRequests = c.counter(capRequests)
+	m.capMessages = c.counter(capMessages)
+	m.capAccounts = c.gauge(capAccounts)
 	return c.err
 }
 
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -33,6 +33,8 @@
 		`lacewingslip_cross_region_bytes_total{region="hawassa",service="orders"} 4096`,
 		`lacewingslip_members{health="alive"} 4`,
 		`lacewingslip_settings_offset 17`,
+		`lacewingslip_cap_requests_total{verdict="overCap"} 1`,
+		`lacewingslip_cap_messages_total{result="answered"} 1`,
 	} {
 		must.StrContains(t, scraped, sample+"\n")
 	}
@@ -97,6 +99,9 @@
 	m.SetPressure("orders", 0.5)
 	m.SetDesiredVersion(7)
 	m.SetBlockedRequests(1)
+	m.CapDecided(metrics.CapExceeded)
+	m.CapMessageSent(true)
+	m.SetCapAccounts(3)
 
 	server := httptest.NewServer(m.Handler())
 	defer server.Close()
