--- a/quota/network_test.go
+++ b/quota/network_test.go
@@ -37,8 +37,9 @@
 	// were granted, in order.
 	admitted, granted []time.Time
 	// offered has the times at which requests were sent, in order.
-	offered  []time.Time
-	messages int
+	offered []time.Time
+	// messages is the number of asks, and remote that of those to other nodes.
+	messages, remote int
 }
 
 // testNode is a node. Requests and messages that arrive while it is suspended wait.
@@ -229,6 +230,8 @@
 	d := n.delay(from, to)
 	if from == to {
 		d = 0
+	} else {
+		n.remote++
 	}
 	pass := func(receiver *testNode, run func()) {
 		if from.side == to.side && n.random.IntN(100) >= n.lossPct {
