--- a/mesh/lifecycle.go
+++ b/mesh/lifecycle.go
@@ -70,6 +70,7 @@
 	directory     interface{ Run(ctx context.Context) }
 	quarantine    *quarantineSync
 	proofs        *proofs
+	caps          *caps
 }
 
 func newLifecycle(settings nodeconfig.Config, m *metrics.Metrics, events eventRecorder) *lifecycle {
@@ -208,6 +209,7 @@
 			l.components.balancer.tick(now)
 			l.components.sidecar.tick(now, l.components.balancer.countServices())
 			l.components.quarantine.tick(now)
+			l.components.caps.tick()
 			l.closeIdleConnections(now)
 			l.components.exchange.probeUnreachable(ctx, now)
 			l.updateMetrics()
