Keep the order of crashes that other nodes report

A request is isolated after two crashes if the run that ended with the second began after the first. A node that hears of crashes from others dates them by ages in whole milliseconds, relative to the arrival of the message. So a crash seemed later by up to a millisecond and by the time that its message took, and a run that began just afterwards seemed to have begun before it. The log of TestRequestThatCrashesServersIsBlocked with a trace of each merge shows both: two crashes 0.6 ms apart arrive with the same start and end, and the node beside the second server dates the first crash after the start of its own run.

Messages now also have the nanoseconds that the milliseconds leave out, which nodes of earlier versions ignore. If a crash is reported more than once, the earliest date holds, because delays only make it later. A crash that is dated back to before a completed run no longer counts.

TestOrderOfCrashesWithinMillisecond and TestLateEvidenceIsDatedByLaterMessage fail without the change.

--- a/mesh/quarantine.go
+++ b/mesh/quarantine.go
@@ -288,6 +288,11 @@
 	AgeMs     int64              `json:"ageMs"`
 	RunTimeMs int64              `json:"runMs"`
 	Isolated  bool               `json:"isolated,omitempty"`
+	// AgeNs and RunTimeNs are what AgeMs and RunTimeMs leave out. Without them, a run that
+	// started within the same millisecond as an earlier crash seems to have started before
+	// it. Nodes of earlier versions do not send them.
+	AgeNs     int64 `json:"ageNs,omitempty"`
+	RunTimeNs int64 `json:"runNs,omitempty"`
 }
 
 func encodeEvidence(evidence []quarantine.Evidence) (encoded []suspectRequest) {
@@ -298,7 +303,10 @@
 			s.ClearedMs = &ms
 		}
 		for _, c := range e.Crashes {
-			s.Crashes = append(s.Crashes, suspectCrash{ID: c.ID, AgeMs: c.Age.Milliseconds(), RunTimeMs: c.RunTime.Milliseconds(), Isolated: c.Isolated})
+			s.Crashes = append(s.Crashes, suspectCrash{
+				ID: c.ID, AgeMs: c.Age.Milliseconds(), RunTimeMs: c.RunTime.Milliseconds(), Isolated: c.Isolated,
+				AgeNs: int64(c.Age % time.Millisecond), RunTimeNs: int64(c.RunTime % time.Millisecond),
+			})
 		}
 		encoded = append(encoded, s)
 	}
@@ -312,7 +320,9 @@
 			e.Cleared, e.ClearedAge = true, milliseconds(*s.ClearedMs)
 		}
 		for _, c := range s.Crashes {
-			e.Crashes = append(e.Crashes, quarantine.Crash{ID: c.ID, Age: milliseconds(c.AgeMs), RunTime: milliseconds(c.RunTimeMs), Isolated: c.Isolated})
+			e.Crashes = append(e.Crashes, quarantine.Crash{
+				ID: c.ID, Age: milliseconds(c.AgeMs) + belowMillisecond(c.AgeNs), RunTime: milliseconds(c.RunTimeMs) + belowMillisecond(c.RunTimeNs), Isolated: c.Isolated,
+			})
 		}
 		evidence = append(evidence, e)
 	}
@@ -325,6 +335,11 @@
 	return time.Duration(min(max(ms, 0), day.Milliseconds())) * time.Millisecond
 }
 
+// belowMillisecond converts the nanoseconds that a whole number of milliseconds leaves out.
+func belowMillisecond(ns int64) time.Duration {
+	return min(max(time.Duration(ns), 0), time.Millisecond-1)
+}
+
 // encodeWitnessed returns the convictions of witnessed requests as they are stored in the
 // record of a node: the fingerprint, the number of crashes in isolation and the time of the last one in
 // Unix milliseconds, separated by colons, and commas between them. The mutex must be held.
--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -406,6 +406,20 @@
 	eventually(t, func() bool { return sidecar.quarantine.IsSuspect(request) })
 }
 
+// Guards against a run that started in the same millisecond as an earlier crash, and seems to
+// another node to have started before it.
+func TestOrderOfCrashesWithinMillisecond(t *testing.T) {
+	request, now := quarantine.Request{Target: "/a"}.Fingerprint(), time.Now()
+	list, other := quarantine.New(), quarantine.New()
+	for n := range 2 {
+		started := now.Add(time.Duration(n) * 200 * time.Microsecond)
+		list.RecordCrash(started.Add(100*time.Microsecond), quarantine.NewCrashID(), []quarantine.Run{{Request: request, Started: started}})
+	}
+	now = now.Add(time.Millisecond)
+	other.Merge(now, decodeEvidence(encodeEvidence(list.Evidence(now, []quarantine.Fingerprint{request}))))
+	must.Eq(t, quarantine.Isolated, other.Verdict(now, request).Level)
+}
+
 // Nodes may be told of fingerprints, ages and convictions that make no sense.
 func TestDecodeConvictions(t *testing.T) {
 	fingerprint := quarantine.Request{Target: "/a"}.Fingerprint()
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -201,6 +201,20 @@
 	must.Eq(t, quarantine.Free, other.Verdict(at(3.6), request(1)).Level)
 }
 
+// The evidence on a crash may arrive after the next run has started. Guards against two
+// crashes, one after the other, that a node takes for simultaneous ones for that reason.
+func TestLateEvidenceIsDatedByLaterMessage(t *testing.T) {
+	first, second := quarantine.New(), quarantine.New()
+	crash(first, 1, run(1, 0.9))
+	early := first.Evidence(at(1), []quarantine.Fingerprint{request(1)})
+	second.Merge(at(1.01), early)
+	crash(second, 1.2, run(1, 1.1))
+	l := quarantine.New()
+	l.Merge(at(1.3), early)
+	l.Merge(at(1.31), second.Evidence(at(1.3), []quarantine.Fingerprint{request(1)}))
+	must.Eq(t, quarantine.Isolated, l.Verdict(at(2), request(1)).Level)
+}
+
 // Servers that end at the same moment are reported with different delays.
 func TestRackLossIsReportedWithDelays(t *testing.T) {
 	l := quarantine.New()
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -24,10 +24,19 @@
 	cleared time.Time
 }
 
-// addCrash adds a crash if it is not known.
+// addCrash adds a crash if it is not known. An age does not include the time that its message
+// took, so a crash seems the later, the slower the message was. Of several times of the same
+// crash, the earliest is the closest.
 func (s *suspect) addCrash(c crash) (added bool) {
-	known := slices.ContainsFunc(s.crashes, func(other crash) bool { return other.id == c.id })
-	if known || !c.at.After(s.cleared) {
+	if known := slices.IndexFunc(s.crashes, func(other crash) bool { return other.id == c.id }); known >= 0 {
+		if c.at.Before(s.crashes[known].at) {
+			s.crashes[known].started, s.crashes[known].at = c.started, c.at
+			s.clear(s.cleared)
+			s.sort()
+		}
+		return false
+	}
+	if !c.at.After(s.cleared) {
 		return false
 	}
 	if len(s.crashes) == maxCrashes {
@@ -37,10 +46,14 @@
 		s.crashes = slices.Delete(s.crashes, oldest, oldest+1)
 	}
 	s.crashes = append(s.crashes, c)
-	slices.SortFunc(s.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
+	s.sort()
 	return true
 }
 
+func (s *suspect) sort() {
+	slices.SortFunc(s.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
+}
+
 // restore adds an earlier conviction.
 func (s *suspect) restore(crashes int, at time.Time) {
 	if at.After(s.cleared) && crashes > s.isolatedCrashes() {
