Send the evidence against a request with it and with its result

The first request crashes server 1, and its node sends it on to server 2 before the message about the crash has reached the node there. So neither node beside the servers counts both crashes in order, and the node of the caller, which saw both, counts none. The second request, at another node, therefore runs freely and crashes server 3. The node there knows two crashes and tells all others, but the node of the caller sends the request on 0.1 to 0.2 ms later and has not heard of it: server 4. The third request is the first that runs isolated, and crashes server 5.

Evidence and the request that it concerns took different ways, and nothing ordered them. A result that says "crashed" or "quarantined" now carries the evidence against the request, the node of the caller merges it before it decides on another attempt, and the attempt carries what that node knows. The node beside the next server merges it before it starts the run. A node that has forwarded a suspect drops the evidence when the request is answered.

TestCompletedAttemptClearsRequestAtIngress holds that an answered request is not suspect any more.

--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -183,7 +183,9 @@
 			return res
 		}
 		epoch := i.balancer.epochOf(p)
+		req.evidence = evidenceOn(i.quarantine, req.fingerprint)
 		res = i.send(ctx, p, req, version)
+		i.exchange.quarantine.mergeEvidenceOn(req.fingerprint, res.evidence)
 		i.balancer.recordResult(req, p.node, res)
 		i.admission.recordResult(req, p.region, res)
 		if res.report.present {
@@ -191,6 +193,7 @@
 		}
 		switch {
 		case res.outcome == call.Answered:
+			i.exchange.quarantine.suspectAnswered(req)
 			return res
 		case ctx.Err() != nil, req.stream != nil:
 			return res
--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -123,6 +123,34 @@
 	must.Eq(t, before, c.total())
 }
 
+// Guards against an attempt that runs before its node has heard of the crash under the attempt
+// before, so that no node counts both. Here no message about crashes arrives.
+func TestEvidenceTravelsWithRequest(t *testing.T) {
+	d := newDeployment(t, "orders", "orders", "orders", "orders", "catalogue")
+	for _, v := range d.vms {
+		v.node.lifecycle.components.quarantine.send = func(context.Context, *peer, exchangeMessage) (reply exchangeMessage, err error) {
+			return reply, context.DeadlineExceeded
+		}
+	}
+	c := d.crashServers(deadlyPath)
+	c.convict(d.vms[4])
+	must.Eq(t, 3, c.total())
+}
+
+// The node of the caller hears of a crash with the result. Guards against a request that it
+// still suspects once a later attempt has completed.
+func TestCompletedAttemptClearsRequestAtIngress(t *testing.T) {
+	d := newDeployment(t, "orders", "orders", "catalogue")
+	c := &crashes{d: d}
+	c.watch(d.vms[0], deadlyPath)
+	for n := 0; c.total() == 0; n++ {
+		must.Less(t, 20, n)
+		must.Eq(t, http.StatusOK, d.call(d.vms[2], http.MethodGet, deadlyPath, strconv.Itoa(n)).status)
+	}
+	request := quarantine.Request{Method: http.MethodGet, Host: operator.Host, Target: deadlyPath, Caller: "catalogue"}.Fingerprint()
+	must.False(t, d.vms[2].node.lifecycle.components.sidecar.quarantine.IsSuspect(request))
+}
+
 // Copies that run at the same time end many servers before any node can know. Guards against
 // a later wave of them that ends as many.
 func TestCopiesAtTheSameTimeAreBlocked(t *testing.T) {
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -73,6 +73,8 @@
 	repeatShare float64
 	// fingerprint identifies the request in the list of those that crash backend servers.
 	fingerprint quarantine.Fingerprint
+	// evidence is the evidence against the request at the node that sent it.
+	evidence []suspectRequest
 	// queueTimeout is how long the request may wait for a slot at the next node.
 	queueTimeout time.Duration
 }
@@ -95,6 +97,8 @@
 	node string
 	// report is the load that the node beside the backend server reported.
 	report loadReport
+	// evidence is the evidence against the request, if the result depends on it.
+	evidence []suspectRequest
 }
 
 func notRunResult(reason call.Reason, detail string) *result {
--- a/mesh/servers.go
+++ b/mesh/servers.go
@@ -206,6 +206,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	req.setFingerprint()
+	p.exchange.quarantine.mergeEvidenceOn(req.fingerprint, req.evidence)
 	p.exchange.fetchIfNewerAt(r.RemoteAddr, version)
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline.Add(responseGrace/2))
 	defer cancel()
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -133,6 +133,7 @@
 	s.callers.RecordCall(req.route, req.caller)
 	res := s.runInSlot(ctx, req)
 	res.node = s.settings.Node
+	s.reportEvidence(req, res)
 	res.report = loadReport{
 		Load: s.slots.Load(), present: true, level: s.pressureLevel(req.route), origin: s.callers.Origin(req.route),
 		leaf: s.isLeaf(time.Now()),
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -82,6 +82,7 @@
 		fields = append(fields, fieldWorkspace+"="+url.QueryEscape(req.workspace))
 	}
 	h.Set(headerHop, strings.Join(fields, " "))
+	setEvidence(h, req.evidence)
 }
 
 // readRequest decodes the header of a request from another node, and the
@@ -94,7 +95,7 @@
 	}
 	req = &request{
 		id: platform.RequestID(r.Header), method: r.Method, host: r.Host, target: r.RequestURI,
-		header: endToEndHeader(r.Header),
+		header: endToEndHeader(r.Header), evidence: readEvidence(r.Header),
 	}
 	for n, dest := range []*string{&req.service, &req.caller, &req.route} {
 		if *dest, err = url.QueryUnescape(fields[n]); err != nil {
@@ -176,6 +177,7 @@
 	h.Set(headerHop, fmt.Sprintf("%x %s %d %d %d %d %d %d %d %d %s", requestIDHash(id), res.outcome, version,
 		res.report.Running, res.report.Waiting, res.report.Limit, res.report.MeanRun.Milliseconds(),
 		int(res.report.level*levelScale), res.report.origin, boolToInt(res.report.leaf), reason))
+	setEvidence(h, res.evidence)
 	status := res.status
 	if status == 0 {
 		status = call.HTTPStatus(res.outcome, res.reason)
@@ -233,6 +235,7 @@
 	if res.outcome != call.Answered {
 		res.detail = "reported by the node beside the backend server"
 		res.retryAfter = platform.RetryAfter(resp.Header)
+		res.evidence = readEvidence(resp.Header)
 		// The body is discarded: the other node has logged the details.
 		_, _, _ = resp.ReadAll(maxBufferedBytes)
 		resp.Close()
