Bound the time after which a silent log is read again

A follower was up to 3.4 s late after a silence of several seconds, and a version of the desired state must be in force 2.5 s after its acknowledgement. Two times add up. A call that is sent just before the log answers again gets no answer and ends only after callTimeout (2 s). The pause that follows has doubled with each such call, up to 1.5 times maxBackoff (1.5 s).

The pause after a failed call counts from the start of the call, and is at least the first one, so that a call that has timed out is not followed by a long pause. The worst case of a node that reads the log is the longer of 1.5 * maxBackoff (calls rejected) and readTimeout + 1.5 * minBackoff (no answer), 1.5 s, and two calls. In calm nothing fails, so the number of calls is unchanged.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -30,7 +30,10 @@
 	defaultMaxWait = 8 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call. The rate limits
 	// of the log service are shared by all nodes, and changes must take effect within
-	// seconds.
+	// seconds: once the log answers again, a follower has all records after at most
+	// 1.5 * maxBackoff if calls were rejected, or readTimeout of package platform and
+	// 1.5 * minBackoff if they got no answer, and two calls, the second of which reads the
+	// newest records of a restored log.
 	minBackoff = 120 * time.Millisecond
 	maxBackoff = time.Second
 	// disabledInterval is how often a disabled follower checks whether it has been
@@ -127,6 +130,7 @@
 		if known := f.era.Known(); !loaded || known > era {
 			loaded, era = false, known
 		}
+		started := time.Now()
 		records, after, err := f.read(ctx, next, wait, loaded, era)
 		if loaded && f.era.Known() > era {
 			continue
@@ -141,7 +145,7 @@
 			// The log may have been restored meanwhile, which only a response can
 			// show. A read at the end would wait for the next record.
 			wait = 0
-			backoff.Wait(ctx)
+			backoff.WaitSince(ctx, started)
 			continue
 		case loaded && (after.Era != next.Era || after.Offset < next.Offset):
 			loaded = false
@@ -214,10 +218,20 @@
 // Wait pauses for 0.5 to 1.5 times the current pause, and doubles it. The jitter
 // spreads the retries of many nodes whose calls failed at the same time.
 func (b *Backoff) Wait(ctx context.Context) {
-	Pause(ctx, b.current/2+time.Duration(rand.Int64N(int64(b.current))))
+	Pause(ctx, jitter(b.current))
 	b.current = min(2*b.current, b.maxPause)
 }
 
+// WaitSince is Wait with a pause that counts from the start of the failed call, but is not
+// shorter than the first one. A call that has timed out has already spared the server.
+func (b *Backoff) WaitSince(ctx context.Context, started time.Time) {
+	Pause(ctx, max(jitter(b.current)-time.Since(started), jitter(b.minPause)))
+	b.current = min(2*b.current, b.maxPause)
+}
+
+// jitter returns 0.5 to 1.5 times the pause.
+func jitter(pause time.Duration) time.Duration { return pause/2 + rand.N(pause) }
+
 // Reset sets the pause back to its minimum after a success.
 func (b *Backoff) Reset() { b.current = b.minPause }
 
