Tell other watchers when the log has been read again

A read that waits for a record can't be told from one that a silent log will never answer. Waits of different watchers are random so that one of them reads early, but only traffic carried what it had read to the watchers of other zones.

A watcher that has read the log again after a failed call or a restore now exchanges state with the watchers of all zones, if its version or era has risen since the last time. A higher era ends their reads, and they fetch a newer version from it. With w watchers these are at most w * (w - 1) messages after an outage or a restore, none in calm, and no call to the log beside those that a higher era causes anyway.

TestWatcherHearsOfVersionFromRecoveredWatcher has a watcher that does not see the log. TestRecoveryIsReportedOnce holds that calm causes no report.

--- a/follow/catch_up_test.go
+++ b/follow/catch_up_test.go
@@ -72,3 +72,41 @@
 	synctest.Wait()
 	return late
 }
+
+// Guards against nodes that are not told that the log answers again, and against messages
+// between nodes for each record.
+func TestRecoveryIsReportedOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		faults  keyedlog.Faults
+		restore bool
+		want    int
+	}{
+		"calm": {}, "restored": {restore: true, want: 1}, "rejected": {faults: keyedlog.Faults{Down: true}, want: 1},
+		"silent and restored": {keyedlog.Faults{Silent: true}, true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log, era, recovered := keyedlog.New(), follow.NewEraTracker(), 0
+				client := platform.NewLogClient("log:1", platform.WithTransport(log.Transport()), platform.WithEraObserver(era.Observe))
+				saved := log.Copy()
+				f := follow.New(client, topic, &eventLog{}, func([]platform.Record) {}, follow.WithEra(era), follow.WithRecovered(func() { recovered++ }))
+				ctx, cancel := context.WithCancel(t.Context())
+				go f.Run(ctx)
+				time.Sleep(time.Second)
+				log.SetFaults(test.faults)
+				time.Sleep(10 * time.Second)
+				if test.restore {
+					log.Restore(saved)
+				}
+				log.SetFaults(keyedlog.Faults{})
+				for n := range 5 {
+					time.Sleep(3 * time.Second)
+					log.Put(topic, strconv.Itoa(n), []byte("new"))
+				}
+				cancel()
+				synctest.Wait()
+				must.EqOp(t, test.want, recovered)
+			})
+		})
+	}
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -63,6 +63,9 @@
 	era            *EraTracker
 	// maxWait returns the longest time for which the next read waits for a record.
 	maxWait func() time.Duration
+	// recovered is called after the first complete read that follows a failed call or a
+	// restore.
+	recovered func()
 	// unavailable is true after a call to the log service has failed, until one
 	// succeeds or the follower is disabled.
 	unavailable atomic.Bool
@@ -93,13 +96,19 @@
 	return func(f *Follower) { f.maxWait = maxWait }
 }
 
+// WithRecovered sets a function that is called once records have been handled that were read
+// after a failed call or a restore of the log.
+func WithRecovered(recovered func()) Option {
+	return func(f *Follower) { f.recovered = recovered }
+}
+
 // New returns a follower that passes each batch of records to handle. The first
 // batch is passed even if it is empty.
 func New(log logReader, topic string, events eventRecorder, handle func(records []platform.Record), opts ...Option) *Follower {
 	f := &Follower{
 		log: log, topic: topic, events: events, handle: handle,
 		pauseAfterRead: func(int) time.Duration { return 0 }, enabled: func() bool { return true }, era: NewEraTracker(),
-		maxWait: func() time.Duration { return defaultMaxWait },
+		maxWait: func() time.Duration { return defaultMaxWait }, recovered: func() {},
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -135,6 +144,7 @@
 		if loaded && f.era.Known() > era {
 			continue
 		}
+		failedBefore := f.unavailable.Load()
 		f.recordAvailability(err)
 		switch {
 		case errors.Is(err, platform.ErrTrimmed):
@@ -152,13 +162,17 @@
 			backoff.Wait(ctx)
 			continue
 		}
-		if next.Era > 0 && after.Era > next.Era {
+		restored := next.Era > 0 && after.Era > next.Era
+		if restored {
 			f.events.Record(event.LogRestored, slog.String("topic", f.topic), slog.Int64("era", after.Era),
 				slog.Int64("offset", after.Offset), slog.Int64("offsetBefore", next.Offset))
 		}
 		next, loaded, readOnce, wait, era = after, true, true, f.randomWait(), max(era, after.Era)
 		backoff.Reset()
 		f.handle(records)
+		if failedBefore || restored {
+			f.recovered()
+		}
 		Pause(ctx, f.pauseAfterRead(len(records)))
 	}
 }
--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -325,6 +325,28 @@
 	return peers
 }
 
+// otherWatchers returns the watchers of all zones, except this node. The reachable nodes of a
+// zone with the lowest watcherOrder are its watchers.
+func (b *balancer) otherWatchers() (watchers []*peer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	byZone := make(map[string][]*peer)
+	for _, p := range b.peers {
+		if !p.unreachable {
+			byZone[p.member.Zone] = append(byZone[p.member.Zone], p)
+		}
+	}
+	for _, peers := range byZone {
+		slices.SortFunc(peers, func(x, y *peer) int { return cmp.Compare(x.watcherOrder, y.watcherOrder) })
+		for _, p := range peers[:min(watchersPerZone, len(peers))] {
+			if p.node != b.settings.Node {
+				watchers = append(watchers, p)
+			}
+		}
+	}
+	return watchers
+}
+
 // reachableByZone returns the number of reachable nodes of each zone.
 func (b *balancer) reachableByZone() (nodes map[string]int) {
 	b.mu.Lock()
--- a/mesh/desired_state.go
+++ b/mesh/desired_state.go
@@ -24,6 +24,8 @@
 	readsLog func() bool
 	// maxWait returns the longest time for which a read of that topic waits.
 	maxWait func() time.Duration
+	// recovered is called when the log has been read again after a failure or a restore.
+	recovered func()
 
 	mu sync.Mutex
 	// changed is closed and replaced when a newer version has come into force.
@@ -37,10 +39,11 @@
 func newDesiredState(logClient *platform.LogClient, era *follow.EraTracker, events eventRecorder) *desiredState {
 	d := &desiredState{
 		events: events, loaded: make(chan struct{}), changed: make(chan struct{}), readsLog: func() bool { return true },
-		maxWait: func() time.Duration { return minDesiredStateWait },
+		maxWait: func() time.Duration { return minDesiredStateWait }, recovered: func() {},
 	}
 	d.follower = follow.New(logClient, platform.DesiredStateTopic, events, d.applyRecords, follow.WithEra(era),
-		follow.WithMaxWait(func() time.Duration { return d.maxWait() }), follow.WithEnabled(func() bool { return d.readsLog() }))
+		follow.WithMaxWait(func() time.Duration { return d.maxWait() }), follow.WithEnabled(func() bool { return d.readsLog() }),
+		follow.WithRecovered(func() { d.recovered() }))
 	return d
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -142,7 +142,7 @@
 			sc.crashes.onSuspects, sc.crashes.onReleased = q.serverCrashed, q.requestReleased
 			s.caller.Handler = l.trackActive(s.caller.Handler)
 			dir.SetReadsLog(w.readsLog)
-			d.readsLog, d.maxWait = w.readsDesiredState, w.maxWaitForDesiredState
+			d.readsLog, d.maxWait, d.recovered = w.readsDesiredState, w.maxWaitForDesiredState, w.shareRecovery
 			dir.OnPublishError(func() { e.sendOwnRecord(context.Background()) })
 			lc.Append(fx.Hook{OnStart: l.start, OnStop: l.stop})
 		}),
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -257,3 +257,29 @@
 		})
 	}
 }
+
+// A read of the desired state that was sent to a silent log ends seconds after the log answers
+// again, as if the node did not see the log. Guards against a node, itself a watcher, that
+// nobody sends requests to and that keeps the older version until then.
+func TestWatcherHearsOfVersionFromRecoveredWatcher(t *testing.T) {
+	d := newDeployment(t, "orders", "catalogue")
+	unseeing := d.vms[1]
+	kill(unseeing.node)
+	n, err := New(unseeing.settings)
+	must.NoError(t, err)
+	n.lifecycle.components.desired.readsLog = func() bool { return false }
+	n.lifecycle.components.directory.(*fleet.Directory).SetReadsLog(func() bool { return false })
+	must.NoError(t, n.Start(t.Context()))
+	unseeing.node = n
+	t.Cleanup(func() { kill(n) })
+	d.announce(unseeing, "ready")
+	d.awaitConvergence()
+	time.Sleep(settleTime)
+	saved := d.log.Copy()
+	d.log.SetFaults(keyedlog.Faults{Down: true})
+	eventually(t, func() bool { return !d.vms[0].node.lifecycle.components.desired.follower.LogReachable() })
+	d.log.Restore(saved)
+	d.publish(once("once"), safe("safe"), safe("next"))
+	d.log.SetFaults(keyedlog.Faults{})
+	eventually(t, func() bool { return unseeing.version() == d.version })
+}
--- a/mesh/watchers.go
+++ b/mesh/watchers.go
@@ -70,6 +70,8 @@
 	lastAnswer time.Time
 	// positions has, for each watcher by its node's name, the changes that it has sent.
 	positions map[string]watcherPosition
+	// sharedVersion and sharedEra are those that were shared at the last recovery.
+	sharedVersion, sharedEra int64
 }
 
 // watcherPosition identifies the last change that a watcher has sent. See exchangeMessage.
@@ -101,6 +103,30 @@
 	return min(max(time.Duration(watchers)*waitPerWatcher, minDesiredStateWait), maxDesiredStateWait)
 }
 
+// shareRecovery tells the watchers of all zones the version in force and the era of the log
+// once this node, if it is a watcher, has read the log again. A read that they sent to a
+// silent log may go on for maxWaitForDesiredState, and ends when they hear of a higher era.
+func (w *watcherSelection) shareRecovery() {
+	isWatcher := time.Since(w.startedAt) > settleTime && len(w.watchersToFollow()) == 0
+	if !isWatcher || !w.recoveryIsNews() {
+		return
+	}
+	for _, p := range w.balancer.otherWatchers() {
+		// Errors are ignored: the other node reads the log itself, if later.
+		go func() { _ = w.exchange.exchangeWith(context.Background(), p, false) }()
+	}
+}
+
+// recoveryIsNews reports whether the version or the era is above those at the last recovery.
+func (w *watcherSelection) recoveryIsNews() bool {
+	version, era := w.exchange.desired.version(), w.exchange.era.Known()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	news := version > w.sharedVersion || era > w.sharedEra
+	w.sharedVersion, w.sharedEra = max(version, w.sharedVersion), max(era, w.sharedEra)
+	return news
+}
+
 // watchersToFollow returns the watchers of the zone, or none if this node is
 // one of them.
 func (w *watcherSelection) watchersToFollow() (peers []*peer) {
