Answer for a crash once other nodes have been told

The answer for a request under which a server has crashed returned before the messages that tell other nodes to isolate it had arrived. A caller that sends the request again at once, at another node, could meet nodes that do not know, and end two more servers.

The node beside the server now holds the result of a request that is isolated or blocked by the crash until each node has been sent the evidence once, for 100 ms at most and not beyond the deadline. Other requests that the crash has ended are not held. With more nodes than can be told in that time, the rest is told later, as before.

--- a/mesh/crash.go
+++ b/mesh/crash.go
@@ -39,6 +39,9 @@
 	// with one that was restricted and has completed.
 	onSuspects func(requests []quarantine.Fingerprint)
 	onReleased func(request quarantine.Fingerprint)
+	// awaitTold waits until other nodes have been told of a restricted request, and for no
+	// longer than to its deadline.
+	awaitTold func(ctx context.Context, request quarantine.Fingerprint, deadline time.Time)
 
 	// checking holds a token while a connection shows whether the server runs.
 	checking chan struct{}
@@ -63,6 +66,7 @@
 		list: list, events: events, checkListening: checkListening, server: server,
 		checking: make(chan struct{}, 1), running: make(map[*quarantine.Run]struct{}),
 		onSuspects: func([]quarantine.Fingerprint) {}, onReleased: func(quarantine.Fingerprint) {},
+		awaitTold: func(context.Context, quarantine.Fingerprint, time.Time) {},
 	}
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -139,7 +139,7 @@
 		),
 		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle, s *servers, b *balancer, e *exchange, w *watcherSelection, a *announcementHandler, sc *sidecar, d *desiredState, dir *fleet.Directory, q *quarantineSync) {
 			l.components = components{servers: s, balancer: b, exchange: e, watchers: w, announcements: a, sidecar: sc, desired: d, directory: dir, quarantine: q}
-			sc.crashes.onSuspects, sc.crashes.onReleased = q.serverCrashed, q.requestReleased
+			sc.crashes.onSuspects, sc.crashes.onReleased, sc.crashes.awaitTold = q.serverCrashed, q.requestReleased, q.awaitTold
 			s.caller.Handler = l.trackActive(s.caller.Handler)
 			dir.SetReadsLog(w.readsLog)
 			d.readsLog, d.maxWait, d.recovered = w.readsDesiredState, w.maxWaitForDesiredState, w.shareRecovery
--- a/mesh/quarantine.go
+++ b/mesh/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,6 +24,10 @@
 	// restricts a request.
 	spreadAttempts = 4
 	spreadPause    = 300 * time.Millisecond
+	// maxToldWait is how long the result of a request that has become restricted waits until
+	// the other nodes have been told. A copy that is sent after the result then meets nodes
+	// that know. A message between regions takes up to 80 ms with its connection.
+	maxToldWait = 100 * time.Millisecond
 	// maxSpreadMessages bounds the nodes to which evidence is sent at the same time.
 	maxSpreadMessages = 64
 	// maxPublishedConvictions bounds the convictions in the record of a node.
@@ -62,8 +67,10 @@
 
 	mu sync.Mutex
 	// pending has the requests that each node is to be told of, by its name. A goroutine
-	// sends them while there is an entry.
-	pending map[string]map[quarantine.Fingerprint]struct{}
+	// sends them while there is an entry. Each request has the deliveries that it belongs to.
+	pending map[string]map[quarantine.Fingerprint][]*delivery
+	// toAll has the last delivery to all nodes of each request, until it is complete.
+	toAll map[quarantine.Fingerprint]*delivery
 	// witnessed holds the requests under which the backend server of this node has crashed.
 	// The record of the node has their convictions.
 	witnessed map[quarantine.Fingerprint]struct{}
@@ -75,7 +82,7 @@
 	return &quarantineSync{
 		node: b.settings.Node, service: b.settings.Service, list: list, events: events, metrics: m, peers: b.reachablePeers,
 		sending: make(chan struct{}, maxSpreadMessages),
-		pending: make(map[string]map[quarantine.Fingerprint]struct{}), witnessed: make(map[quarantine.Fingerprint]struct{}),
+		pending: make(map[string]map[quarantine.Fingerprint][]*delivery), toAll: make(map[quarantine.Fingerprint]*delivery), witnessed: make(map[quarantine.Fingerprint]struct{}),
 	}
 }
 
@@ -89,10 +96,35 @@
 	q.mu.Unlock()
 	now := time.Now()
 	q.spread(requests, q.peers(q.service))
-	q.spread(q.restricted(now, requests), q.peers(""))
+	restricted := q.restricted(now, requests)
+	told := q.spread(restricted, q.peers(""))
+	q.mu.Lock()
+	for _, request := range restricted {
+		if told.left > 0 {
+			q.toAll[request] = told
+		}
+	}
+	q.mu.Unlock()
 	q.update(now)
 }
 
+// awaitTold waits until the nodes that are to know of a crash under a restricted request have
+// been told, maxToldWait has passed or the deadline is reached.
+func (q *quarantineSync) awaitTold(ctx context.Context, request quarantine.Fingerprint, deadline time.Time) {
+	q.mu.Lock()
+	told := q.toAll[request]
+	q.mu.Unlock()
+	if told == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(maxToldWait, time.Until(deadline)))
+	defer cancel()
+	select {
+	case <-told.complete:
+	case <-ctx.Done():
+	}
+}
+
 // requestReleased tells the other nodes that a restricted request has completed.
 func (q *quarantineSync) requestReleased(request quarantine.Fingerprint) {
 	q.spread([]quarantine.Fingerprint{request}, q.peers(""))
@@ -208,32 +240,55 @@
 	return q.published
 }
 
+// delivery is evidence that is sent to several nodes.
+type delivery struct {
+	// left is the number of messages that have neither arrived nor failed once. The mutex of
+	// quarantineSync guards it.
+	left     int
+	complete chan struct{}
+}
+
 // spread sends the evidence on the requests to nodes. What is to be sent to a node while a
 // message to it is on its way follows in one message.
-func (q *quarantineSync) spread(requests []quarantine.Fingerprint, peers []*peer) {
+func (q *quarantineSync) spread(requests []quarantine.Fingerprint, peers []*peer) *delivery {
+	d := &delivery{left: len(requests) * len(peers), complete: make(chan struct{})}
 	if len(requests) == 0 {
-		return
+		return d
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, p := range peers {
 		waiting, sending := q.pending[p.node]
 		if !sending {
-			waiting = make(map[quarantine.Fingerprint]struct{})
+			waiting = make(map[quarantine.Fingerprint][]*delivery)
 			q.pending[p.node] = waiting
 			go q.deliver(p)
 		}
 		for _, request := range requests {
-			waiting[request] = struct{}{}
+			waiting[request] = append(waiting[request], d)
 		}
 	}
+	return d
+}
+
+// attempted records that a message to a node has arrived or failed once.
+func (q *quarantineSync) attempted(deliveries []*delivery) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, d := range deliveries {
+		if d.left--; d.left > 0 {
+			continue
+		}
+		close(d.complete)
+		maps.DeleteFunc(q.toAll, func(_ quarantine.Fingerprint, other *delivery) bool { return other == d })
+	}
 }
 
 // deliver sends the pending evidence to a node until there is none, or the node can't be
 // reached.
 func (q *quarantineSync) deliver(p *peer) {
 	for {
-		requests := q.takePending(p.node)
+		requests, deliveries := q.takePending(p.node)
 		if len(requests) == 0 {
 			return
 		}
@@ -241,26 +296,30 @@
 			if attempt > 0 {
 				follow.Pause(context.Background(), spreadPause)
 			}
-			if q.sendEvidence(p, requests) == nil {
+			err := q.sendEvidence(p, requests)
+			if attempt == 0 {
+				q.attempted(deliveries)
+			}
+			if err == nil {
 				break
 			}
 		}
 	}
 }
 
-// takePending returns the requests that a node is to be told of. If there are none, a
-// further one starts a new goroutine.
-func (q *quarantineSync) takePending(node string) (requests []quarantine.Fingerprint) {
+// takePending returns the requests that a node is to be told of, and their deliveries. If
+// there are none, a further one starts a new goroutine.
+func (q *quarantineSync) takePending(node string) (requests []quarantine.Fingerprint, deliveries []*delivery) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for request := range q.pending[node] {
-		requests = append(requests, request)
+	for request, waiting := range q.pending[node] {
+		requests, deliveries = append(requests, request), append(deliveries, waiting...)
 	}
 	if len(requests) == 0 {
 		delete(q.pending, node)
 	}
 	clear(q.pending[node])
-	return requests
+	return requests, deliveries
 }
 
 func (q *quarantineSync) sendEvidence(p *peer, requests []quarantine.Fingerprint) (err error) {
--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -137,6 +137,23 @@
 	must.Eq(t, 3, c.total())
 }
 
+// Guards against a copy that is sent once the failure of the first one has been answered, and
+// meets nodes that have not been told yet. Messages take longer than the next copy.
+func TestCopyAfterResultMeetsNodesThatKnow(t *testing.T) {
+	d := newDeployment(t, "orders", "orders", "orders", "orders", "catalogue", "catalogue")
+	for _, v := range d.vms {
+		q := v.node.lifecycle.components.quarantine
+		send := q.send
+		q.send = func(ctx context.Context, p *peer, msg exchangeMessage) (reply exchangeMessage, err error) {
+			time.Sleep(maxToldWait / 10)
+			return send(ctx, p, msg)
+		}
+	}
+	c := d.crashServers(deadlyPath)
+	c.convict(d.vms[4:]...)
+	must.Eq(t, 3, c.total())
+}
+
 // The node of the caller hears of a crash with the result. Guards against a request that it
 // still suspects once a later attempt has completed.
 func TestCompletedAttemptClearsRequestAtIngress(t *testing.T) {
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -255,6 +255,7 @@
 	case res.reason == call.ReasonLost && ctx.Err() == nil && !isTimeout(err):
 		if s.crashes.breakOff(ctx, execution) {
 			res.reason, res.detail = call.ReasonCrashed, "the backend server crashed: "+res.detail
+			s.crashes.awaitTold(ctx, req.fingerprint, req.deadline)
 		}
 	default:
 		s.crashes.drop(execution)
