--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -31,8 +31,9 @@
 // balancer.go (choose the next node), retry_budget.go (decides whether a failed request
 // is sent again), and sidecar.go (runs requests at the backend server, over the
 // connections of instance_pool.go). crash.go detects that the server has crashed under a
-// request, and quarantine.go shares with other nodes which requests do that. repeats.go
-// estimates which calls belong to repeated runs. announcements.go tracks the backend
+// request, quarantine.go shares with other nodes which requests do that, and evidence.go
+// sends what is known of a request along with it and with its result. repeats.go estimates
+// which calls belong to repeated runs. announcements.go tracks the backend
 // server, desired_state.go the operator's desired state, and exchange.go and watchers.go
 // other nodes. servers.go serves callers and other nodes, connections.go decides when
 // their connections are closed, and connection_ends.go records those that end without an
