--- a/mesh/desired_state.go
+++ b/mesh/desired_state.go
@@ -25,6 +25,8 @@
 	readsLog func() bool
 	// maxWait returns the longest time for which a read of that topic waits.
 	maxWait func() time.Duration
+	// recovered is called when the log has been read again after a failure or a restore.
+	recovered func()
 
 	mu sync.Mutex
 	// changed is closed and replaced when a newer version has come into force.
@@ -38,11 +40,12 @@
 func newDesiredState(p *proofs, era *follow.EraTracker, events eventRecorder) *desiredState {
 	d := &desiredState{
 		events: events, proofs: p, loaded: make(chan struct{}), changed: make(chan struct{}), readsLog: func() bool { return true },
-		maxWait: func() time.Duration { return minDesiredStateWait },
+		maxWait: func() time.Duration { return minDesiredStateWait }, recovered: func() {},
 	}
 	p.desired = d
 	d.follower = follow.New(p, platform.DesiredStateTopic, events, d.applyRecords, follow.WithEra(era),
-		follow.WithMaxWait(func() time.Duration { return d.maxWait() }), follow.WithEnabled(func() bool { return d.readsLog() }))
+		follow.WithMaxWait(func() time.Duration { return d.maxWait() }), follow.WithEnabled(func() bool { return d.readsLog() }),
+		follow.WithRecovered(func() { d.recovered() }))
 	return d
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -32,8 +32,9 @@
 // balancer.go (choose the next node), retry_budget.go (decides whether a failed request
 // is sent again), quota.go and quota_messages.go (apply the caps of workspaces), and sidecar.go (runs requests at the backend server, over the
 // connections of instance_pool.go). crash.go detects that the server has crashed under a
-// request, and quarantine.go shares with other nodes which requests do that. repeats.go
-// estimates which calls belong to repeated runs. announcements.go tracks the backend
+// request, quarantine.go shares with other nodes which requests do that, and evidence.go
+// sends what is known of a request along with it and with its result. repeats.go estimates
+// which calls belong to repeated runs. announcements.go tracks the backend
 // server, desired_state.go the operator's desired state, and exchange.go and watchers.go
 // other nodes. freshness.go proves that the desired state is the newest, by the clock in
 // boot_clock.go. servers.go serves callers and other nodes, connections.go decides when
@@ -141,11 +142,11 @@
 		),
 		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle, s *servers, b *balancer, e *exchange, w *watcherSelection, a *announcementHandler, sc *sidecar, d *desiredState, dir *fleet.Directory, q *quarantineSync, p *proofs, cp *caps) {
 			l.components = components{servers: s, balancer: b, exchange: e, watchers: w, announcements: a, sidecar: sc, desired: d, directory: dir, quarantine: q, proofs: p, caps: cp}
-			sc.crashes.onSuspects, sc.crashes.onReleased = q.serverCrashed, q.requestReleased
+			sc.crashes.onSuspects, sc.crashes.onReleased, sc.crashes.awaitTold = q.serverCrashed, q.requestReleased, q.awaitTold
 			s.caller.Handler = l.trackActive(s.caller.Handler)
 			p.watchers = w
 			dir.SetReadsLog(w.readsLog)
-			d.readsLog, d.maxWait = w.readsDesiredState, w.maxWaitForDesiredState
+			d.readsLog, d.maxWait, d.recovered = w.readsDesiredState, w.maxWaitForDesiredState, w.shareRecovery
 			dir.OnPublishError(func() { e.sendOwnRecord(context.Background()) })
 			lc.Append(fx.Hook{OnStart: l.start, OnStop: l.stop})
 		}),
--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -123,6 +123,51 @@
 	must.Eq(t, before, c.total())
 }
 
+// Guards against an attempt that runs before its node has heard of the crash under the attempt
+// before, so that no node counts both. Here no message about crashes arrives.
+func TestEvidenceTravelsWithRequest(t *testing.T) {
+	d := newDeployment(t, "orders", "orders", "orders", "orders", "catalogue")
+	for _, v := range d.vms {
+		v.node.lifecycle.components.quarantine.send = func(context.Context, *peer, exchangeMessage) (reply exchangeMessage, err error) {
+			return reply, context.DeadlineExceeded
+		}
+	}
+	c := d.crashServers(deadlyPath)
+	c.convict(d.vms[4])
+	must.Eq(t, 3, c.total())
+}
+
+// Guards against a copy that is sent once the failure of the first one has been answered, and
+// meets nodes that have not been told yet. Messages take longer than the next copy.
+func TestCopyAfterResultMeetsNodesThatKnow(t *testing.T) {
+	d := newDeployment(t, "orders", "orders", "orders", "orders", "catalogue", "catalogue")
+	for _, v := range d.vms {
+		q := v.node.lifecycle.components.quarantine
+		send := q.send
+		q.send = func(ctx context.Context, p *peer, msg exchangeMessage) (reply exchangeMessage, err error) {
+			time.Sleep(maxToldWait / 10)
+			return send(ctx, p, msg)
+		}
+	}
+	c := d.crashServers(deadlyPath)
+	c.convict(d.vms[4:]...)
+	must.Eq(t, 3, c.total())
+}
+
+// The node of the caller hears of a crash with the result. Guards against a request that it
+// still suspects once a later attempt has completed.
+func TestCompletedAttemptClearsRequestAtIngress(t *testing.T) {
+	d := newDeployment(t, "orders", "orders", "catalogue")
+	c := &crashes{d: d}
+	c.watch(d.vms[0], deadlyPath)
+	for n := 0; c.total() == 0; n++ {
+		must.Less(t, 20, n)
+		must.Eq(t, http.StatusOK, d.call(d.vms[2], http.MethodGet, deadlyPath, strconv.Itoa(n)).status)
+	}
+	request := quarantine.Request{Method: http.MethodGet, Host: operator.Host, Target: deadlyPath, Caller: "catalogue"}.Fingerprint()
+	must.False(t, d.vms[2].node.lifecycle.components.sidecar.quarantine.IsSuspect(request))
+}
+
 // Copies that run at the same time end many servers before any node can know. Guards against
 // a later wave of them that ends as many.
 func TestCopiesAtTheSameTimeAreBlocked(t *testing.T) {
@@ -406,6 +451,20 @@
 	eventually(t, func() bool { return sidecar.quarantine.IsSuspect(request) })
 }
 
+// Guards against a run that started in the same millisecond as an earlier crash, and seems to
+// another node to have started before it.
+func TestOrderOfCrashesWithinMillisecond(t *testing.T) {
+	request, now := quarantine.Request{Target: "/a"}.Fingerprint(), time.Now()
+	list, other := quarantine.New(), quarantine.New()
+	for n := range 2 {
+		started := now.Add(time.Duration(n) * 200 * time.Microsecond)
+		list.RecordCrash(started.Add(100*time.Microsecond), quarantine.NewCrashID(), []quarantine.Run{{Request: request, Started: started}})
+	}
+	now = now.Add(time.Millisecond)
+	other.Merge(now, decodeEvidence(encodeEvidence(list.Evidence(now, []quarantine.Fingerprint{request}))))
+	must.Eq(t, quarantine.Isolated, other.Verdict(now, request).Level)
+}
+
 // Nodes may be told of fingerprints, ages and convictions that make no sense.
 func TestDecodeConvictions(t *testing.T) {
 	fingerprint := quarantine.Request{Target: "/a"}.Fingerprint()
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -75,6 +75,8 @@
 	repeatShare float64
 	// fingerprint identifies the request in the list of those that crash backend servers.
 	fingerprint quarantine.Fingerprint
+	// evidence is the evidence against the request at the node that sent it.
+	evidence []suspectRequest
 	// queueTimeout is how long the request may wait for a slot at the next node.
 	queueTimeout time.Duration
 }
@@ -99,6 +101,8 @@
 	report loadReport
 	// proofAge is the age of the proof at that node.
 	proofAge proofAge
+	// evidence is the evidence against the request, if the result depends on it.
+	evidence []suspectRequest
 }
 
 func notRunResult(reason call.Reason, detail string) *result {
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -133,6 +133,7 @@
 	s.callers.RecordCall(req.route, req.caller)
 	res := s.runInSlot(ctx, req)
 	res.node = s.settings.Node
+	s.reportEvidence(req, res)
 	res.report = loadReport{
 		Load: s.slots.Load(), present: true, level: s.pressureLevel(req.route), origin: s.callers.Origin(req.route),
 		leaf: s.isLeaf(time.Now()),
@@ -257,6 +258,7 @@
 	case res.reason == call.ReasonLost && ctx.Err() == nil && !isTimeout(err):
 		if s.crashes.breakOff(ctx, execution) {
 			res.reason, res.detail = call.ReasonCrashed, "the backend server crashed: "+res.detail
+			s.crashes.awaitTold(ctx, req.fingerprint, req.deadline)
 		}
 	default:
 		s.crashes.drop(execution)
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -86,6 +86,7 @@
 		fields = append(fields, fieldWorkspace+"="+url.QueryEscape(req.workspace))
 	}
 	h.Set(headerHop, strings.Join(fields, " "))
+	setEvidence(h, req.evidence)
 }
 
 // readRequest decodes the header of a request from another node, and the
@@ -98,7 +99,7 @@
 	}
 	req = &request{
 		id: platform.RequestID(r.Header), method: r.Method, host: r.Host, target: r.RequestURI,
-		header: endToEndHeader(r.Header),
+		header: endToEndHeader(r.Header), evidence: readEvidence(r.Header),
 	}
 	platform.DropCallerIdentity(req.header)
 	for n, dest := range []*string{&req.service, &req.caller, &req.route} {
@@ -185,6 +186,7 @@
 		value += fmt.Sprintf(" %s=%d", fieldProofAge, *age)
 	}
 	h.Set(headerHop, value)
+	setEvidence(h, res.evidence)
 	status := res.status
 	if status == 0 {
 		status = call.HTTPStatus(res.outcome, res.reason)
@@ -242,6 +244,7 @@
 	if res.outcome != call.Answered {
 		res.detail = "reported by the node beside the backend server"
 		res.retryAfter = platform.RetryAfter(resp.Header)
+		res.evidence = readEvidence(resp.Header)
 		// The body is discarded: the other node has logged the details.
 		_, _, _ = resp.ReadAll(maxBufferedBytes)
 		resp.Close()
