Let more nodes be keepers, and ask keepers that did not answer last

The test network took a node for as near as the others of its zone; it now asks itself first, as mesh does.

A keeper that has not answered the last question is asked last, for all workspaces, so requests do not each wait 50 ms for nodes that are cut off.

--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -29,6 +29,9 @@
 	ownZone
 	ownRegion
 	otherRegion
+	// suspectDistance is added for a node that has not answered the last question. It is
+	// asked only if there is no other.
+	suspectDistance
 )
 
 // caps applies the caps of workspaces to the requests that this node receives, and answers
@@ -177,9 +180,10 @@
 // serve decides on the waiting requests of a workspace and sends the questions to keepers that
 // this needs. The mutex must be held.
 func (c *caps) serve(now time.Time, workspace string) {
+	distance := func(node string) (distance int, ok bool) { return c.distance(now, node) }
 	for again := true; again; {
 		again = false
-		for _, ask := range c.purse.Serve(now, workspace, c.distance) {
+		for _, ask := range c.purse.Serve(now, workspace, distance) {
 			if ask.Node != c.settings.Node {
 				c.ask(workspace, ask)
 				continue
@@ -191,8 +195,11 @@
 	}
 }
 
-func (c *caps) distance(node string) (distance int, ok bool) {
+func (c *caps) distance(now time.Time, node string) (distance int, ok bool) {
 	n, ok := c.reachable[node]
+	if c.links[node].isSuspect(now) {
+		return n.distance + suspectDistance, ok
+	}
 	return n.distance, ok
 }
 
--- a/mesh/quota_messages.go
+++ b/mesh/quota_messages.go
@@ -61,6 +61,13 @@
 	// sent.
 	unanswered int
 	sentAt     time.Time
+	// failed is true if the last message has failed.
+	failed bool
+}
+
+// isSuspect reports whether the keeper may be unreachable.
+func (l *quotaLink) isSuspect(now time.Time) bool {
+	return l != nil && (l.failed || l.unanswered > 0 && now.Sub(l.sentAt) > maxAnswerDelay)
 }
 
 // ServeHTTP answers a node that asks for credit.
@@ -130,6 +137,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		link.unanswered--
+		link.failed = err != nil
 		if len(link.pending) > 0 {
 			c.sendPending(node, link)
 		}
--- a/quota/loads_test.go
+++ b/quota/loads_test.go
@@ -66,6 +66,30 @@
 			}
 			n.run(5 * time.Second)
 		}, 0.9},
+		"small, cut off": {69, small, func(n *network) {
+			n.all(12, 20*time.Second)
+			n.run(4 * time.Second)
+			for _, node := range n.nodes[:24] {
+				node.side = 1
+			}
+			n.run(12 * time.Second)
+			for _, node := range n.nodes[:24] {
+				node.side = 0
+			}
+			n.run(5 * time.Second)
+		}, 0.9},
+		"each cut off alone": {69, large, func(n *network) {
+			n.all(200, 20*time.Second)
+			n.run(4 * time.Second)
+			for side, node := range n.nodes[:24] {
+				node.side = side + 1
+			}
+			n.run(12 * time.Second)
+			for _, node := range n.nodes[:24] {
+				node.side = 0
+			}
+			n.run(5 * time.Second)
+		}, 0.8},
 		"killed": {69, large, func(n *network) {
 			n.all(200, 20*time.Second)
 			n.run(4 * time.Second)
--- a/quota/network_test.go
+++ b/quota/network_test.go
@@ -178,7 +178,14 @@
 	return func(node string) (int, bool) {
 		var index int
 		_, _ = fmt.Sscanf(node, "node-%d", &index)
-		return int(n.delay(from, n.nodes[index]) / otherRegion), true
+		switch {
+		case index == from.index:
+			return 0, true
+		case n.delay(from, n.nodes[index]) == sameZone:
+			return 1, true
+		default:
+			return 3, true
+		}
 	}
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -37,8 +37,9 @@
 import "time"
 
 const (
-	// MaxKeepers limits the messages for a workspace whose callers are all at one node.
-	MaxKeepers = 32
+	// MaxKeepers limits the messages for a workspace whose callers are all at one node, or that
+	// is far over its cap. Nodes that are keepers themselves send fewer messages.
+	MaxKeepers = 64
 	// minTokensPerKeeper is the burst that each keeper has at least, if the cap has more than
 	// one keeper. A bucket of less loses tokens because it is full between two requests.
 	minTokensPerKeeper = 3
