Keep credit valid and requests waiting for 100 ms at least

Both times scale with the tolerance of the deployment. With a tolerance of 20 ms, credit would have expired before its answer arrived over the longest path, so every request of a workspace with a cap would have been refused.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -50,6 +50,10 @@
 	// maxLifetime and maxHold bound the times that depend on the window.
 	maxLifetime = time.Second
 	maxHold     = 150 * time.Millisecond
+	// An answer takes 40 ms over the longest network path. With shorter times, most requests
+	// would be refused, so a deployment that tolerates less gets these.
+	minLifetime = 100 * time.Millisecond
+	minHold     = 100 * time.Millisecond
 	// These parts of the tolerated excess are used up if credit is spent just before it
 	// expires, by requests that are held, and by bursts that are raised by AddedBurst.
 	lifetimePart, holdPart, addedBurstPart = 0.5, 0.3, 0.2
@@ -69,7 +73,8 @@
 //
 // Requests that are sent in a window can spend credit that was granted up to Lifetime before
 // it, and be admitted up to Hold after it. They can exceed rate x window + burst by the rate
-// times these times and AddedBurst, which together is at most the tolerated share of the window.
+// times these times and AddedBurst, which together is at most the tolerated share of the window
+// if that is 0.34 s or more.
 type Terms struct {
 	// Lifetime is how long credit is valid.
 	Lifetime time.Duration
@@ -91,8 +96,8 @@
 	}
 	tolerated := time.Duration(float64(window) * over)
 	return Terms{
-		Lifetime:   min(scale(tolerated, lifetimePart), maxLifetime),
-		Hold:       min(scale(tolerated, holdPart), maxHold),
+		Lifetime:   min(max(scale(tolerated, lifetimePart), minLifetime), maxLifetime),
+		Hold:       min(max(scale(tolerated, holdPart), minHold), maxHold),
 		AddedBurst: scale(tolerated, addedBurstPart),
 	}
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -16,6 +16,29 @@
 	testCap   = quota.Cap{Rate: 20, Burst: 4}
 )
 
+// Guards against credit that expires before it arrives, and against times that add up to more
+// than the deployment tolerates.
+func TestTerms(t *testing.T) {
+	cases := map[string]struct {
+		window         time.Duration
+		over           float64
+		lifetime, hold time.Duration
+	}{
+		"usual":        {5 * time.Second, 0.1, 250 * time.Millisecond, 150 * time.Millisecond},
+		"not set":      {0, 0, 250 * time.Millisecond, 150 * time.Millisecond},
+		"strict":       {time.Second, 0.02, 100 * time.Millisecond, 100 * time.Millisecond},
+		"wide":         {time.Minute, 0.5, time.Second, 150 * time.Millisecond},
+		"least scaled": {3400 * time.Millisecond, 0.1, 170 * time.Millisecond, 102 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			terms := quota.NewTerms(c.window, c.over)
+			must.Eq(t, c.lifetime, terms.Lifetime)
+			must.Eq(t, c.hold, terms.Hold)
+		})
+	}
+}
+
 // Guards against a part of a cap that two nodes grant, or one twice: by a node that the others
 // do not know yet, by one that knows no others, and by the next process of a node.
 func TestKeeperBeginsEmptyAndLate(t *testing.T) {
