--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -78,7 +78,7 @@
 }
 
 func newCaps(settings nodeconfig.Config, d *desiredState, b *balancer, dir *fleet.Directory, m *metrics.Metrics, events eventRecorder) *caps {
-	terms := quota.NewTerms(settings.Bounds.CapWindow, settings.Bounds.CapOver)
+	terms := quota.NewTerms(settings.Bounds.CapWindow, settings.Bounds.CapOver, settings.Bounds.CapSlack)
 	return &caps{
 		settings: settings, desired: d, balancer: b, directory: dir, events: events, metrics: m, now: bootTime,
 		purse: quota.NewPurse(terms, rand.Float64), accounts: quota.NewAccounts(settings.Node, terms),
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -57,6 +57,12 @@
 	// These parts of the tolerated excess are used up if credit is spent just before it
 	// expires, by requests that are held, and by bursts that are raised by AddedBurst.
 	lifetimePart, holdPart, addedBurstPart = 0.5, 0.3, 0.2
+	// addedTokensPart is the part of the tolerated number of requests that the buckets have
+	// room for. Requests arrive at random, so a bucket of a few tokens refuses many of them
+	// although they are within the cap over the window in which the deployment measures it.
+	// The rest is for what nodes do not know of each other, such as a keeper that is not told
+	// of a new node.
+	addedTokensPart = 0.5
 
 	defaultWindow = 5 * time.Second
 	defaultOver   = 0.1
@@ -74,7 +80,7 @@
 // Requests that are sent in a window can spend credit that was granted up to Lifetime before
 // it, and be admitted up to Hold after it. They can exceed rate x window + burst by the rate
 // times these times and AddedBurst, which together is at most the tolerated share of the window
-// if that is 0.34 s or more.
+// if that is 0.34 s or more, and by AddedTokens.
 type Terms struct {
 	// Lifetime is how long credit is valid.
 	Lifetime time.Duration
@@ -83,11 +89,15 @@
 	// AddedBurst is the time for whose requests the buckets have room in addition to the burst.
 	// Several small buckets, or one without burst, refuse requests that one bucket admits.
 	AddedBurst time.Duration
+	// AddedTokens is the number of tokens for which the buckets of all keepers of a workspace
+	// together have room in addition.
+	AddedTokens float64
 }
 
 // NewTerms returns the terms for a deployment in which the requests in any window may exceed a
-// cap by the share over. Defaults are used for numbers of 0 or less.
-func NewTerms(window time.Duration, over float64) (t Terms) {
+// cap by the share over, and by the number slack. Defaults are used for a window and a share of
+// 0 or less.
+func NewTerms(window time.Duration, over, slack float64) (t Terms) {
 	if window <= 0 {
 		window = defaultWindow
 	}
@@ -98,7 +108,7 @@
 	return Terms{
 		Lifetime:   min(max(scale(tolerated, lifetimePart), minLifetime), maxLifetime),
 		Hold:       min(max(scale(tolerated, holdPart), minHold), maxHold),
-		AddedBurst: scale(tolerated, addedBurstPart),
+		AddedBurst: scale(tolerated, addedBurstPart), AddedTokens: addedTokensPart * max(slack, 0),
 	}
 }
 
@@ -112,7 +122,7 @@
 
 // burst returns the size of the buckets of all keepers together.
 func (c Cap) burst(t Terms) float64 {
-	return max(c.Burst+c.Rate*t.AddedBurst.Seconds(), 1)
+	return max(c.Burst+c.Rate*t.AddedBurst.Seconds()+t.AddedTokens, 1)
 }
 
 // keepers returns the number of keepers that the cap has among the number of nodes.
