--- a/quota/quota.go
+++ b/quota/quota.go
@@ -43,6 +43,9 @@
 	// minTokensPerKeeper is the burst that each keeper has at least, if the cap has more than
 	// one keeper. A bucket of less loses tokens because it is full between two requests.
 	minTokensPerKeeper = 3
+	// minKeepers is the number of keepers of a cap whose burst is too small for more, so that it
+	// does not stop while one of them is down.
+	minKeepers = 2
 	// HandoverDelay is how long a node must have been the keeper by each of its views of the
 	// nodes before it grants credit. Within this time, the earlier keeper learns of the change.
 	HandoverDelay = 2 * time.Second
@@ -125,7 +128,11 @@
 	return max(c.Burst+c.Rate*t.AddedBurst.Seconds()+t.AddedTokens, 1)
 }
 
-// keepers returns the number of keepers that the cap has among the number of nodes.
+// keepers returns the number of keepers that the cap has among the number of nodes. The added
+// tokens give a small cap a second keeper, but are not divided among many: one bucket of their
+// size admits more than several small ones.
 func (c Cap) keepers(t Terms, nodes int) int {
-	return max(min(int(c.burst(t)/minTokensPerKeeper), MaxKeepers, nodes), 1)
+	burst := c.burst(t)
+	number := max(int((burst-t.AddedTokens)/minTokensPerKeeper), min(int(burst/minTokensPerKeeper), minKeepers))
+	return max(min(number, MaxKeepers, nodes), 1)
 }
