Estimate what backend servers handle where they state their pace

Servers of one service differ threefold in speed, and the fixed share of the announced slots and the share of it in use say nothing about that. Where a server sends the fourth figure of its load, the sidecar now limits the running requests by the elasticity of their run time and counts those that nobody waits for, and reports the expected run time of the route. Other nodes choose the node that is expected to answer first, and refuse a request that can end in time nowhere.

--- a/mesh/announcements.go
+++ b/mesh/announcements.go
@@ -363,6 +363,7 @@
 		a.events.Record(event.BackendAnnounced, slog.String("instance", instance), slog.Int("slots", load.Slots),
 			slog.String("source", "health request"))
 		a.applyServerState()
+		a.sidecar.capacity.adopt(time.Now(), load)
 	}
 	return true
 }
--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -152,6 +152,7 @@
 	now := time.Now()
 	u, ok := b.table.Choose(now, routing.Query{
 		Service: req.service, Importance: importanceOf(req.priority), Tried: excluded, Cost: int64(len(req.body)), Region: region,
+		Route: req.route, TimeLeft: req.deadline.Sub(now),
 	})
 	if !ok {
 		return nil, false
@@ -160,6 +161,15 @@
 	return b.peers[u.Node], true
 }
 
+// isTooLate reports whether no node of the request's service is expected to answer it before
+// its deadline.
+func (b *balancer) isTooLate(req *request) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	return b.table.TooLate(now, routing.Query{Service: req.service, Route: req.route, TimeLeft: req.deadline.Sub(now)})
+}
+
 // isolationNode returns the node that runs the requests of this kind while they are
 // isolated: among the nodes of the service that accept requests and are not excluded, the
 // one with the highest hash of its name and the fingerprint.
@@ -192,7 +202,8 @@
 	defer b.mu.Unlock()
 	report := routing.Report{
 		HasLoad: res.report.present, Bytes: int64(len(res.body)),
-		Load: admission.Load{Running: res.report.Running, Limit: res.report.Limit, Queued: res.report.Waiting},
+		Load:  admission.Load{Running: res.report.Running, Limit: res.report.Limit, Queued: res.report.Waiting},
+		Route: req.route, Run: res.report.run, MeanRun: res.report.MeanRun,
 	}
 	switch {
 	case res.outcome == call.Answered, res.reason == call.ReasonCanceled, res.reason == call.ReasonDeadline:
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -179,6 +179,9 @@
 	res = notRunResult(call.ReasonNoUpstream, "no reachable backend server of the service accepts requests")
 	for {
 		p, ok := selector.next()
+		if !ok && selector.attempts == 1 && i.balancer.isTooLate(req) {
+			return notRunResult(call.ReasonOverloaded, "no backend server of the service can answer the request before its deadline")
+		}
 		if !ok {
 			return res
 		}
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -25,9 +25,9 @@
 )
 
 const (
-	// usableSlotShare is the share of the slots that is used concurrently. Backend
-	// servers slow down when they are nearly full: from 95% on, each request takes
-	// 1.3 times as long.
+	// usableSlotShare is the share of the slots that is used concurrently at a backend
+	// server that does not state its pace. Servers slow down when they are nearly full: from
+	// 95% on, each request takes 1.3 times as long.
 	usableSlotShare = 0.94
 	// minStartTime is the minimum time left until the deadline for a request to be
 	// started, whatever its route.
@@ -44,6 +44,7 @@
 	settings nodeconfig.Config
 	tracker  *upstream.Tracker
 	slots    *slot.Queue
+	capacity *serverCapacity
 	backend  *instancePool
 	events   eventRecorder
 	metrics  *metrics.Metrics
@@ -97,6 +98,7 @@
 		settings: settings, tracker: tracker, slots: slot.New(), events: events,
 		backend: newInstancePool(settings.Backend), quarantine: list,
 	}
+	s.capacity = newServerCapacity(s.slots, s.runTimes, events)
 	s.crashes = newCrashDetector(list, events, s.checkListening, tracker.Server)
 	// Whether the server makes calls is unknown at the start, so it does not count
 	// as a leaf until leafIdleTime has passed.
@@ -120,7 +122,7 @@
 // backend server.
 func (s *sidecar) applyServerState(server upstream.Server) {
 	if server.TakesWork() {
-		s.slots.Resize(usableSlots(server.Slots()))
+		s.slots.Resize(s.capacity.serverChanged(server))
 		return
 	}
 	s.slots.Close()
@@ -135,7 +137,7 @@
 	res.node = s.settings.Node
 	res.report = loadReport{
 		Load: s.slots.Load(), present: true, level: s.pressureLevel(req.route), origin: s.callers.Origin(req.route),
-		leaf: s.isLeaf(time.Now()),
+		leaf: s.isLeaf(time.Now()), run: s.capacity.expectedRun(req.route),
 	}
 	s.metrics.CallEnded(metrics.Call{
 		Hop: metrics.Sidecar, Service: req.service, Importance: importanceOf(req.rank), Outcome: res.outcome, Reason: res.reason,
@@ -168,7 +170,7 @@
 		s.gauge.RecordArrival()
 	}
 	waitUntil := time.Now().Add(req.queueTimeout)
-	if latestStart := req.deadline.Add(-s.runTimes.minTimeLeft(req.route)); waitUntil.After(latestStart) {
+	if latestStart := req.deadline.Add(-s.capacity.minTimeLeft(req.route)); waitUntil.After(latestStart) {
 		waitUntil = latestStart
 	}
 	release, err := s.slots.Acquire(ctx, slot.Request{Rank: req.rank, Deadline: req.deadline, WaitUntil: waitUntil})
@@ -186,8 +188,10 @@
 		return notRunResult(call.ReasonOverloaded, err.Error())
 	}
 	started := time.Now()
+	mark := s.capacity.begin(started)
 	res := s.forwardUnlessQuarantined(ctx, req)
 	runTime := time.Since(started)
+	s.capacity.end(time.Now(), mark, req.route, res, s.isLeaf(started))
 	switch {
 	case res.outcome != call.Answered:
 		runTime = 0
@@ -228,7 +232,7 @@
 func (s *sidecar) forward(ctx context.Context, req *request, isolated bool) *result {
 	server := s.tracker.Server()
 	timeLeft := time.Until(req.deadline)
-	if minLeft := s.runTimes.minTimeLeft(req.route); timeLeft < minLeft {
+	if minLeft := s.capacity.minTimeLeft(req.route); timeLeft < minLeft {
 		return notRunResult(call.ReasonTooLate, fmt.Sprintf("%v is left until the deadline, but requests of this route need at least %v to be started", timeLeft, minLeft))
 	}
 	httpReq := req.httpRequest(func(h http.Header) {
@@ -268,6 +272,9 @@
 	if err != nil {
 		return resultOfError(ctx, err), err
 	}
+	if load, ok := platform.ServerLoad(resp.Header); ok && !mayBeLateCopy(resp) {
+		s.capacity.observe(time.Now(), load)
+	}
 	return resultOfResponse(resp), nil
 }
 
@@ -291,6 +298,7 @@
 // tick does the periodic work. services is the number of services that have
 // nodes.
 func (s *sidecar) tick(now time.Time, services int) {
+	s.metrics.SetCapacity(s.settings.Service, s.capacity.tick(now))
 	load := s.slots.Load()
 	level := s.gauge.Tick(now, load)
 	if math.Abs(level-s.reportedLevel) >= reportedLevelStep || level == 0 && s.reportedLevel > 0 {
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -30,6 +30,12 @@
 	// because traffic between zones and regions is charged by the byte.
 	headerHop = internalPrefix + "Hop"
 
+	// headerRun has the expected run time of a request of the route in microseconds. It is
+	// in responses of nodes whose backend server states its pace. It is a header of its own
+	// because servers may begin to state their pace during an update, and nodes of earlier
+	// versions reject a response with further fields in headerHop.
+	headerRun = internalPrefix + "Run"
+
 	// requestFieldCount and responseFieldCount are the numbers of space-separated
 	// fields in headerHop. Optional fields of the form name=value follow them. They are sent
 	// only where a deployment uses the feature that needs them, because nodes of earlier
@@ -150,6 +156,9 @@
 	// leaf is true if the backend server calls no other services.
 	leaf    bool
 	present bool
+	// run is the expected run time of a request of the route, or 0 if the backend server
+	// does not state its pace.
+	run time.Duration
 }
 
 // levelScale converts a pressure level to the integer that is sent between
@@ -176,6 +185,9 @@
 	h.Set(headerHop, fmt.Sprintf("%x %s %d %d %d %d %d %d %d %d %s", requestIDHash(id), res.outcome, version,
 		res.report.Running, res.report.Waiting, res.report.Limit, res.report.MeanRun.Milliseconds(),
 		int(res.report.level*levelScale), res.report.origin, boolToInt(res.report.leaf), reason))
+	if res.report.run > 0 {
+		h.Set(headerRun, strconv.FormatInt(res.report.run.Microseconds(), 10))
+	}
 	status := res.status
 	if status == 0 {
 		status = call.HTTPStatus(res.outcome, res.reason)
@@ -230,6 +242,7 @@
 		return unknownResult(call.ReasonLost, err.Error()), 0
 	}
 	res.node = node
+	res.report.run = expectedRun(resp.Header)
 	if res.outcome != call.Answered {
 		res.detail = "reported by the node beside the backend server"
 		res.retryAfter = platform.RetryAfter(resp.Header)
@@ -276,6 +289,18 @@
 	return res, numbers[0], nil
 }
 
+// maxRun bounds the run time that is read from a header.
+const maxRun = time.Hour
+
+// expectedRun returns the value of headerRun, or 0 if it is missing or invalid.
+func expectedRun(h http.Header) time.Duration {
+	n, err := strconv.ParseInt(h.Get(headerRun), 10, 64)
+	if err != nil || n < 0 || n > maxRun.Microseconds() {
+		return 0
+	}
+	return time.Duration(n) * time.Microsecond
+}
+
 func parseNumbers(fields []string) (numbers []int64, err error) {
 	numbers = make([]int64, len(fields))
 	for i, field := range fields {
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -119,6 +119,26 @@
 		Name: "lacewingslip.blocked.requests", Exported: "lacewingslip_blocked_requests", Kind: Gauge, Unit: "{request}",
 		Meaning: "Number of different calls that this node refuses because they crash backend servers.",
 	}
+	pace = Instrument{
+		Name: "lacewingslip.pace", Exported: "lacewingslip_pace", Kind: Gauge, Unit: "{ratio}",
+		Labels:  []string{labelService},
+		Meaning: "How long work takes at the backend server, as a multiple of the usual time and without noise. Present only if the server states it.",
+	}
+	expectedRun = Instrument{
+		Name: "lacewingslip.expected.run", Exported: "lacewingslip_expected_run_seconds", Kind: Gauge, Unit: "s",
+		Labels:  []string{labelService},
+		Meaning: "Expected run time of a call at the backend server, from the pace and the work of earlier calls.",
+	}
+	elasticity = Instrument{
+		Name: "lacewingslip.elasticity", Exported: "lacewingslip_elasticity", Kind: Gauge, Unit: "{ratio}",
+		Labels:  []string{labelService},
+		Meaning: "By how many percent calls take longer if one percent more of them run. The limit falls above 0.6 and rises below 0.4.",
+	}
+	abandoned = Instrument{
+		Name: "lacewingslip.abandoned", Exported: "lacewingslip_abandoned", Kind: Gauge, Unit: "{call}",
+		Labels:  []string{labelService},
+		Meaning: "Calls that the backend server may still run although nobody waits for the answer. They count against the limit.",
+	}
 )
 
 // Catalogue returns all instruments in the order of docs/operate/metrics.md.
@@ -126,5 +146,6 @@
 	return []Instrument{
 		calls, callDuration, retries, queueLength, running, limit,
 		bookings, crossRegionBytes, members, settingsOffset, pressure, desiredVersion, blockedRequests,
+		pace, expectedRun, elasticity, abandoned,
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -57,6 +57,15 @@
 	Running, Limit, Queued int
 }
 
+// Capacity is what a backend server that states its pace is expected to handle.
+type Capacity struct {
+	// Pace is 0 if the server does not state it.
+	Pace       float64
+	MeanRun    time.Duration
+	Elasticity float64
+	Abandoned  int
+}
+
 // Metrics holds the instruments of one process. It is safe for concurrent use.
 type Metrics struct {
 	handler  http.Handler
@@ -75,6 +84,10 @@
 	pressure         metric.Float64Gauge
 	desiredVersion   metric.Int64Gauge
 	blockedRequests  metric.Int64Gauge
+	pace             metric.Float64Gauge
+	expectedRun      metric.Float64Gauge
+	elasticity       metric.Float64Gauge
+	abandoned        metric.Int64Gauge
 
 	// Label sets are cached per combination of values, because creating one sorts and
 	// allocates.
@@ -173,6 +186,21 @@
 	m.pressure.Record(context.Background(), level, set.record...)
 }
 
+// SetCapacity records what the backend server of the service is expected to handle.
+func (m *Metrics) SetCapacity(service string, c Capacity) {
+	if c.Pace == 0 {
+		return
+	}
+	set := m.serviceSets.get(service, func() []attribute.KeyValue {
+		return []attribute.KeyValue{attribute.String(labelService, service)}
+	})
+	ctx := context.Background()
+	m.pace.Record(ctx, c.Pace, set.record...)
+	m.expectedRun.Record(ctx, c.MeanRun.Seconds(), set.record...)
+	m.elasticity.Record(ctx, c.Elasticity, set.record...)
+	m.abandoned.Record(ctx, int64(c.Abandoned), set.record...)
+}
+
 // SetBlockedRequests records the number of different calls that are refused because they
 // crash backend servers.
 func (m *Metrics) SetBlockedRequests(requests int) {
@@ -199,6 +227,10 @@
 	m.pressure = c.floatGauge(pressure)
 	m.desiredVersion = c.gauge(desiredVersion)
 	m.blockedRequests = c.gauge(blockedRequests)
+	m.pace = c.floatGauge(pace)
+	m.expectedRun = c.floatGauge(expectedRun)
+	m.elasticity = c.floatGauge(elasticity)
+	m.abandoned = c.gauge(abandoned)
 	return c.err
 }
 
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -97,6 +97,7 @@
 	m.SetPressure("orders", 0.5)
 	m.SetDesiredVersion(7)
 	m.SetBlockedRequests(1)
+	m.SetCapacity("orders", metrics.Capacity{Pace: 1})
 
 	server := httptest.NewServer(m.Handler())
 	defer server.Close()
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -1,6 +1,7 @@
 // Package routing chooses the upstream that receives a call: the less loaded of two
 // random upstreams with spare capacity, in the local availability zone if there are
-// any, or else in the local region, or else in another region.
+// any, or else in the local region, or else in another region. Where upstreams report how
+// long they need for a call, the one that is expected to answer first is chosen instead.
 //
 // # Usage
 //
@@ -54,6 +55,10 @@
 	// Region restricts the choice to the upstreams of a region, even if none of them
 	// has spare capacity. If it is empty, there is no restriction.
 	Region string
+	// Route and TimeLeft are the route of the call and the time in which it must be
+	// answered, or 0 if that is unknown. They matter only where upstreams report run times.
+	Route    string
+	TimeLeft time.Duration
 }
 
 // Result is the result of an attempt.
@@ -79,6 +84,10 @@
 	Result Result
 	// Bytes is the size of the answer.
 	Bytes int64
+	// Run is how long the upstream needs for a call of the route at present, and MeanRun
+	// that for a call of any route, or 0 if it does not report that.
+	Route        string
+	Run, MeanRun time.Duration
 }
 
 const (
@@ -138,22 +147,7 @@
 	// are refused.
 	shedUntil time.Time
 	shedBelow call.Importance
-}
-
-type upstreamState struct {
-	Upstream
-	tier     tier
-	inFlight int
-	cost     int64
-
-	load       admission.Load
-	reportedAt time.Time
-	// reportedInFlight is the value of inFlight when the load was reported.
-	reportedInFlight int
-
-	// weight is the weight at weightSetAt. It rises linearly to 1 at fullWeightAt.
-	weight                    float64
-	weightSetAt, fullWeightAt time.Time
+	timing    timing
 }
 
 // Option changes a new table.
@@ -208,6 +202,7 @@
 	}
 	slices.SortStableFunc(states, func(a, b upstreamState) int { return int(a.tier) - int(b.tier) })
 	s.upstreams = states
+	s.updateTimed()
 }
 
 // Choose returns the upstream for a call. ok is false if every upstream has been
@@ -218,6 +213,9 @@
 	if s == nil {
 		return Upstream{}, false
 	}
+	if s.timing.timed {
+		return t.chooseByTime(s, now, q)
+	}
 	if q.Region != "" {
 		return t.chooseInRegion(s, now, q)
 	}
@@ -290,6 +288,7 @@
 	if report.HasLoad {
 		state.load, state.reportedAt, state.reportedInFlight = report.Load, now, state.inFlight
 	}
+	s.recordRun(state, report)
 	if factor := weightFactors[min(report.Result, Unreachable)]; factor < 1 {
 		state.weight = max(state.currentWeight(now)*factor, minWeight)
 		state.weightSetAt = now
@@ -358,13 +357,18 @@
 	}
 	for i := start; i < end; i++ {
 		state := &s.upstreams[i]
-		if slices.Contains(q.Tried, state.Node) || q.Region != "" && state.Region != q.Region || spareOnly && !state.hasSpareCapacity(now, bestWeight) {
+		if q.excludes(state) || spareOnly && !state.hasSpareCapacity(now, bestWeight) {
 			continue
 		}
 		t.candidates = append(t.candidates, i)
 	}
 }
 
+// excludes reports whether the upstream was tried or is outside the region of the query.
+func (q Query) excludes(u *upstreamState) bool {
+	return slices.Contains(q.Tried, u.Node) || q.Region != "" && u.Region != q.Region
+}
+
 // pick returns the less loaded of two random candidates.
 func (t *Table) pick(s *service, now time.Time, cost int64) (u Upstream, ok bool) {
 	n := len(t.candidates)
@@ -439,37 +443,6 @@
 	}
 }
 
-// currentWeight returns the weight, which rises linearly to 1 after a refusal or
-// failure.
-func (u *upstreamState) currentWeight(now time.Time) float64 {
-	if !now.Before(u.fullWeightAt) {
-		return 1
-	}
-	share := float64(now.Sub(u.weightSetAt)) / float64(u.fullWeightAt.Sub(u.weightSetAt))
-	return u.weight + (1-u.weight)*share
-}
-
-func (u *upstreamState) hasFreshLoad(now time.Time) bool {
-	return !u.reportedAt.IsZero() && now.Sub(u.reportedAt) < maxReportAge
-}
-
-// estimatedCalls estimates the number of calls at the upstream: the reported number,
-// corrected by the attempts that this node has started and finished since then, but
-// at least the number of attempts that this node has in flight there.
-func (u *upstreamState) estimatedCalls(now time.Time) int {
-	if !u.hasFreshLoad(now) {
-		return u.inFlight
-	}
-	return max(u.load.Running+u.load.Queued+u.inFlight-u.reportedInFlight, u.inFlight)
-}
-
-func (u *upstreamState) currentLimit(now time.Time) int {
-	if u.hasFreshLoad(now) && u.load.Limit > 0 {
-		return u.load.Limit
-	}
-	return max(u.Slots, 1)
-}
-
 // bestWeight returns the highest weight of the upstreams.
 func (s *service) bestWeight(now time.Time) (weight float64) {
 	for i := range s.upstreams {
@@ -477,18 +450,3 @@
 	}
 	return weight
 }
-
-// hasSpareCapacity reports whether the upstream can run another call at once. A
-// weight below the best one of the service reduces its limit in proportion. If all
-// upstreams refuse calls alike, for example during an overload that their load does not
-// show, calls stay near: a distant upstream is no more likely to accept them.
-func (u *upstreamState) hasSpareCapacity(now time.Time, bestWeight float64) bool {
-	return float64(u.estimatedCalls(now)) < u.currentWeight(now)/max(bestWeight, minWeight)*float64(u.currentLimit(now))
-}
-
-// score returns the load of the upstream including another call of the given cost, as
-// a share of its weighted limit. A lower score is better.
-func (u *upstreamState) score(now time.Time, cost int64) float64 {
-	load := float64(u.estimatedCalls(now)+1) + float64(u.cost+cost)/bytesPerCall
-	return load / (u.currentWeight(now) * float64(u.currentLimit(now)))
-}
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -99,6 +99,18 @@
 	q.grantFreeSlots()
 }
 
+// Adjust changes the number of slots and the mean run time of an open queue. It does not open
+// a closed one.
+func (q *Queue) Adjust(slots int, meanRun time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed || q.limit == 0 {
+		return
+	}
+	q.limit, q.meanRun = slots, meanRun
+	q.grantFreeSlots()
+}
+
 // Close refuses waiting and new requests. Running requests are not affected.
 func (q *Queue) Close() {
 	q.mu.Lock()
