Lower the limit only by evidence that work slows with the number running

The elasticity was biased: the run time was compared with a mean that follows within 50 requests, the number of requests was that at the start only, and requests whose callers stop waiting were left out by their length.

The work is now compared with the best known, the number is the mean during the run, only requests with enough time left count, and the limit is lowered for a trial only while work takes longer than at best.

--- a/concurrency/concurrency.go
+++ b/concurrency/concurrency.go
@@ -5,7 +5,7 @@
 //
 //	e := concurrency.New()
 //	e.Reset(slots)
-//	mark := e.Begin(now)
+//	mark := e.Begin(now, "quote", timeLeft)
 //	...
 //	e.Observe(now, concurrency.Report{Running: 40, Waiting: 0, Pace: 2.5})
 //	e.End(now, mark, concurrency.Result{Route: "quote", Answered: true, Learn: true})
@@ -39,21 +39,23 @@
 	minShare = 0.3
 	// adjustInterval is the time between two changes of the limit.
 	adjustInterval = 500 * time.Millisecond
-	// The limit falls if the elasticity is above lowerElasticity by two standard errors, and
-	// rises below raiseElasticity.
-	lowerElasticity = 0.6
-	raiseElasticity = 0.4
-	lowerFactor     = 0.95
-	raiseFactor     = 1.03
+	// The limit rises unless the elasticity is above maxElasticity by certainty standard
+	// errors. It falls then if work takes more than maxExcess times as long as at best. A limit that falls without need costs more than one that falls late, and
+	// the means of the work vary by a tenth by chance.
+	maxElasticity = 0.3
+	certainty     = 2
+	maxExcess     = 1.35
+	lowerFactor   = 0.9
+	raiseFactor   = 1.05
 	// boundShare is the share of the limit that must have been in use for the limit to be
 	// changed. Below it there is no demand for more.
 	boundShare = 0.9
 	// While requests wait, as many run as the limit allows, which shows nothing about a
-	// lower limit. The limit is therefore lowered to trialFactor for trialTime in each
-	// trialInterval.
-	trialFactor   = 0.9
+	// lower limit. Above maxExcess, the limit is therefore lowered to trialFactor for
+	// trialTime in each trialInterval.
+	trialFactor   = 0.8
 	trialTime     = 400 * time.Millisecond
-	trialInterval = 3200 * time.Millisecond
+	trialInterval = 1600 * time.Millisecond
 	// noiseTime is the longest time for which a slower pace is taken for noise. Noise lasts
 	// for 600 ms.
 	noiseTime = 700 * time.Millisecond
@@ -72,8 +74,12 @@
 
 // Mark is the start of a request.
 type Mark struct {
-	running  int
-	progress float64
+	at time.Time
+	// meanLoad is the mean logarithm of the number of requests in the server, occupancy its
+	// integral over time, and progress the work that a request would have done. meanLoad is
+	// NaN if the request says nothing about the elasticity: one whose caller may stop waiting
+	// before maxRatio of the usual run time is answered only if it is short.
+	meanLoad, occupancy, progress float64
 	// reset is the number of resets before the start.
 	reset int
 }
@@ -99,6 +105,10 @@
 	// abandoned is the number of requests that the server may still have although nobody
 	// waits for their answers.
 	abandoned int
+	// occupancy is the integral over time, until countedAt, of the logarithm of the number of
+	// requests in the server.
+	occupancy float64
+	countedAt time.Time
 	limit     float64
 	paced     bool
 	pace      paceTracker
@@ -147,11 +157,17 @@
 // Paced reports whether the server states its pace. The estimate is used only then.
 func (e *Estimator) Paced() bool { return e.paced }
 
-// Begin records that a request is sent to the server.
-func (e *Estimator) Begin(now time.Time) Mark {
+// Begin records that a request of the route is sent to the server. timeLeft is the time until
+// its deadline.
+func (e *Estimator) Begin(now time.Time, route string, timeLeft time.Duration) Mark {
+	e.addOccupancy(now)
 	e.running++
 	e.peak = max(e.peak, e.running)
-	return Mark{running: e.running, progress: e.pace.progressAt(now), reset: e.resets}
+	meanLoad := e.moments.started(now, math.Log(float64(e.running+e.abandoned)))
+	if timeLeft.Seconds() < maxRatio*e.pace.runTime(e.work.of(route)) {
+		meanLoad = math.NaN()
+	}
+	return Mark{at: now, meanLoad: meanLoad, occupancy: e.occupancy, progress: e.pace.progressAt(now), reset: e.resets}
 }
 
 // Observe records the load that an answer states. It is called before End.
@@ -160,6 +176,7 @@
 	if e.paced {
 		e.pace.set(now, r.Pace)
 	}
+	e.addOccupancy(now)
 	e.abandoned = min(e.abandoned, max(r.Running+r.Waiting-e.running, 0))
 }
 
@@ -168,6 +185,7 @@
 	if m.reset != e.resets {
 		return
 	}
+	e.addOccupancy(now)
 	e.running--
 	if r.Abandoned {
 		e.abandoned++
@@ -176,8 +194,9 @@
 		return
 	}
 	work := e.pace.progressAt(now) - m.progress
-	if ratio, known := e.work.record(r.Route, work); known && r.Leaf {
-		e.moments.add(now, math.Log(float64(m.running)), math.Log(ratio))
+	if ratio, known := e.work.record(r.Route, work); known && r.Leaf && now.After(m.at) {
+		load := (e.occupancy - m.occupancy) / now.Sub(m.at).Seconds()
+		e.moments.add(now, load-m.meanLoad, math.Log(ratio))
 	}
 }
 
@@ -185,21 +204,23 @@
 func (e *Estimator) Tick(now time.Time, waiting int) {
 	e.pace.drop(now)
 	e.waited = e.waited || waiting > 0
-	e.inTrial = waiting > 0 && now.Sub(e.trialAt) < trialTime
-	if waiting > 0 && now.Sub(e.trialAt) >= trialInterval {
+	slowed := e.work.excess > maxExcess
+	if waiting > 0 && slowed && now.Sub(e.trialAt) >= trialInterval {
 		e.trialAt = now
 	}
+	e.inTrial = waiting > 0 && slowed && now.Sub(e.trialAt) < trialTime
 	if now.Sub(e.adjustedAt) < adjustInterval {
 		return
 	}
-	bound := e.waited || float64(e.peak) >= boundShare*e.limit
 	elasticity, deviation := e.moments.elasticity()
+	bound := e.waited || float64(e.peak) >= boundShare*e.limit
+	elastic := elasticity-certainty*deviation > maxElasticity
 	switch {
 	case !bound:
-	case elasticity-2*deviation > lowerElasticity:
+	case elastic && slowed:
 		e.limit = max(lowerFactor*e.limit, math.Min(minShare*float64(e.slots), e.limit))
 		e.moments.weaken()
-	case elasticity < raiseElasticity:
+	case !elastic:
 		e.limit = min(raiseFactor*e.limit, e.ceilingOf(e.slots))
 	}
 	e.adjustedAt, e.peak, e.waited = now, e.running, false
@@ -223,6 +244,10 @@
 // its standard error, or 0 and infinity if that is unknown.
 func (e *Estimator) Elasticity() (elasticity, deviation float64) { return e.moments.elasticity() }
 
+// Excess returns how long work takes as a multiple of the time that it took at best, apart
+// from the pace.
+func (e *Estimator) Excess() float64 { return e.work.excess }
+
 // Pace returns the stated pace without noise.
 func (e *Estimator) Pace() float64 { return e.pace.lasting }
 
@@ -238,6 +263,15 @@
 	return seconds(e.pace.runTime(e.work.of(route)))
 }
 
+// addOccupancy adds the time until now to the occupancy. It is called before each change of
+// the number of requests in the server.
+func (e *Estimator) addOccupancy(now time.Time) {
+	if count := e.running + e.abandoned; count > 0 && now.After(e.countedAt) {
+		e.occupancy += math.Log(float64(count)) * now.Sub(e.countedAt).Seconds()
+	}
+	e.countedAt = now
+}
+
 func (e *Estimator) ceilingOf(slots int) float64 { return max(usableShare*float64(slots), 1) }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/concurrency/pace.go
+++ b/concurrency/pace.go
@@ -73,10 +73,17 @@
 	// minSamples is the number of requests of a route from which its mean work is used to
 	// judge further ones.
 	minSamples = 10
-	// maxRatio bounds the work of one request as a multiple of the mean. One in 30 to 100
+	// maxWork bounds the work of one request as a multiple of the mean. One in 30 to 100
 	// requests takes 3 to 7 times as long.
-	maxRatio = 3
+	maxWork = 8
+	// minRatio and maxRatio bound it where requests are compared with each other, so that
+	// the rare long ones do not decide.
 	minRatio = 0.2
+	maxRatio = 2
+	// bestSamples is the number of requests after which the mean work of a route is compared
+	// with its best, and bestSmoothing the weight with which the best follows the mean.
+	bestSamples   = 100
+	bestSmoothing = 0.0001
 	// maxRoutes limits the number of routes for which a mean is kept.
 	maxRoutes = 4096
 )
@@ -85,18 +92,22 @@
 type workTracker struct {
 	mean    float64
 	samples int
-	routes  map[string]*routeWork
+	// excess is the mean of the work as a multiple of the best.
+	excess float64
+	routes map[string]*routeWork
 }
 
 type routeWork struct {
-	mean    float64
-	samples int
+	// mean is the mean work, and usual the mean of the work bounded by maxRatio. best is the
+	// lowest usual work, which rises slowly while that is higher.
+	mean, usual, best float64
+	samples           int
 }
 
 func newWorkTracker() workTracker { return workTracker{routes: make(map[string]*routeWork)} }
 
-// record adds the work of a request. ratio is the work as a multiple of the mean of the
-// route, if that is known well enough.
+// record adds the work of a request. ratio is the work as a multiple of the best usual work
+// of the route, if that is known.
 func (t *workTracker) record(route string, work float64) (ratio float64, known bool) {
 	r := t.routes[route]
 	if r == nil {
@@ -106,15 +117,31 @@
 		r = &routeWork{}
 		t.routes[route] = r
 	}
-	if known = r.samples >= minSamples && r.mean > 0; known {
-		ratio = min(max(work/r.mean, minRatio), maxRatio)
-		work = ratio * r.mean
+	usual := work
+	if r.samples >= minSamples && r.usual > 0 {
+		usual, work = min(max(work, minRatio*r.usual), maxRatio*r.usual), min(work, maxWork*r.usual)
+	}
+	r.samples++
+	r.mean += weightOf(r.samples) * (work - r.mean)
+	r.usual += weightOf(r.samples) * (usual - r.usual)
+	t.samples++
+	t.mean += weightOf(t.samples) * (work - t.mean)
+	switch {
+	case r.samples < bestSamples || r.usual <= 0:
+		return 0, false
+	case r.best == 0 || r.usual < r.best:
+		r.best = r.usual
+	default:
+		r.best += bestSmoothing * (r.usual - r.best)
 	}
-	r.mean, r.samples = smooth(r.mean, work, r.samples)
-	t.mean, t.samples = smooth(t.mean, work, t.samples)
-	return ratio, known
+	t.excess += workSmoothing * (r.usual/r.best - t.excess)
+	return usual / r.best, true
 }
 
+// weightOf returns the weight of the latest of a number of samples in a moving average. The
+// first values have equal weights.
+func weightOf(samples int) float64 { return max(1/float64(samples), workSmoothing) }
+
 // of returns the mean work of a route, or that of all routes if it is unknown.
 func (t *workTracker) of(route string) float64 {
 	if r := t.routes[route]; r != nil && r.samples >= minSamples {
@@ -123,12 +150,6 @@
 	return t.mean
 }
 
-// smooth adds a value to a moving average. The first values have equal weights.
-func smooth(mean, value float64, samples int) (newMean float64, newSamples int) {
-	samples = min(samples+1, int(1/workSmoothing))
-	return mean + (value-mean)/float64(samples), samples
-}
-
 const (
 	// trendTime is the time constant of the means from which deviations are taken. Changes
 	// that take longer, such as a slow server whose requests pile up, do not count as an
@@ -139,38 +160,85 @@
 	// weakening is the part of the evidence that remains after the limit has been lowered,
 	// since it stems from the higher limit.
 	weakening = 0.8
+	// settleTime is the time after the first start of a request in which starts do not
+	// count. The requests that end first are short, and began while few were running.
+	settleTime = 3 * time.Second
+	// maxDeviation bounds the deviation of one sample, so that a sudden rise of the load
+	// does not outweigh all other samples.
+	maxDeviation = 0.3
 	// minWeight is the number of samples without which the elasticity is unknown.
 	minWeight = 50
 )
 
-// moments relates the logarithm of the work of requests to the logarithm of the number that
-// ran at their start.
+// moments relates the logarithm of the work of requests to the logarithm of the number of
+// requests in the server during their run.
 type moments struct {
-	last                        time.Time
-	weight                      float64
-	meanN, meanW                float64
-	varianceN, varianceW, cross float64
+	firstStart time.Time
+	n, w       mean
+	last       time.Time
+	// The sums are weighted with momentTime.
+	weight, varianceN, varianceW, cross float64
+}
+
+// mean is a moving average with the time constant trendTime.
+type mean struct {
+	value float64
+	last  time.Time
+	// weight is the sum of the weights so far, which approaches 1.
+	weight float64
 }
 
-// add adds a sample.
-func (m *moments) add(now time.Time, n, w float64) {
+// add adds a value and returns its deviation from the mean before.
+func (m *mean) add(now time.Time, value float64) (deviation float64) {
 	if m.last.IsZero() {
-		m.meanN, m.meanW = n, w
+		m.value, m.last = value, now
+		return 0
+	}
+	deviation = value - m.value
+	keep := decay(now.Sub(m.last), trendTime)
+	if m.weight = m.weight*keep + 1 - keep; m.weight > 0 {
+		m.value += (1 - keep) / m.weight * deviation
 	}
-	elapsed := now.Sub(m.last)
-	if m.last.IsZero() || elapsed < 0 {
-		elapsed = 0
+	m.last = now
+	return deviation
+}
+
+// decay returns the weight that remains after a time.
+func decay(elapsed, timeConstant time.Duration) float64 {
+	return math.Exp(-float64(max(elapsed, 0)) / float64(timeConstant))
+}
+
+// started records the logarithm of the number of requests in the server at the start of one.
+// It returns the mean, or NaN if the request does not count. The mean is taken at the start
+// because long requests end later than short ones that started with them.
+func (m *moments) started(now time.Time, n float64) (mean float64) {
+	if m.firstStart.IsZero() {
+		m.firstStart = now
+	}
+	m.n.add(now, n)
+	if now.Sub(m.firstStart) < settleTime {
+		return math.NaN()
+	}
+	return m.n.value
+}
+
+// add adds a request that has ended: the deviation of the number of requests during its run
+// from the mean at its start, and the logarithm of its work.
+func (m *moments) add(now time.Time, deviation, w float64) {
+	keep := 1.0
+	if !m.last.IsZero() {
+		keep = decay(now.Sub(m.last), momentTime)
 	}
 	m.last = now
-	keep := math.Exp(-float64(elapsed) / float64(momentTime))
-	dn, dw := n-m.meanN, w-m.meanW
+	dw := m.w.add(now, w)
+	if math.IsNaN(deviation) {
+		return
+	}
+	deviation = min(max(deviation, -maxDeviation), maxDeviation)
 	m.weight = m.weight*keep + 1
-	m.varianceN = m.varianceN*keep + dn*dn
+	m.varianceN = m.varianceN*keep + deviation*deviation
 	m.varianceW = m.varianceW*keep + dw*dw
-	m.cross = m.cross*keep + dn*dw
-	follow := 1 - math.Exp(-float64(elapsed)/float64(trendTime))
-	m.meanN += follow * dn
-	m.meanW += follow * dw
+	m.cross = m.cross*keep + deviation*dw
 }
 
 // weaken reduces the weight of the samples.
--- a/mesh/capacity.go
+++ b/mesh/capacity.go
@@ -68,10 +68,10 @@
 }
 
 // begin records that a request is sent to the server.
-func (c *serverCapacity) begin(now time.Time) concurrency.Mark {
+func (c *serverCapacity) begin(now time.Time, route string, deadline time.Time) concurrency.Mark {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.estimator.Begin(now)
+	return c.estimator.Begin(now, route, deadline.Sub(now))
 }
 
 // observe records the load that the server stated with a response.
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -188,7 +188,7 @@
 		return notRunResult(call.ReasonOverloaded, err.Error())
 	}
 	started := time.Now()
-	mark := s.capacity.begin(started)
+	mark := s.capacity.begin(started, req.route, req.deadline)
 	res := s.forwardUnlessQuarantined(ctx, req)
 	runTime := time.Since(started)
 	s.capacity.end(time.Now(), mark, req.route, res, s.isLeaf(started))
--- a/mesh/uneven_servers_test.go
+++ b/mesh/uneven_servers_test.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,17 +16,22 @@
 
 	"github.com/lacewingslip/lacewingslip/admission"
 	"github.com/lacewingslip/lacewingslip/call"
-	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/platform"
 	"github.com/lacewingslip/lacewingslip/routing"
 	"github.com/lacewingslip/lacewingslip/slot"
+	"github.com/lacewingslip/lacewingslip/timeline"
 	"github.com/lacewingslip/lacewingslip/upstream"
 )
 
 const (
-	modelSlots, modelQueue, modelServers = 40, 60, 8
-	modelWork, modelGoal                 = 200 * time.Millisecond, time.Second
-	modelTime, modelStep                 = 12 * time.Second, 10 * time.Millisecond
+	modelServers         = 8
+	modelWork, modelGoal = 200 * time.Millisecond, time.Second
+	// maxLoss is by how much a share may be worse than with fixed limits. The order of
+	// simultaneous requests varies from run to run.
+	maxLoss = 0.01
+	// The load rises for modelRamp.
+	modelRamp            = 3 * time.Second
+	modelTime, modelStep = 15 * time.Second, 10 * time.Millisecond
 )
 
 var modelSpeeds = []float64{0.5, 1, 1, 1.5}
@@ -46,6 +51,8 @@
 // replay is one load. The functions take the time since the start and the number of a server.
 type replay struct {
 	utilization float64
+	// slots and queue are the numbers of requests that run and wait in each server at most.
+	slots, queue int
 	// stated and hidden are the paces that the server states and does not state.
 	stated, hidden func(at time.Duration, server int) float64
 	// slowdown is the factor of the run time at a share of the slots.
@@ -59,38 +66,36 @@
 	sent, good, overflows int
 	wasted, busy          time.Duration
 	responses             []time.Duration
-	smallestLimit         int
+	slots, smallestLimit  int
 	mu                    sync.Mutex
 	inServers             sync.WaitGroup
 }
 
 func (o *outcome) goodShare() float64 { return float64(o.good) / float64(o.sent) }
 
+func (o *outcome) wastedShare() float64 { return float64(o.wasted) / float64(o.busy) }
+
 func (o *outcome) String() string {
 	slices.Sort(o.responses)
 	return fmt.Sprintf("good %.1f%%, p99 %d ms, wasted %.1f%%, overflows %d, smallest limit %d of %d", 100*o.goodShare(),
-		o.responses[len(o.responses)*99/100].Milliseconds(), 100*float64(o.wasted)/float64(o.busy), o.overflows, o.smallestLimit, modelSlots)
+		o.responses[len(o.responses)*99/100].Milliseconds(), 100*o.wastedShare(), o.overflows, o.smallestLimit, o.slots)
 }
 
-type discardEvents struct{}
-
-func (discardEvents) Record(event.ID, ...slog.Attr) {}
-
 // run replays the load with the estimate, or with fixed limits and announced weights.
 func (r replay) run(estimate bool) (o *outcome) {
-	o = &outcome{smallestLimit: modelSlots}
+	o = &outcome{slots: r.slots, smallestLimit: r.slots}
 	random := rand.New(rand.NewPCG(1, 2))
 	start := time.Now()
 	var servers []*modelServer
 	var upstreams []routing.Upstream
 	for i := range modelServers {
 		s := &modelServer{name: strconv.Itoa(i), speed: modelSpeeds[i%len(modelSpeeds)], slots: slot.New(), times: newRunTimes(), next: make(chan struct{})}
-		s.capacity = newServerCapacity(s.slots, s.times, discardEvents{})
+		s.capacity = newServerCapacity(s.slots, s.times, timeline.NewRecorder(s.name))
 		tracker := upstream.New("s", s.name)
-		tracker.Apply(start, upstream.Announcement{Instance: s.name, StartMs: 1, Sequence: 1, Service: "s", Address: s.name, Slots: modelSlots, State: upstream.Ready})
+		tracker.Apply(start, upstream.Announcement{Instance: s.name, StartMs: 1, Sequence: 1, Service: "s", Address: s.name, Slots: r.slots, State: upstream.Ready})
 		s.slots.Resize(s.capacity.serverChanged(tracker.Server()))
 		servers = append(servers, s)
-		upstreams = append(upstreams, routing.Upstream{Node: s.name, Region: "r", Zone: strconv.Itoa(i % 4), Slots: usableSlots(modelSlots)})
+		upstreams = append(upstreams, routing.Upstream{Node: s.name, Region: "r", Zone: strconv.Itoa(i % 4), Slots: usableSlots(r.slots)})
 	}
 	var tables []*routing.Table
 	for zone := range 4 {
@@ -99,7 +104,7 @@
 	}
 	capacity := 0.0
 	for _, s := range servers {
-		capacity += s.speed * modelSlots / modelWork.Seconds()
+		capacity += s.speed * float64(r.slots) / modelWork.Seconds()
 	}
 	var running sync.WaitGroup
 	var tablesMu sync.Mutex
@@ -121,7 +126,11 @@
 		q := &modelRequest{replay: r, start: start, outcome: o, servers: servers, table: tables[random.IntN(4)], mu: &tablesMu, route: route, estimate: estimate, work: work * modelWork.Seconds(), deadline: time.Now().Add(modelGoal)}
 		o.sent++
 		running.Go(q.send)
-		time.Sleep(time.Duration(random.ExpFloat64() / (capacity * r.utilization) * float64(time.Second)))
+		rate := capacity * r.utilization
+		if at < modelRamp {
+			rate *= 0.3 + 0.7*at.Seconds()/modelRamp.Seconds()
+		}
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 	}
 	running.Wait()
 	o.inServers.Wait()
@@ -195,7 +204,7 @@
 	if err != nil {
 		return notRunResult(call.ReasonOverloaded, "")
 	}
-	began, mark := time.Now(), s.capacity.begin(time.Now())
+	began, mark := time.Now(), s.capacity.begin(time.Now(), q.route, q.deadline)
 	if time.Until(q.deadline) < s.capacity.minTimeLeft(q.route) {
 		s.capacity.end(time.Now(), mark, q.route, notRunResult(call.ReasonTooLate, ""), true)
 		release(0)
@@ -208,7 +217,7 @@
 	case <-ended:
 		if q.estimate {
 			s.mu.Lock()
-			load := platform.Load{Running: s.running, Waiting: s.waiting, Slots: modelSlots, Pace: q.stated(time.Since(q.start), n)}
+			load := platform.Load{Running: s.running, Waiting: s.waiting, Slots: q.slots, Pace: q.stated(time.Since(q.start), n)}
 			s.mu.Unlock()
 			s.capacity.observe(time.Now(), load)
 		}
@@ -229,9 +238,9 @@
 func (q *modelRequest) runInServer(n int, s *modelServer, ended chan struct{}) {
 	s.mu.Lock()
 	switch {
-	case s.running < modelSlots:
+	case s.running < q.slots:
 		s.running++
-	case s.waiting >= modelQueue:
+	case s.waiting >= q.queue:
 		s.mu.Unlock()
 		q.outcome.mu.Lock()
 		q.outcome.overflows++
@@ -248,7 +257,7 @@
 	for left := q.work; left > 0; {
 		at := time.Since(q.start)
 		s.mu.Lock()
-		rate := s.speed / q.stated(at, n) / q.hidden(at, n) / q.slowdown(float64(s.running)/modelSlots)
+		rate := s.speed / q.stated(at, n) / q.hidden(at, n) / q.slowdown(float64(s.running)/float64(q.slots))
 		s.mu.Unlock()
 		step := min(modelStep.Seconds(), left/rate)
 		time.Sleep(time.Duration(step*1e9) + 1)
@@ -332,13 +341,16 @@
 		"step by 4":            {utilization: 0.6, stated: step(4)},
 		"noise":                {utilization: 0.75, stated: noise},
 		"mix of routes":        {utilization: 0.65, route: mixed},
-		"slows from half":      {utilization: 0.6, slowdown: func(share float64) float64 { return max(1, 2*share) }},
+		"slows from half":      {utilization: 0.6, slots: 120, queue: 200, slowdown: func(share float64) float64 { return max(1, 2*share) }},
 		"half cold":            {utilization: 0.6, stated: between(3*time.Second, 6*time.Second, 2, half)},
 		"all slow":             {utilization: 0.7, stated: between(3*time.Second, 8*time.Second, 2.5, every)},
 		"two slow, not stated": {utilization: 0.6, hidden: between(3*time.Second, 9*time.Second, 8, func(s int) bool { return s < 2 })},
 		"twice the load":       {utilization: 1.8},
 	} {
 		t.Run(name, func(t *testing.T) {
+			if r.slots == 0 {
+				r.slots, r.queue = 40, 60
+			}
 			if r.stated == nil {
 				r.stated = usual
 			}
@@ -356,7 +368,14 @@
 			synctest.Test(t, func(*testing.T) { estimated = r.run(true) })
 			t.Logf("\n%s fixed: %v\n%s estimated: %v", name, fixed, name, estimated)
 			must.Zero(t, estimated.overflows)
-			must.Greater(t, fixed.goodShare()-0.02, estimated.goodShare())
+			must.Greater(t, fixed.goodShare()-maxLoss, estimated.goodShare())
+			must.Less(t, fixed.wastedShare()+maxLoss, estimated.wastedShare())
+			smallestShare := float64(estimated.smallestLimit) / float64(r.slots)
+			if strings.HasPrefix(name, "slows") {
+				must.Less(t, 0.7, smallestShare, must.Sprint("the limit does not follow the run times"))
+				return
+			}
+			must.Greater(t, 0.6, smallestShare, must.Sprint("the limit falls without need"))
 		})
 	}
 }
