--- a/concurrency/concurrency.go
+++ b/concurrency/concurrency.go
@@ -52,10 +52,13 @@
 	boundShare = 0.9
 	// While requests wait, as many run as the limit allows, which shows nothing about a
 	// lower limit. Above maxExcess, the limit is therefore lowered to trialFactor for
-	// trialTime in each trialInterval.
+	// trialTime in each trialInterval, until the standard error of the elasticity is below
+	// knownDeviation or the limit falls.
 	trialFactor   = 0.8
 	trialTime     = 400 * time.Millisecond
 	trialInterval = 1600 * time.Millisecond
+
+	knownDeviation = 0.15
 	// noiseTime is the longest time for which a slower pace is taken for noise. Noise lasts
 	// for 600 ms.
 	noiseTime = 700 * time.Millisecond
@@ -205,16 +208,16 @@
 	e.pace.drop(now)
 	e.waited = e.waited || waiting > 0
 	slowed := e.work.excess > maxExcess
-	if waiting > 0 && slowed && now.Sub(e.trialAt) >= trialInterval {
+	elasticity, deviation := e.moments.elasticity()
+	elastic := elasticity-certainty*deviation > maxElasticity
+	if waiting > 0 && slowed && (elastic || deviation > knownDeviation) && now.Sub(e.trialAt) >= trialInterval {
 		e.trialAt = now
 	}
 	e.inTrial = waiting > 0 && slowed && now.Sub(e.trialAt) < trialTime
 	if now.Sub(e.adjustedAt) < adjustInterval {
 		return
 	}
-	elasticity, deviation := e.moments.elasticity()
 	bound := e.waited || float64(e.peak) >= boundShare*e.limit
-	elastic := elasticity-certainty*deviation > maxElasticity
 	switch {
 	case !bound:
 	case elastic && slowed:
--- /dev/null
+++ b/mesh/capacity_test.go
@@ -0,0 +1,98 @@
+package mesh
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/hop"
+)
+
+// Guards against servers of one service that get equal work although they state different
+// paces, and against headers between nodes that reach the caller.
+func TestFasterServerGetsMoreWork(t *testing.T) {
+	d := newDeployment(t, "orders", "orders", "catalogue")
+	slow, fast, ingress := d.vms[0], d.vms[1], d.vms[2]
+	slow.server.SetServiceTime(200 * time.Millisecond)
+	fast.server.SetServiceTime(10 * time.Millisecond)
+	slow.server.StateLoad("1,0,8,400")
+	fast.server.StateLoad("1,0,8,100")
+	calls := func(name string, n int) (atFast int) {
+		for i := range n {
+			id := fmt.Sprintf("%s-%d", name, i)
+			r := d.call(ingress, http.MethodGet, "/safe/1", id)
+			must.Eq(t, http.StatusOK, r.status)
+			for header := range r.header {
+				must.StrNotHasPrefix(t, internalPrefix, header)
+			}
+			must.Eq(t, "", r.header.Get("X-Server-Load"))
+			atFast += fast.server.Runs(id)
+		}
+		return atFast
+	}
+	calls("first", 20)
+	must.Greater(t, 30, calls("later", 40))
+	estimator := slow.node.lifecycle.components.sidecar.capacity.estimator
+	must.Eq(t, 4.0, estimator.Pace())
+	must.Eq(t, usableSlots(8), estimator.Limit())
+}
+
+// Guards against a node that replaces the fixed limit or sends other nodes a run time although
+// its server states no pace, as servers of earlier deployments do.
+func TestUnstatedPaceChangesNothing(t *testing.T) {
+	d := newDeployment(t, "orders")
+	d.vms[0].server.StateLoad("1,0,8")
+	for i := range 20 {
+		must.Eq(t, http.StatusOK, d.call(d.vms[0], http.MethodGet, "/safe/1", fmt.Sprintf("r-%d", i)).status)
+	}
+	capacity := d.vms[0].node.lifecycle.components.sidecar.capacity
+	must.False(t, capacity.estimator.Paced())
+	must.Zero(t, capacity.expectedRun("safe"))
+	must.Eq(t, usableSlots(8), capacity.slots.Load().Limit)
+}
+
+// Guards against a request that waits for a server which can't answer it in time, although its
+// caller could be told at once.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	d := newDeployment(t, "orders", "catalogue")
+	d.vms[0].server.SetServiceTime(20 * time.Millisecond)
+	d.vms[0].server.StateLoad("1,0,8,1")
+	must.Eq(t, http.StatusOK, d.call(d.vms[1], http.MethodGet, "/safe/1", "first").status)
+	// From now on a request takes 2 s, and the callers wait for 1 s.
+	d.vms[0].server.StateLoad("1,0,8,100")
+	must.Eq(t, http.StatusOK, d.call(d.vms[1], http.MethodGet, "/safe/1", "second").status)
+	eventually(t, func() bool {
+		return d.vms[0].node.lifecycle.components.sidecar.capacity.expectedRun("safe") > 1700*time.Millisecond
+	})
+	refused := d.call(d.vms[1], http.MethodGet, "/safe/1", "hopeless")
+	must.Eq(t, http.StatusServiceUnavailable, refused.status)
+	must.NotEq(t, "", refused.header.Get("Retry-After"))
+	must.Zero(t, d.runs("hopeless"))
+	must.True(t, d.vms[1].node.lifecycle.components.balancer.isTooLate(&request{
+		service: "orders", route: "safe", deadline: time.Now().Add(time.Second),
+	}))
+}
+
+// Guards against a run time that is lost or changed between nodes, and against invalid ones.
+func TestExpectedRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		value string
+		want  time.Duration
+	}{
+		"missing":   {"", 0},
+		"stated":    {"1500", 1500 * time.Microsecond},
+		"negative":  {"-1", 0},
+		"too long":  {"3600000001", 0},
+		"no number": {"1.5", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := http.Header{}
+			h.Set(headerRun, c.value)
+			must.Eq(t, c.want, expectedRun(h))
+			must.MapEmpty(t, endToEndHeader(hop.EndToEnd(h)))
+		})
+	}
+}
