--- a/concurrency/concurrency.go
+++ b/concurrency/concurrency.go
@@ -83,6 +83,8 @@
 	// NaN if the request says nothing about the elasticity: one whose caller may stop waiting
 	// before maxRatio of the usual run time is answered only if it is short.
 	meanLoad, occupancy, progress float64
+	// paced is true if the pace was known at the start.
+	paced bool
 	// reset is the number of resets before the start.
 	reset int
 }
@@ -170,7 +172,7 @@
 	if timeLeft.Seconds() < maxRatio*e.pace.runTime(e.work.of(route)) {
 		meanLoad = math.NaN()
 	}
-	return Mark{at: now, meanLoad: meanLoad, occupancy: e.occupancy, progress: e.pace.progressAt(now), reset: e.resets}
+	return Mark{at: now, meanLoad: meanLoad, occupancy: e.occupancy, progress: e.pace.progressAt(now), paced: e.paced, reset: e.resets}
 }
 
 // Observe records the load that an answer states. It is called before End.
@@ -193,7 +195,7 @@
 	if r.Abandoned {
 		e.abandoned++
 	}
-	if !r.Answered || !r.Learn || !e.paced {
+	if !r.Answered || !r.Learn || !m.paced {
 		return
 	}
 	work := e.pace.progressAt(now) - m.progress
--- a/concurrency/concurrency_test.go
+++ b/concurrency/concurrency_test.go
@@ -93,6 +93,19 @@
 	must.Eq(t, full, s.Limit(), must.Sprint("requests of others than this node do not count"))
 }
 
+// Guards against a request that counts as work of no length because it began before the
+// server stated its pace for the first time.
+func TestRequestBeforeTheFirstPace(t *testing.T) {
+	s := newServer()
+	mark := s.Begin(s.now, "r", time.Second)
+	s.now = s.now.Add(interval)
+	s.Observe(s.now, concurrency.Report{Running: 1, Pace: 1})
+	s.End(s.now, mark, concurrency.Result{Route: "r", Answered: true, Learn: true})
+	must.Zero(t, s.ExpectedRun("r"))
+	s.run(interval, interval, 1)
+	must.Between(t, interval*95/100, s.ExpectedRun("r"), interval*105/100)
+}
+
 // Guards against an estimate that outlives the server process, and against requests of the
 // earlier process that count at the new one.
 func TestReset(t *testing.T) {
