--- a/concurrency/concurrency.go
+++ b/concurrency/concurrency.go
@@ -242,6 +242,10 @@
 	return max(int(limit)-e.abandoned, 1)
 }
 
+// Estimate returns how many requests the server handles well at once, apart from trials and
+// abandoned requests.
+func (e *Estimator) Estimate() int { return max(int(e.limit), 1) }
+
 // Abandoned returns how many requests the server may have that nobody waits for.
 func (e *Estimator) Abandoned() int { return e.abandoned }
 
--- a/mesh/capacity.go
+++ b/mesh/capacity.go
@@ -109,7 +109,7 @@
 	c.estimator.Tick(now, waiting)
 	c.adjust()
 	elasticity, deviation := c.estimator.Elasticity()
-	limit, pace := float64(c.estimator.Limit()), c.estimator.Pace()
+	limit, pace := float64(c.estimator.Estimate()), c.estimator.Pace()
 	if math.Abs(limit-c.reportedLimit) >= reportedLimitStep*c.reportedLimit {
 		c.reportedLimit = limit
 		c.events.Record(event.LimitChanged, slog.Int("limit", int(limit)), slog.Int("slots", c.estimator.Slots()),
--- a/mesh/uneven_servers_test.go
+++ b/mesh/uneven_servers_test.go
@@ -24,8 +24,8 @@
 )
 
 const (
-	modelServers         = 8
-	modelWork, modelGoal = 200 * time.Millisecond, time.Second
+	modelServers, modelZones = 8, 4
+	modelWork, modelGoal     = 200 * time.Millisecond, time.Second
 	// maxLoss and maxExtraWaste are by how much the shares of good answers and of wasted work
 	// may be worse than with fixed limits. The order of simultaneous requests varies from run
 	// to run.
@@ -58,6 +58,8 @@
 	stated, hidden func(at time.Duration, server int) float64
 	// slowdown is the factor of the run time at a share of the slots.
 	slowdown func(share float64) float64
+	// uneven makes four fifths of the requests come from one zone, which changes.
+	uneven bool
 	// route returns the route of the request and its work as a multiple of the mean.
 	route func(at time.Duration, random *rand.Rand) (name string, work float64)
 }
@@ -65,11 +67,13 @@
 // outcome is the result of a replay.
 type outcome struct {
 	sent, good, overflows int
-	wasted, busy          time.Duration
-	responses             []time.Duration
-	slots, smallestLimit  int
-	mu                    sync.Mutex
-	inServers             sync.WaitGroup
+	// moved is the number of good answers from another zone than that of the caller.
+	moved                int
+	wasted, busy         time.Duration
+	responses            []time.Duration
+	slots, smallestLimit int
+	mu                   sync.Mutex
+	inServers            sync.WaitGroup
 }
 
 func (o *outcome) goodShare() float64 { return float64(o.good) / float64(o.sent) }
@@ -78,8 +82,8 @@
 
 func (o *outcome) String() string {
 	slices.Sort(o.responses)
-	return fmt.Sprintf("good %.1f%%, p99 %d ms, wasted %.1f%%, overflows %d, smallest limit %d of %d", 100*o.goodShare(),
-		o.responses[len(o.responses)*99/100].Milliseconds(), 100*o.wastedShare(), o.overflows, o.smallestLimit, o.slots)
+	return fmt.Sprintf("good %.1f%%, p99 %d ms, wasted %.1f%%, from other zones %.0f%%, overflows %d, smallest limit %d of %d", 100*o.goodShare(),
+		o.responses[len(o.responses)*99/100].Milliseconds(), 100*o.wastedShare(), 100*float64(o.moved)/float64(o.good), o.overflows, o.smallestLimit, o.slots)
 }
 
 // run replays the load with the estimate, or with fixed limits and announced weights.
@@ -96,10 +100,10 @@
 		tracker.Apply(start, upstream.Announcement{Instance: s.name, StartMs: 1, Sequence: 1, Service: "s", Address: s.name, Slots: r.slots, State: upstream.Ready})
 		s.slots.Resize(s.capacity.serverChanged(tracker.Server()))
 		servers = append(servers, s)
-		upstreams = append(upstreams, routing.Upstream{Node: s.name, Region: "r", Zone: strconv.Itoa(i % 4), Slots: usableSlots(r.slots)})
+		upstreams = append(upstreams, routing.Upstream{Node: s.name, Region: "r", Zone: strconv.Itoa(i % modelZones), Slots: usableSlots(r.slots)})
 	}
 	var tables []*routing.Table
-	for zone := range 4 {
+	for zone := range modelZones {
 		tables = append(tables, routing.New("r", strconv.Itoa(zone), routing.WithRandom(rand.New(rand.NewPCG(uint64(zone), 3)))))
 		tables[zone].Replace(start, "s", upstreams)
 	}
@@ -114,9 +118,7 @@
 		for ; !time.Now().Before(nextTick); nextTick = nextTick.Add(tickInterval) {
 			for _, s := range servers {
 				s.capacity.tick(time.Now())
-				if at > 2*time.Second {
-					o.smallestLimit = min(o.smallestLimit, s.capacity.estimator.Limit()+s.capacity.estimator.Abandoned())
-				}
+				o.smallestLimit = min(o.smallestLimit, s.capacity.estimator.Estimate())
 			}
 		}
 		route, work := r.route(at, random)
@@ -124,7 +126,8 @@
 			work *= 5
 		}
 		work *= (0.5 + random.Float64()) / 1.08
-		q := &modelRequest{replay: r, start: start, outcome: o, servers: servers, table: tables[random.IntN(4)], mu: &tablesMu, route: route, estimate: estimate, work: work * modelWork.Seconds(), deadline: time.Now().Add(modelGoal)}
+		zone := r.zoneOf(at, random)
+		q := &modelRequest{replay: r, start: start, outcome: o, servers: servers, table: tables[zone], zone: zone, mu: &tablesMu, route: route, estimate: estimate, work: work * modelWork.Seconds(), deadline: time.Now().Add(modelGoal)}
 		o.sent++
 		running.Go(q.send)
 		rate := capacity * r.utilization
@@ -150,6 +153,7 @@
 	work     float64
 	deadline time.Time
 	estimate bool
+	zone     int
 }
 
 // send sends the request to one node after the other, as the node selector does.
@@ -184,6 +188,9 @@
 		case call.Answered:
 			q.outcome.mu.Lock()
 			q.outcome.good++
+			if n%modelZones != q.zone {
+				q.outcome.moved++
+			}
 			q.outcome.responses = append(q.outcome.responses, time.Since(began))
 			q.outcome.mu.Unlock()
 			return
@@ -281,6 +288,14 @@
 	close(ended)
 }
 
+// zoneOf returns the zone of the caller of a request.
+func (r replay) zoneOf(at time.Duration, random *rand.Rand) int {
+	if r.uneven && random.Float64() < 0.8 {
+		return int(at/(2*time.Second)) % modelZones
+	}
+	return random.IntN(modelZones)
+}
+
 func usual(time.Duration, int) float64 { return 1 }
 
 func fullSlows(share float64) float64 {
@@ -341,6 +356,7 @@
 		"step by 2":            {utilization: 0.6, stated: step(2)},
 		"step by 4":            {utilization: 0.6, stated: step(4)},
 		"noise":                {utilization: 0.75, stated: noise},
+		"callers move":         {utilization: 0.75, uneven: true},
 		"mix of routes":        {utilization: 0.65, route: mixed},
 		"slows from half":      {utilization: 0.6, slots: 120, queue: 200, slowdown: func(share float64) float64 { return max(1, 2*share) }},
 		"half cold":            {utilization: 0.6, stated: between(3*time.Second, 6*time.Second, 2, half)},
