--- a/mesh/capacity_test.go
+++ b/mesh/capacity_test.go
@@ -4,11 +4,18 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingslip/lacewingslip/call"
 	"github.com/lacewingslip/lacewingslip/hop"
+	"github.com/lacewingslip/lacewingslip/platform"
+	"github.com/lacewingslip/lacewingslip/pressure"
+	"github.com/lacewingslip/lacewingslip/slot"
+	"github.com/lacewingslip/lacewingslip/timeline"
+	"github.com/lacewingslip/lacewingslip/upstream"
 )
 
 // Guards against servers of one service that get equal work although they state different
@@ -82,6 +89,39 @@
 	}))
 }
 
+// Guards against a slow server that reports that it is full only when requests wait for it, or
+// only when the slower requests have ended.
+func TestPaceRaisesTheDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slots, gauge := slot.New(), pressure.Gauge{}
+		c := newServerCapacity(slots, newRunTimes(), timeline.NewRecorder("n"))
+		tracker := upstream.New("s", "a")
+		tracker.Apply(time.Now(), upstream.Announcement{Instance: "i", StartMs: 1, Sequence: 1, Service: "s", Address: "a", Slots: 10, State: upstream.Ready})
+		slots.Resize(c.serverChanged(tracker.Server()))
+		// 40 requests a second that take 100 ms need 4 of 9 slots.
+		serve := func(d time.Duration, pace float64) (demand float64) {
+			for end := time.Now().Add(d); time.Now().Before(end); {
+				for range 4 {
+					gauge.RecordArrival()
+					c.observe(time.Now(), platform.Load{Slots: 10, Pace: pace})
+				}
+				mark := c.begin(time.Now(), "r", time.Now().Add(time.Second))
+				time.Sleep(100 * time.Millisecond)
+				if pace == 1 {
+					c.end(time.Now(), mark, "r", &result{outcome: call.Answered, status: http.StatusOK}, true)
+				}
+				c.tick(time.Now())
+				gauge.Tick(time.Now(), slots.Load())
+			}
+			return gauge.Demand()
+		}
+		must.Between(t, 0.3, serve(5*time.Second, 1), 0.6)
+		must.Between(t, 0.3, serve(600*time.Millisecond, 2.5), 0.6, must.Sprint("noise raises the demand"))
+		must.Greater(t, 0.9, serve(time.Second, 2.5))
+		must.Zero(t, slots.Load().Waiting)
+	})
+}
+
 // Guards against a run time that is lost or changed between nodes, and against invalid ones.
 func TestExpectedRun(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -30,7 +30,8 @@
 // customer_admission.go (refuses customer requests under pressure), node_selector.go and
 // balancer.go (choose the next node), retry_budget.go (decides whether a failed request
 // is sent again), and sidecar.go (runs requests at the backend server, over the
-// connections of instance_pool.go). crash.go detects that the server has crashed under a
+// connections of instance_pool.go). capacity.go estimates what the server handles well if
+// it states its pace. crash.go detects that the server has crashed under a
 // request, and quarantine.go shares with other nodes which requests do that. repeats.go
 // estimates which calls belong to repeated runs. announcements.go tracks the backend
 // server, desired_state.go the operator's desired state, and exchange.go and watchers.go
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -132,7 +132,7 @@
 	elasticity = Instrument{
 		Name: "lacewingslip.elasticity", Exported: "lacewingslip_elasticity", Kind: Gauge, Unit: "{ratio}",
 		Labels:  []string{labelService},
-		Meaning: "By how many percent calls take longer if one percent more of them run. The limit falls above 0.6 and rises below 0.4.",
+		Meaning: "By how many percent calls take longer if one percent more of them run. The limit may fall above 0.3.",
 	}
 	abandoned = Instrument{
 		Name: "lacewingslip.abandoned", Exported: "lacewingslip_abandoned", Kind: Gauge, Unit: "{call}",
