--- a/routing/speed_test.go
+++ b/routing/speed_test.go
@@ -68,6 +68,16 @@
 	}
 }
 
+// Guards against a fast node that queues calls while a slower one is idle.
+func TestSlowerNodesTakeTheirPart(t *testing.T) {
+	table := newTable(upstreams(2, 100, zoneA))
+	report(table, start, map[string]time.Duration{"a1": 200 * ms}, 10)
+	for fastRuns, want := range map[int]int{70: 0, 97: 1000} {
+		report(table, start, map[string]time.Duration{"a0": 100 * ms}, fastRuns)
+		must.Eq(t, want, choose(table, start)["a1"])
+	}
+}
+
 // Guards against a node that stays without calls after it has become fast again: others must
 // ask it now and then, but with few calls.
 func TestSlowNodeIsProbed(t *testing.T) {
