--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -30,11 +30,13 @@
 // workspaces.go (admits requests by their key), customer_admission.go (refuses customer
 // requests under pressure), node_selector.go and
 // balancer.go (choose the next node), retry_budget.go (decides whether a failed request
-// is sent again), quota.go and quota_messages.go (apply the caps of workspaces), and sidecar.go (runs requests at the backend server, over the
-// connections of instance_pool.go). crash.go detects that the server has crashed under a
-// request, quarantine.go shares with other nodes which requests do that, and evidence.go
-// sends what is known of a request along with it and with its result. repeats.go estimates
-// which calls belong to repeated runs. announcements.go tracks the backend
+// is sent again), quota.go and quota_messages.go (apply the caps of workspaces), and
+// sidecar.go (runs requests at the backend server, over the connections of
+// instance_pool.go). capacity.go estimates what the server handles well if it states its
+// pace. crash.go detects that the server has crashed under a request, quarantine.go shares
+// with other nodes which requests do that, and evidence.go sends what is known of a request
+// along with it and with its result. repeats.go estimates which calls belong to repeated
+// runs. announcements.go tracks the backend
 // server, desired_state.go the operator's desired state, and exchange.go and watchers.go
 // other nodes. freshness.go proves that the desired state is the newest, by the clock in
 // boot_clock.go. servers.go serves callers and other nodes, connections.go decides when
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -138,6 +138,26 @@
 		Name: "lacewingslip.cap.accounts", Exported: "lacewingslip_cap_accounts", Kind: Gauge, Unit: "{workspace}",
 		Meaning: "Workspaces for which this node is a keeper of the cap and has been asked for credit.",
 	}
+	pace = Instrument{
+		Name: "lacewingslip.pace", Exported: "lacewingslip_pace", Kind: Gauge, Unit: "{ratio}",
+		Labels:  []string{labelService},
+		Meaning: "How long work takes at the backend server, as a multiple of the usual time and without noise. Present only if the server states it.",
+	}
+	expectedRun = Instrument{
+		Name: "lacewingslip.expected.run", Exported: "lacewingslip_expected_run_seconds", Kind: Gauge, Unit: "s",
+		Labels:  []string{labelService},
+		Meaning: "Expected run time of a call at the backend server, from the pace and the work of earlier calls.",
+	}
+	elasticity = Instrument{
+		Name: "lacewingslip.elasticity", Exported: "lacewingslip_elasticity", Kind: Gauge, Unit: "{ratio}",
+		Labels:  []string{labelService},
+		Meaning: "By how many percent calls take longer if one percent more of them run. The limit may fall above 0.3.",
+	}
+	abandoned = Instrument{
+		Name: "lacewingslip.abandoned", Exported: "lacewingslip_abandoned", Kind: Gauge, Unit: "{call}",
+		Labels:  []string{labelService},
+		Meaning: "Calls that the backend server may still run although nobody waits for the answer. They count against the limit.",
+	}
 )
 
 // Catalogue returns all instruments in the order of docs/operate/metrics.md.
@@ -146,5 +166,6 @@
 		calls, callDuration, retries, queueLength, running, limit,
 		bookings, crossRegionBytes, members, settingsOffset, pressure, desiredVersion, proofAge, blockedRequests,
 		capRequests, capMessages, capAccounts,
+		pace, expectedRun, elasticity, abandoned,
 	}
 }
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -103,6 +103,7 @@
 	m.CapDecided(metrics.CapExceeded)
 	m.CapMessageSent(true)
 	m.SetCapAccounts(3)
+	m.SetCapacity("orders", metrics.Capacity{Pace: 1})
 
 	server := httptest.NewServer(m.Handler())
 	defer server.Close()
