Fail closed also without a revocation time

A settings file with FailClosed and no RevokeMs made a node serve all keys. It now assumes 5 s.

Tests of proofs pass with -race.

--- a/mesh/freshness.go
+++ b/mesh/freshness.go
@@ -34,6 +34,8 @@
 	proofPollPause = 300 * time.Millisecond
 	// rolesInterval is how often a node determines which nodes read the log for proofs.
 	rolesInterval = 500 * time.Millisecond
+	// defaultRevoke is the revocation time if the settings do not give one.
+	defaultRevoke = 5 * time.Second
 	// maxProofAge bounds the ages that other nodes state.
 	maxProofAge = 24 * time.Hour
 )
@@ -97,7 +99,7 @@
 	}
 	p = &proofs{
 		settings: settings, clock: clock, log: logClient, metrics: m, events: events,
-		tracker: freshness.New(settings.Bounds.Revoke), renewed: make(chan struct{}),
+		tracker: freshness.New(revocationTime(settings.Bounds)), renewed: make(chan struct{}),
 	}
 	p.bounds.Store(&settings.Bounds)
 	return p, nil
@@ -108,15 +110,19 @@
 	p.bounds.Store(&bounds)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tracker.SetRevoke(bounds.Revoke)
+	p.tracker.SetRevoke(revocationTime(bounds))
 }
 
-// failsClosed reports whether requests with a key need a proof.
-func (p *proofs) failsClosed() bool {
-	bounds := p.bounds.Load()
-	return bounds.FailClosed && bounds.Revoke > 0
+func revocationTime(bounds nodeconfig.Bounds) time.Duration {
+	if bounds.Revoke <= 0 {
+		return defaultRevoke
+	}
+	return bounds.Revoke
 }
 
+// failsClosed reports whether requests with a key need a proof.
+func (p *proofs) failsClosed() bool { return p.bounds.Load().FailClosed }
+
 // inUse reports whether the deployment needs proofs now.
 func (p *proofs) inUse() bool {
 	state := p.desired.current()
@@ -442,7 +448,7 @@
 		return nil
 	}
 	if !age.known {
-		age.age = p.bounds.Load().Revoke
+		age.age = revocationTime(*p.bounds.Load())
 	}
 	helps := make(chan struct{})
 	startedAt := p.clock()
