--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -185,3 +185,62 @@
 	must.True(t, ask)
 	must.True(t, read)
 }
+
+// Guards against readers that all read in calm conditions, and against one that does not take
+// over from those before it.
+func TestReadersTakeTurns(t *testing.T) {
+	for name, c := range map[string]struct {
+		situation freshness.Situation
+		age       time.Duration
+		ask, read bool
+	}{
+		"first reader, young":     {freshness.Situation{Reader: true}, 999 * ms, false, false},
+		"first reader":            {freshness.Situation{Reader: true}, 1000 * ms, false, true},
+		"second reader, waits":    {freshness.Situation{Reader: true, Rank: 1}, 1249 * ms, false, false},
+		"second reader":           {freshness.Situation{Reader: true, Rank: 1}, 1250 * ms, false, true},
+		"third reader":            {freshness.Situation{Reader: true, Rank: 2}, 1500 * ms, false, true},
+		"reader after a failure":  {freshness.Situation{Reader: true, LastRead: start + 2000*ms}, 2050 * ms, false, false},
+		"other node, young":       {freshness.Situation{Peers: 1}, 2249 * ms, false, false},
+		"other node asks":         {freshness.Situation{Peers: 1}, 2250 * ms, true, false},
+		"other node has asked":    {freshness.Situation{Peers: 1, LastAsk: start + 2200*ms}, 2250 * ms, false, false},
+		"other node reads":        {freshness.Situation{Peers: 1}, 3000 * ms, true, true},
+		"other node in its turn":  {freshness.Situation{Peers: 1099, PeersAnswer: true, LastRead: start}, 3000 * ms, true, false},
+		"other node, no answer":   {freshness.Situation{Peers: 1099, LastRead: start}, 3000 * ms, true, true},
+		"other node, none to ask": {freshness.Situation{LastRead: start}, 3000 * ms, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := newTracker()
+			tracker.RecordRead(freshness.Read{SentAt: start, Era: 1, Version: 7, Complete: true}, 7)
+			ask, read := tracker.Due(start+c.age, c.situation)
+			must.Eq(t, c.ask, ask)
+			must.Eq(t, c.read, read)
+		})
+	}
+}
+
+// Guards against waiting requests that end without need, or not although a node needs the
+// proof.
+func TestProofHelps(t *testing.T) {
+	for name, c := range map[string]struct {
+		own, theirs time.Duration
+		relays      bool
+		helps       bool
+		after       time.Duration
+	}{
+		"much younger":           {100 * ms, 2000 * ms, false, true, 0},
+		"hardly younger":         {1900 * ms, 2000 * ms, false, false, 0},
+		"older":                  {3000 * ms, 2000 * ms, false, false, 0},
+		"not needed yet":         {100 * ms, 1000 * ms, false, false, 250 * ms},
+		"needed to be passed on": {100 * ms, 1000 * ms, true, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := newTracker()
+			tracker.RecordRead(freshness.Read{SentAt: start, Era: 1, Version: 7, Complete: true}, 7)
+			helps, after := tracker.Helps(start+c.own, c.theirs, c.relays)
+			must.Eq(t, c.helps, helps)
+			must.Eq(t, c.after, after)
+		})
+	}
+	helps, _ := newTracker().Helps(start, time.Hour, true)
+	must.False(t, helps)
+}
