Prove by a slow log too

A read for a proof was given up after 500 ms, because reads hang when the log is away. A log that needs longer for each response gave no proofs by these reads. In small deployments those of the watchers still proved enough, since they wait for 2 s at most; in larger ones they wait for up to 8 s. Reads for proofs now go on for the 2 s of the log client, and another one starts after 500 ms without a response, up to four at a time. A read at the same position no longer makes the next one read the newest version.

--- a/mesh/freshness.go
+++ b/mesh/freshness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -20,11 +21,14 @@
 	// proofReaders is the number of nodes in the whole deployment that read the log for
 	// proofs.
 	proofReaders = 3
-	// proofReadTimeout bounds a read for a proof. It does not wait for records, and the log
-	// usually responds within 4 ms.
-	proofReadTimeout = 500 * time.Millisecond
-	// maxProofReads bounds the reads that follow each other until one returns no record.
-	maxProofReads = 3
+	// lateReadTime is how long after a read for a proof another one is sent while there is no
+	// response. The log usually responds within 4 ms. It may be slow, or have lost the read
+	// while it was away.
+	lateReadTime = 500 * time.Millisecond
+	// maxProofReads bounds these reads. Each ends after 2 s.
+	maxProofReads = 4
+	// maxFurtherReads bounds the reads that follow each other until one returns no record.
+	maxFurtherReads = 3
 	// positionLifetime is how long after a read for a proof the next one continues there.
 	// Afterwards, the newest version is read, since there may be many in between.
 	positionLifetime = time.Minute
@@ -64,12 +68,12 @@
 	// position continues the last read of the topic, at the time readAt.
 	position platform.Position
 	readAt   time.Duration
-	// situation has the times of the last requests for proofs. reading is true while the log
-	// is read, polling while a request waits at a reader, and asking counts those to other
-	// nodes.
-	situation        freshness.Situation
-	reading, polling bool
-	asking           int
+	// situation has the times of the last requests for proofs. reading and asking count those
+	// in progress to the log and to other nodes, and polling is true while one waits at a
+	// reader.
+	situation       freshness.Situation
+	reading, asking int
+	polling         bool
 	// readerIndex selects the reader that is polled.
 	readerIndex int
 	// serving is whether requests with a key are served, as last recorded.
@@ -297,8 +301,8 @@
 		p.situation.LastAsk, p.situation.Jitter = now, rand.Float64()
 		go p.ask(ctx, roles.others[rand.IntN(len(roles.others))])
 	}
-	if read && !p.reading {
-		p.reading = true
+	if read && (p.reading == 0 || p.reading < maxProofReads && now-p.situation.LastRead >= lateReadTime) {
+		p.reading++
 		p.situation.LastRead, p.situation.Jitter = now, rand.Float64()
 		go p.readLog(ctx)
 	}
@@ -385,11 +389,9 @@
 	defer func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.reading = false
+		p.reading--
 	}()
-	ctx, cancel := context.WithTimeout(ctx, proofReadTimeout)
-	defer cancel()
-	for range maxProofReads {
+	for range maxFurtherReads {
 		if more, err := p.readOnce(ctx); err != nil || !more {
 			return
 		}
@@ -397,13 +399,11 @@
 }
 
 // readOnce reads from the position of the last read, or the newest version. more is true if
-// there may be further versions. An error has the effect that the next read is of the newest
-// version: the log may have been restored or have deleted the records.
+// there may be further versions.
 func (p *proofs) readOnce(ctx context.Context) (more bool, err error) {
 	p.mu.Lock()
 	sentAt, from := p.clock(), p.position
 	known := from != platform.Position{} && sentAt-p.readAt < positionLifetime
-	p.position = platform.Position{}
 	p.mu.Unlock()
 	var records []platform.Record
 	var next platform.Position
@@ -412,32 +412,37 @@
 	} else {
 		records, next, err = p.log.Newest(ctx, platform.DesiredStateTopic)
 	}
-	if err != nil {
-		p.keepPosition(ctx, from)
-		return false, err
+	if err == nil && known && (next.Era != from.Era || next.Offset < from.Offset) {
+		p.forgetPosition(from)
+		return true, nil
 	}
-	if known && (next.Era != from.Era || next.Offset < from.Offset) {
+	if errors.Is(err, platform.ErrTrimmed) {
+		p.forgetPosition(from)
 		return true, nil
 	}
+	if err != nil {
+		return false, err
+	}
 	complete := !known || next.Offset == from.Offset
 	highest := p.desired.applyAll(records)
 	inForce := p.desired.version()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.position, p.readAt = next, sentAt
+	if sentAt > p.readAt {
+		p.position, p.readAt = next, sentAt
+	}
 	p.recordRenewal(p.tracker.RecordRead(freshness.Read{SentAt: sentAt, Era: next.Era, Version: highest, Complete: complete}, inForce))
 	return !complete, nil
 }
 
-// keepPosition continues at the position after a read that timed out. The document may be
-// large, so it is read only where the position may no longer be valid.
-func (p *proofs) keepPosition(ctx context.Context, from platform.Position) {
-	if ctx.Err() == nil {
-		return
-	}
+// forgetPosition makes the next read one of the newest version, because the log was restored
+// or has deleted the records at the position.
+func (p *proofs) forgetPosition(position platform.Position) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.position = from
+	if p.position == position {
+		p.position = platform.Position{}
+	}
 }
 
 // helpful returns a channel that is closed once the proof of this node helps the sender of a
--- a/mesh/freshness_test.go
+++ b/mesh/freshness_test.go
@@ -133,6 +133,25 @@
 	}
 }
 
+// Guards against nodes that give up each read of a slow log before its response, so that
+// requests are refused although the log is available.
+func TestSlowLogProves(t *testing.T) {
+	d := newKeyedDeployment(t, "orders", "orders")
+	const delay = time.Second
+	// Afterwards, all other reads wait for half of minDesiredStateWait or longer.
+	time.Sleep(settleTime + time.Second)
+	for _, v := range d.vms {
+		v.logGate.delay.Store(int64(delay))
+	}
+	suspend(failClosed.Revoke, d.vms...)
+	for _, v := range d.vms {
+		eventually(t, func() bool {
+			age := v.proofs().statedAge()
+			return age.known && age.age < delay+minDesiredStateWait/2
+		})
+	}
+}
+
 // Guards against forwarded requests whose responses do not renew the proof, so that a node
 // refuses keys although it reaches others.
 func TestForwardedRequestRenewsProof(t *testing.T) {
--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -91,14 +91,17 @@
 	return ctx
 }
 
-// logGate passes requests to the log unless it is cut. It then ends their connections.
+// logGate passes requests to the log after a delay unless it is cut. It then ends their
+// connections.
 type logGate struct {
 	http.Handler
 	*cutSwitch
+	delay atomic.Int64
 }
 
 func (g *logGate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx := g.context(r.Context())
+	time.Sleep(time.Duration(g.delay.Load()))
 	response := httptest.NewRecorder()
 	if ctx.Err() == nil {
 		g.Handler.ServeHTTP(response, r.WithContext(ctx))
