--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -26,7 +27,7 @@
 // deployment is a small system on loopback addresses: a stand-in for the log
 // service, and nodes with a stand-in backend server each.
 type deployment struct {
-	t       *testing.T
+	t       testing.TB
 	log     *keyedlog.Log
 	logAddr string
 	vms     []*vm
@@ -34,6 +35,12 @@
 	// ownRecordWait replaces that of nodes that are started, so that the time in which other
 	// nodes answer on a busy machine has no effect. It is not replaced if it is 0.
 	ownRecordWait time.Duration
+	// zone is the zone of VMs that are added, or "" for the first one.
+	zone string
+	// slots is the number of slots that servers announce, or 0 for defaultSlots.
+	slots int
+	// beforeStart is called with each node before it is started, unless it is nil.
+	beforeStart func(n *Node)
 }
 
 // vm is a VM with a backend server and a node.
@@ -51,20 +58,30 @@
 // has no earlier process.
 const firstOwnRecordWait = 20 * time.Millisecond
 
+// defaultSlots is the number of slots of a server.
+const defaultSlots = 8
+
 // lastHost numbers the loopback addresses, so that tests do not share ports.
 var lastHost atomic.Int64
 
-func newDeployment(t *testing.T, services ...string) *deployment {
+func newDeployment(t testing.TB, services ...string) *deployment {
+	t.Helper()
+	d := newEmptyDeployment(t)
+	for _, service := range services {
+		d.addVM(service)
+	}
+	d.awaitConvergence()
+	return d
+}
+
+// newEmptyDeployment starts the log service without nodes, and writes a desired state to it.
+func newEmptyDeployment(t testing.TB) *deployment {
 	t.Helper()
 	d := &deployment{t: t, log: keyedlog.New()}
 	logServer := httptest.NewServer(d.log)
 	t.Cleanup(logServer.Close)
 	d.logAddr = logServer.Listener.Addr().String()
 	d.publish(once("once"), safe("safe"))
-	for _, service := range services {
-		d.addVM(service)
-	}
-	d.awaitConvergence()
 	return d
 }
 
@@ -109,6 +126,9 @@
 			Drain: time.Second, Grace: 2 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
 		},
 	}
+	if d.zone != "" {
+		v.settings.Zone = d.zone
+	}
 	_, port, err := net.SplitHostPort(free[4])
 	must.NoError(d.t, err)
 	_, err = fmt.Sscan(port, &v.settings.FirstPort)
@@ -134,6 +154,9 @@
 	}
 	v.started = true
 	e.client.Transport = &killableTransport{RoundTripper: e.client.Transport}
+	if d.beforeStart != nil {
+		d.beforeStart(n)
+	}
 	must.NoError(d.t, n.Start(context.Background()))
 	v.node = n
 	d.t.Cleanup(func() { kill(n) })
@@ -173,7 +196,7 @@
 	v.sequence++
 	status, err := operator.Announce(d.t.Context(), v.settings.Listen.Announce, operator.Announcement{
 		Instance: v.instance(), Service: v.settings.Service, Address: v.settings.Backend, Zone: v.settings.Zone, State: state,
-		StartMs: v.startMs, Sequence: v.sequence, Slots: 8,
+		StartMs: v.startMs, Sequence: v.sequence, Slots: cmp.Or(d.slots, defaultSlots),
 	})
 	must.NoError(d.t, err)
 	must.Eq(d.t, http.StatusOK, status)
@@ -206,7 +229,7 @@
 	return true
 }
 
-func eventually(t *testing.T, condition func() bool) {
+func eventually(t testing.TB, condition func() bool) {
 	t.Helper()
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(condition), wait.Timeout(10*time.Second), wait.Gap(5*time.Millisecond)))
 }
