--- a/internal/e2e/processes.go
+++ b/internal/e2e/processes.go
@@ -69,6 +69,9 @@
 	err     error
 }
 
+// ID returns the ID of the process.
+func (p *Process) ID() int { return p.command.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(signal syscall.Signal) error { return p.command.Process.Signal(signal) }
 
