Set the collector and the number of threads of a node process

Cause: with the defaults of the Go runtime, a node whose live heap is a few megabytes collects it several times a second under load, and it runs as many threads as the machine has cores although it may use 0.64 of one. A quarter of the processor time in the profile of a call is collection.

--- a/cmd/lacewingslipd/platform.go
+++ b/cmd/lacewingslipd/platform.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -15,11 +14,6 @@
 	"github.com/lacewingslip/lacewingslip/platform"
 )
 
-// heapMemoryRatio is the ratio of the Go runtime's soft memory limit to the memory
-// that the process may use. The rest is left for the memory that the kernel uses
-// for the connections.
-const heapMemoryRatio = 0.7
-
 // runOnPlatform runs the node with the settings file of the users' platform. It
 // reads the file again on SIGHUP.
 func runOnPlatform(ctx context.Context, command *cli.Command) (err error) {
@@ -34,6 +28,7 @@
 	if err != nil {
 		return cli.Exit(err, exitInvalidFile)
 	}
+	limitRuntime(settings.MemoryBytes)
 	settings.Listen.Advertised = command.String(flagAdvertise)
 	output := logs.New(os.Stdout)
 	defer output.Close()
@@ -42,9 +37,6 @@
 	if err != nil {
 		return err
 	}
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(heapMemoryRatio * float64(settings.MemoryBytes)))
-	}
 	signals, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err = n.Start(ctx); err != nil {
