Keep the connections for exchanges between nodes

Cause: the client for exchanges kept no unused connection, so each long poll, of which a node makes two a second, opened a new one: 1.7 a second for each idle node. Both sides pay for its set-up.

Change: one unused connection to each node is kept for 20 s, at most 64 in all. A response is read to its end, without which net/http closes the connection. Exchanges are marked as repeatable, so that one that meets a connection that the other node has just closed is sent again instead of marking that node as unreachable.

--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -30,6 +30,9 @@
 	// maxExchangeBytes limits the size of a message. 1,100 member records have
 	// about 300 KB, and a desired state of a few thousand routes about 1 MB.
 	maxExchangeBytes = 8 << 20
+	// maxIdleExchanges bounds the unused connections for exchanges that are kept. A node
+	// exchanges state with all others after some faults, and has few descriptors.
+	maxIdleExchanges = 64
 	// peerPollInterval is how often a node that can't read the log polls another
 	// node for changes.
 	peerPollInterval = 500 * time.Millisecond
@@ -130,7 +133,10 @@
 		stopping:   stopping, endWaits: sync.OnceFunc(func() { close(stopping) }),
 		balancer: b, directory: directory, desired: d, era: era, events: events, fetching: make(map[string]bool),
 		readsLog: func() bool { return true }, tableID: rand.Int64(), ownRecordFetched: make(chan struct{}), ownRecordWait: defaultOwnRecordWait, startedAt: time.Now(),
-		client: &http.Client{Transport: &http.Transport{DialContext: hop.Dialer().DialContext, MaxIdleConnsPerHost: -1}},
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: hop.Dialer().DialContext, DisableCompression: true,
+			MaxIdleConns: maxIdleExchanges, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout,
+		}},
 	}
 	q.send, q.ownMessage, q.directory = e.send, e.ownMessage, directory
 	return e
@@ -243,6 +249,9 @@
 	if err != nil {
 		return reply, err
 	}
+	// An exchange can be repeated without harm. The header is not sent: it makes net/http send
+	// the request again if the other node has just closed the connection.
+	httpReq.Header["Idempotency-Key"] = nil
 	resp, err := e.client.Do(httpReq)
 	if err != nil {
 		return reply, err
@@ -254,6 +263,9 @@
 	if err = json.NewDecoder(io.LimitReader(resp.Body, maxExchangeBytes)).Decode(&reply); err != nil {
 		return reply, err
 	}
+	// The connection is reused only if the body was read to its end. The error is ignored: its
+	// only consequence is that the connection is not reused.
+	_, _ = io.CopyN(io.Discard, resp.Body, maxExchangeBytes)
 	if reply.Self.Node != p.node {
 		return reply, eris.Errorf("the address now belongs to node %q", reply.Self.Node)
 	}
