Do not copy the attributes of each recorded event

Cause: Record copied the attributes to cut long texts in the copy, which allocates 640 bytes for each answered call. All callers pass attributes that nothing changes afterwards.

Change: the attributes are copied only if a text is too long, and the comment states that they must not be changed.

--- a/timeline/recorder.go
+++ b/timeline/recorder.go
@@ -76,7 +76,7 @@
 // Clock returns the clock that gives the events their timestamps.
 func (r *Recorder) Clock() *Clock { return r.clock }
 
-// Record logs and buffers an event.
+// Record logs and buffers an event. The caller must not change the attributes afterwards.
 func (r *Recorder) Record(id event.ID, attrs ...slog.Attr) {
 	attrs = shorten(attrs)
 	r.buffer(id, attrs)
@@ -91,14 +91,17 @@
 	r.logger.LogAttrs(ctx, description.Level, id.String(), append(numbered, attrs...)...)
 }
 
-// shorten returns a copy of the attributes in which long texts are cut.
+// shorten returns the attributes with long texts cut, or a copy if there are any.
 func shorten(attrs []slog.Attr) []slog.Attr {
-	attrs = slices.Clone(attrs)
+	copied := false
 	for i, attr := range attrs {
 		if attr.Value.Kind() != slog.KindString {
 			continue
 		}
 		if text := attr.Value.String(); len(text) > maxAttrBytes {
+			if !copied {
+				attrs, copied = slices.Clone(attrs), true
+			}
 			attrs[i] = slog.String(attr.Key, fmt.Sprintf("%s... (%d bytes)", strings.ToValidUTF8(text[:maxAttrBytes], ""), len(text)))
 		}
 	}
