Refuse a request at ingress before its body is read

Cause: ingress read and hashed the whole body of a request before it decided on its admission.

Change: the decisions that need no body, on a planned stop and on pressure, are made first. If the length of the body is known and at most 256 KB, the refusal is sent at once and the body is discarded afterwards, so that the connection stays usable; if the rest does not arrive by the deadline, the connection is closed, because net/http would take what follows for a request. Other bodies are discarded by net/http before it responds, as before. A request that is refused for pressure gets 503 also if its body is too long.

--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -69,34 +70,35 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	req, ok := i.accept(w, r, state, route, receivedAt)
-	if !ok {
-		return
-	}
+	req := i.newRequest(r, route, receivedAt)
 	i.sidecar.links.RecordCall(route.Name(), req.callerDeadline)
 	origin := i.admission.origin(route)
 	if origin == calltree.Servers {
 		i.sidecar.recordCall(receivedAt)
 	}
 	if !i.lifecycle.accepts(time.Now(), i.lateRequest(req, origin)) {
-		i.respond(w, req, notRunResult(call.ReasonDraining, "the node is stopping"), receivedAt, state.Version())
+		i.refuseUnread(w, r, req, notRunResult(call.ReasonDraining, "the node is stopping"), receivedAt, state.Version())
 		return
 	}
 	if origin != calltree.Customers {
 		req.repeatShare = i.sidecar.repeats.share()
 	}
-	if verdict := i.quarantine.Verdict(receivedAt, req.fingerprint); verdict.Level == quarantine.Blocked {
-		i.respond(w, req, quarantinedResult(verdict), receivedAt, state.Version())
-		return
-	}
-	i.budget.recordRequest(req.service, req.repeatShare)
 	decision := i.admission.admit(route)
 	req.targetRegion, req.rank, req.fromCustomer = decision.targetRegion, decision.rank, origin == calltree.Customers
 	if !decision.admitted {
+		i.budget.recordRequest(req.service, req.repeatShare)
 		res := notRunResult(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is overloaded: pressure level %.2f", decision.level))
-		i.respond(w, req, res, receivedAt, state.Version())
+		i.refuseUnread(w, r, req, res, receivedAt, state.Version())
+		return
+	}
+	if !i.accept(w, r, req, state) {
 		return
 	}
+	if verdict := i.quarantine.Verdict(receivedAt, req.fingerprint); verdict.Level == quarantine.Blocked {
+		i.respond(w, req, quarantinedResult(verdict), receivedAt, state.Version())
+		return
+	}
+	i.budget.recordRequest(req.service, req.repeatShare)
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline.Add(responseGrace))
 	defer cancel()
 	req.answerBy = i.lifecycle.stopDeadline()
@@ -115,19 +117,51 @@
 	}
 }
 
-// accept reads a request from the caller. ok is false if the request was refused
-// and the error response has been written.
-func (i *ingress) accept(w http.ResponseWriter, r *http.Request, state *desired.State, route *desired.Route, receivedAt time.Time) (req *request, ok bool) {
-	timeout := callerTimeout(r.Header)
+// newRequest returns a request whose body has not been read yet.
+func (i *ingress) newRequest(r *http.Request, route *desired.Route, receivedAt time.Time) (req *request) {
+	callerTimeout := callerTimeout(r.Header)
+	timeout := callerTimeout
 	if route.Timeout() > 0 {
 		timeout = min(timeout, route.Timeout())
 	}
 	req = &request{
 		id: platform.RequestID(r.Header), method: r.Method, host: r.Host, target: r.RequestURI,
 		header: endToEndHeader(r.Header), service: i.splitter.Next(route), caller: i.settings.Service,
-		route: route.Name(), kind: route.Kind(), priority: route.Priority(), deadline: receivedAt.Add(timeout), callerDeadline: receivedAt.Add(callerTimeout(r.Header)),
+		route: route.Name(), kind: route.Kind(), priority: route.Priority(), deadline: receivedAt.Add(timeout), callerDeadline: receivedAt.Add(callerTimeout),
 	}
 	req.header.Del("Content-Length")
+	return req
+}
+
+// refuseUnread refuses a request whose body has not been read. The response is sent before a
+// body whose length is known and moderate is read, so that the connection can be reused.
+func (i *ingress) refuseUnread(w http.ResponseWriter, r *http.Request, req *request, res *result, receivedAt time.Time, version int64) {
+	if r.ContentLength == 0 {
+		i.respond(w, req, res, receivedAt, version)
+		return
+	}
+	controller := http.NewResponseController(w)
+	// An error means that the writer does not support deadlines, as in tests. Slow senders are
+	// not limited then.
+	_ = controller.SetReadDeadline(req.deadline.Add(responseGrace))
+	if r.ContentLength < 0 || r.ContentLength > maxBufferedBytes || r.Header.Get("Expect") != "" || controller.EnableFullDuplex() != nil {
+		// net/http reads the body, or a part of it, before it writes the response.
+		i.respond(w, req, res, receivedAt, version)
+		return
+	}
+	i.respond(w, req, res, receivedAt, version)
+	// An error of Flush means that the caller has disconnected. If the rest of the body does not
+	// arrive, the connection is closed: net/http would take what follows for a request.
+	_ = controller.Flush()
+	if _, err := io.CopyN(io.Discard, r.Body, r.ContentLength); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_ = controller.SetReadDeadline(time.Time{})
+}
+
+// accept reads the body of a request. ok is false if the request was refused and the error
+// response has been written.
+func (i *ingress) accept(w http.ResponseWriter, r *http.Request, req *request, state *desired.State) (ok bool) {
 	var err error
 	if r.ContentLength != 0 {
 		controller := http.NewResponseController(w)
@@ -145,13 +179,13 @@
 	case isTooLarge(err):
 		i.setCommonHeaders(w, req.id)
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
-		return nil, false
+		return false
 	case err != nil:
 		i.reject(w, r, notRunResult(call.ReasonBadRequest, "the request body is incomplete: "+err.Error()))
-		return nil, false
+		return false
 	}
 	req.setFingerprint()
-	return req, true
+	return true
 }
 
 // dispatch sends a request to one node after another until a backend server
