Serve profiles of a node process at a loopback address on request

Cause: the processor time of a node at the rates of the users' deployments is not that of a benchmark in one process, and could not be profiled.

Change: the flag debug-address of lacewingslipd platform serves the profiles of net/http/pprof. It is off by default and accepts loopback IP addresses only.

--- a/cmd/lacewingslipd/main.go
+++ b/cmd/lacewingslipd/main.go
@@ -31,6 +31,7 @@
 	flagFile         = "file"
 	flagLogLevel     = "log-level"
 	flagAdvertise    = "advertise"
+	flagDebug        = "debug-address"
 	defaultLevel     = "info"
 	usageLogLevel    = "lowest level of events that are logged: debug, info, warn or error"
 )
@@ -49,6 +50,7 @@
 			Usage: "run on the users' platform, with the settings file that it provides",
 			Flags: []cli.Flag{
 				&cli.StringFlag{Name: flagAdvertise, Usage: "address that other nodes connect to, if it differs from the one that the node listens on"},
+				&cli.StringFlag{Name: flagDebug, Usage: "loopback address at which profiles are served; off by default"},
 			},
 			Action: runOnPlatform,
 		}},
--- a/cmd/lacewingslipd/platform.go
+++ b/cmd/lacewingslipd/platform.go
@@ -29,6 +29,11 @@
 		return cli.Exit(err, exitInvalidFile)
 	}
 	limitRuntime(settings.MemoryBytes)
+	debugServer, err := startDebugServer(command.String(flagDebug))
+	if err != nil {
+		return err
+	}
+	defer debugServer.Close()
 	settings.Listen.Advertised = command.String(flagAdvertise)
 	output := logs.New(os.Stdout)
 	defer output.Close()
