Rebuild only the routing tables of services whose nodes have changed

Cause: each changed record, and each node that became unreachable, rebuilt the routing tables of all services and the index of all addresses, and copied the records of all nodes twice. The unused connections to all nodes were checked ten times a second.

Change: the balancer rebuilds the tables of the services of changed nodes, and the index only when a node or an address is new or gone. The records are copied once. Unused connections are closed once a second; none that is too old is used in between.

A change still compares the records of all nodes.

--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -23,6 +23,9 @@
 const (
 	// peerIdleTimeout is how long an unused connection to another node is kept.
 	peerIdleTimeout = 20 * time.Second
+	// sweepInterval is how often unused connections to other nodes are closed. None that has
+	// been unused for too long is used in between.
+	sweepInterval = time.Second
 	// An unreachable node is probed after minProbeInterval. The interval then
 	// doubles with each probe up to maxProbeInterval.
 	minProbeInterval = 150 * time.Millisecond
@@ -49,6 +52,8 @@
 	byIP  map[string]*peer
 	// services has the services that have nodes.
 	services map[string]struct{}
+	// sweptAt is when unused connections were last closed.
+	sweptAt time.Time
 }
 
 // peer is a known node, which may be this one.
@@ -81,57 +86,72 @@
 
 func newBalancer(settings nodeconfig.Config, events eventRecorder) *balancer {
 	return &balancer{
-		settings: settings, events: events, peers: make(map[string]*peer),
+		settings: settings, events: events, peers: make(map[string]*peer), services: make(map[string]struct{}),
 		table: routing.New(settings.Region, settings.Zone, routing.WithRemoteShare(maxRemoteShare)),
 	}
 }
 
-// setMembers replaces the records of all nodes by those that current returns. It is called
-// with the mutex held, so that concurrent changes do not bring back earlier records.
-func (b *balancer) setMembers(current func() []fleet.Member) {
+// setMembers replaces the records of all nodes by those that current returns, and returns
+// them. It is called with the mutex held, so that concurrent changes do not bring back earlier
+// records.
+func (b *balancer) setMembers(current func() []fleet.Member) (members []fleet.Member) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	members := current()
+	members = current()
 	known := make(map[string]bool, len(members))
+	// changed has the services of which nodes have changed.
+	changed, addressesChanged := make(map[string]struct{}), false
 	for _, m := range members {
 		known[m.Node] = true
 		p := b.peers[m.Node]
 		if p == nil || p.address != m.Address || p.region != m.Region {
 			if p != nil {
 				p.pool.Close()
+				changed[p.member.Service] = struct{}{}
+			}
+			p = &peer{
+				node: m.Node, address: m.Address, region: m.Region, watcherOrder: watcherOrder(m.Node), member: m,
+				pool: hop.New(m.Address, hop.WithMaxIdle(peerIdleTimeout)),
 			}
-			p = &peer{node: m.Node, address: m.Address, region: m.Region, watcherOrder: watcherOrder(m.Node), pool: hop.New(m.Address, hop.WithMaxIdle(peerIdleTimeout))}
 			b.peers[m.Node] = p
+			changed[m.Service], addressesChanged = struct{}{}, true
+		}
+		if p.member != m {
+			changed[p.member.Service], changed[m.Service] = struct{}{}, struct{}{}
+			p.member = m
 		}
-		p.member = m
 	}
 	for node, p := range b.peers {
 		if !known[node] {
 			p.pool.Close()
 			delete(b.peers, node)
+			changed[p.member.Service], addressesChanged = struct{}{}, true
 		}
 	}
-	b.byIP = make(map[string]*peer, len(b.peers))
-	for _, p := range b.peers {
-		if ip, _, err := net.SplitHostPort(p.address); err == nil {
-			b.byIP[ip] = p
+	if addressesChanged {
+		b.byIP = make(map[string]*peer, len(b.peers))
+		for _, p := range b.peers {
+			if ip, _, err := net.SplitHostPort(p.address); err == nil {
+				b.byIP[ip] = p
+			}
 		}
 	}
-	b.updateTable()
+	b.updateTable(changed)
+	return members
 }
 
-// updateTable passes the nodes that accept requests to the routing table. The
+// updateTable passes the nodes of the services that accept requests to the routing table. The
 // mutex must be held.
-func (b *balancer) updateTable() {
-	byService := make(map[string][]routing.Upstream)
-	for service := range b.services {
+func (b *balancer) updateTable(services map[string]struct{}) {
+	byService := make(map[string][]routing.Upstream, len(services))
+	for service := range services {
 		byService[service] = nil
 	}
-	b.services = make(map[string]struct{})
+	clear(b.services)
 	for _, p := range b.peers {
-		m := p.member
+		m := &p.member
 		b.services[m.Service] = struct{}{}
-		if !p.acceptsRequests() {
+		if _, changed := services[m.Service]; !changed || !p.acceptsRequests() {
 			continue
 		}
 		byService[m.Service] = append(byService[m.Service], routing.Upstream{
@@ -144,6 +164,12 @@
 	}
 }
 
+// updateService passes the nodes of the service of a node to the routing table, because that
+// node has changed. The mutex must be held.
+func (b *balancer) updateService(p *peer) {
+	b.updateTable(map[string]struct{}{p.member.Service: {}})
+}
+
 // choose returns a node of the request's service in the region, or in any region
 // if region is "". It does not return the excluded nodes.
 func (b *balancer) choose(req *request, excluded []string, region string) (p *peer, ok bool) {
@@ -227,7 +253,7 @@
 		return
 	}
 	p.leavingEpoch = epoch
-	b.updateTable()
+	b.updateService(p)
 	b.events.Record(event.PeerRefuses, attrPeer(p.node), attrService(p.member.Service), slog.Int64("epoch", epoch))
 }
 
@@ -241,7 +267,7 @@
 	}
 	p.unreachable, p.probeInterval = true, b.scaleInterval(minProbeInterval)
 	p.nextProbe = time.Now().Add(p.probeInterval)
-	b.updateTable()
+	b.updateService(p)
 	b.events.Record(event.PeerLost, attrPeer(p.node), slog.Int64("epoch", p.member.Epoch), attrDetail(detail))
 }
 
@@ -254,7 +280,7 @@
 		return
 	}
 	p.unreachable = false
-	b.updateTable()
+	b.updateService(p)
 	b.events.Record(event.PeerBack, attrPeer(node), slog.Int64("epoch", p.member.Epoch))
 }
 
@@ -369,6 +395,11 @@
 func (b *balancer) tick(now time.Time) {
 	b.mu.Lock()
 	b.table.Tick(now)
+	if now.Sub(b.sweptAt) < sweepInterval {
+		b.mu.Unlock()
+		return
+	}
+	b.sweptAt = now
 	pools := make([]*hop.Pool, 0, len(b.peers))
 	for _, p := range b.peers {
 		pools = append(pools, p.pool)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -159,8 +159,7 @@
 		Node: settings.Node, Address: address, Region: settings.Region, Zone: settings.Zone, Service: settings.Service,
 	}
 	return fleet.NewDirectory(self, table, logClient, events, func() {
-		b.setMembers(table.Members)
-		q.restore(table.Members())
+		q.restore(b.setMembers(table.Members))
 	}, fleet.WithEra(era))
 }
 
