--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -28,7 +29,7 @@
 // deployment is a small system on loopback addresses: a stand-in for the log
 // service, and nodes with a stand-in backend server each.
 type deployment struct {
-	t       *testing.T
+	t       testing.TB
 	log     *keyedlog.Log
 	logAddr string
 	vms     []*vm
@@ -38,6 +39,12 @@
 	ownRecordWait time.Duration
 	// bounds are those on keys and caps.
 	bounds nodeconfig.Bounds
+	// zone is the zone of VMs that are added, or "" for the first one.
+	zone string
+	// slots is the number of slots that servers announce, or 0 for defaultSlots.
+	slots int
+	// beforeStart is called with each node before it is started, unless it is nil.
+	beforeStart func(n *Node)
 }
 
 // vm is a VM with a backend server and a node.
@@ -119,22 +126,22 @@
 // has no earlier process.
 const firstOwnRecordWait = 20 * time.Millisecond
 
+// defaultSlots is the number of slots of a server.
+const defaultSlots = 8
+
 // lastHost numbers the loopback addresses, so that tests do not share ports.
 var lastHost atomic.Int64
 
-func newDeployment(t *testing.T, services ...string) *deployment {
+func newDeployment(t testing.TB, services ...string) *deployment {
 	t.Helper()
 	return newDeploymentWithBounds(t, nodeconfig.Bounds{}, services...)
 }
 
 // newDeploymentWithBounds returns a deployment whose nodes have the bounds on keys and caps.
-func newDeploymentWithBounds(t *testing.T, bounds nodeconfig.Bounds, services ...string) *deployment {
+func newDeploymentWithBounds(t testing.TB, bounds nodeconfig.Bounds, services ...string) *deployment {
 	t.Helper()
-	d := &deployment{t: t, log: keyedlog.New(), bounds: bounds}
-	logServer := httptest.NewServer(d.log)
-	t.Cleanup(logServer.Close)
-	d.logAddr = logServer.Listener.Addr().String()
-	d.publish(once("once"), safe("safe"))
+	d := newEmptyDeployment(t)
+	d.bounds = bounds
 	for _, service := range services {
 		d.addVM(service)
 	}
@@ -142,6 +149,17 @@
 	return d
 }
 
+// newEmptyDeployment starts the log service without nodes, and writes a desired state to it.
+func newEmptyDeployment(t testing.TB) *deployment {
+	t.Helper()
+	d := &deployment{t: t, log: keyedlog.New()}
+	logServer := httptest.NewServer(d.log)
+	t.Cleanup(logServer.Close)
+	d.logAddr = logServer.Listener.Addr().String()
+	d.publish(once("once"), safe("safe"))
+	return d
+}
+
 // once and safe return routes to the service orders. Requests of the former may
 // run at most once; requests of the latter are idempotent.
 func once(name string) operator.Route {
@@ -192,6 +210,9 @@
 			CapWindow: d.bounds.CapWindow, CapOver: d.bounds.CapOver, CapSlack: d.bounds.CapSlack,
 		},
 	}
+	if d.zone != "" {
+		v.settings.Zone = d.zone
+	}
 	_, port, err := net.SplitHostPort(free[4])
 	must.NoError(d.t, err)
 	_, err = fmt.Sscan(port, &v.settings.FirstPort)
@@ -220,6 +241,9 @@
 	proofs := n.lifecycle.components.proofs
 	clock := proofs.clock
 	proofs.clock = func() time.Duration { return clock() + time.Duration(v.suspended.Load()) }
+	if d.beforeStart != nil {
+		d.beforeStart(n)
+	}
 	must.NoError(d.t, n.Start(context.Background()))
 	v.node = n
 	d.t.Cleanup(func() { kill(n) })
@@ -261,7 +285,7 @@
 	v.sequence++
 	status, err := operator.Announce(d.t.Context(), v.settings.Listen.Announce, operator.Announcement{
 		Instance: v.instance(), Service: v.settings.Service, Address: v.settings.Backend, Zone: v.settings.Zone, State: state,
-		StartMs: v.startMs, Sequence: v.sequence, Slots: 8,
+		StartMs: v.startMs, Sequence: v.sequence, Slots: cmp.Or(d.slots, defaultSlots),
 	})
 	must.NoError(d.t, err)
 	must.Eq(d.t, http.StatusOK, status)
@@ -294,7 +318,7 @@
 	return true
 }
 
-func eventually(t *testing.T, condition func() bool) {
+func eventually(t testing.TB, condition func() bool) {
 	t.Helper()
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(condition), wait.Timeout(10*time.Second), wait.Gap(5*time.Millisecond)))
 }
