Call the side that obtains credit a requester

Purse was a figurative name. quota.Requester obtains credit from keepers and holds it for the requests that a node receives. Code, file, documentation and tests use the name; nothing else changes.

--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -48,9 +48,9 @@
 	// now reads a clock that counts the time for which the VM is suspended.
 	now clock
 
-	mu       sync.Mutex
-	purse    *quota.Purse
-	accounts *quota.Accounts
+	mu        sync.Mutex
+	requester *quota.Requester
+	accounts  *quota.Accounts
 	// state is the desired state that byName belongs to, which has its workspaces with a cap.
 	state  *desired.State
 	byName map[string]quota.Cap
@@ -81,7 +81,7 @@
 	terms := quota.NewTerms(settings.Bounds.CapWindow, settings.Bounds.CapOver, settings.Bounds.CapSlack)
 	return &caps{
 		settings: settings, desired: d, balancer: b, directory: dir, events: events, metrics: m, now: bootTime,
-		purse: quota.NewPurse(terms, rand.Float64), accounts: quota.NewAccounts(settings.Node, terms),
+		requester: quota.NewRequester(terms, rand.Float64), accounts: quota.NewAccounts(settings.Node, terms),
 		links: make(map[string]*quotaLink), refusing: make(map[string]*refusals),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: hop.Dialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: quotaIdleTimeout, DisableCompression: true,
@@ -107,7 +107,7 @@
 		c.updateNodes(c.now())
 	}
 	now := c.now()
-	request := c.purse.Arrive(now, name, capOf(workspace), func(v quota.Verdict) { verdicts <- v })
+	request := c.requester.Arrive(now, name, capOf(workspace), func(v quota.Verdict) { verdicts <- v })
 	c.serve(now, name)
 	c.mu.Unlock()
 	for {
@@ -136,17 +136,17 @@
 func (c *caps) nextCheck(r *quota.Request) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.purse.NextCheck(c.now(), r)
+	return c.requester.NextCheck(c.now(), r)
 }
 
 // cancel removes a request whose caller does not wait any longer.
 func (c *caps) cancel(r *quota.Request, verdicts <-chan quota.Verdict) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.purse.Cancel(r)
+	c.requester.Cancel(r)
 	select {
 	case v := <-verdicts:
-		c.purse.GiveBack(c.now(), v.Credit)
+		c.requester.GiveBack(c.now(), v.Credit)
 	default:
 	}
 }
@@ -176,7 +176,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.purse.GiveBack(c.now(), credit.credit)
+	c.requester.GiveBack(c.now(), credit.credit)
 }
 
 // serve decides on the waiting requests of a workspace and sends the questions to keepers that
@@ -185,14 +185,14 @@
 	distance := func(node string) (distance int, ok bool) { return c.distance(now, node) }
 	for again := true; again; {
 		again = false
-		for _, ask := range c.purse.Serve(now, workspace, distance) {
+		for _, ask := range c.requester.Serve(now, workspace, distance) {
 			if ask.Node != c.settings.Node {
 				c.ask(workspace, ask)
 				continue
 			}
 			// More requests may be served now.
 			again = true
-			c.purse.Answer(now, now, workspace, ask, c.accounts.Grant(now, workspace, ask.Limit, ask.Tokens))
+			c.requester.Answer(now, now, workspace, ask, c.accounts.Grant(now, workspace, ask.Limit, ask.Tokens))
 		}
 	}
 }
@@ -239,7 +239,7 @@
 		c.nodes, c.revision = nodes, revision
 	}
 	if changed {
-		c.purse.SetNodes(c.nodeSet())
+		c.requester.SetNodes(c.nodeSet())
 		for node := range c.links {
 			if _, known := nodes[node]; !known {
 				delete(c.links, node)
@@ -285,7 +285,7 @@
 		}
 	}
 	capped := func(workspace string) bool { return c.byName[workspace].Rate > 0 }
-	c.purse.Retain(capped)
+	c.requester.Retain(capped)
 	c.accounts.Retain(capped)
 }
 
--- a/mesh/quota_bench_test.go
+++ b/mesh/quota_bench_test.go
@@ -96,7 +96,7 @@
 	})
 	b.Run("admit", func(b *testing.B) {
 		c.accounts.Restore(c.now().Add(-time.Hour), quota.NewNodes([]string{"node-0"}))
-		c.purse.SetNodes(quota.NewNodes([]string{"node-0"}))
+		c.requester.SetNodes(quota.NewNodes([]string{"node-0"}))
 		b.ReportAllocs()
 		for b.Loop() {
 			if _, refusal := c.admit(b.Context(), workspaces[0]); refusal != nil {
--- a/mesh/quota_messages.go
+++ b/mesh/quota_messages.go
@@ -144,9 +144,9 @@
 		now := c.now()
 		for workspace, ask := range asks {
 			if err != nil {
-				c.purse.Fail(now, workspace, ask)
+				c.requester.Fail(now, workspace, ask)
 			} else {
-				c.purse.Answer(sent, now, workspace, ask, response.grant(workspace))
+				c.requester.Answer(sent, now, workspace, ask, response.grant(workspace))
 			}
 			c.serve(now, workspace)
 		}
--- a/quota/network_test.go
+++ b/quota/network_test.go
@@ -48,7 +48,7 @@
 	index     int
 	offset    time.Duration
 	accounts  *quota.Accounts
-	purse     *quota.Purse
+	requester *quota.Requester
 	side      int
 	epoch     int
 	suspended time.Time
@@ -97,16 +97,16 @@
 // startProcess starts a process on a node that the others know.
 func (n *network) startProcess(node *testNode) {
 	node.epoch++
-	node.accounts, node.purse = quota.NewAccounts(node.name, n.terms), quota.NewPurse(n.terms, n.random.Float64)
+	node.accounts, node.requester = quota.NewAccounts(node.name, n.terms), quota.NewRequester(n.terms, n.random.Float64)
 	node.accounts.Restore(node.clock(n), quota.NewNodes(n.names))
-	node.purse.SetNodes(quota.NewNodes(n.names))
+	node.requester.SetNodes(quota.NewNodes(n.names))
 }
 
 // join adds a node that the others do not know. Each of them learns of it within the time.
 func (n *network) join(within time.Duration) {
 	name := fmt.Sprintf("node-%d", len(n.names))
 	n.names = append(n.names, name)
-	node := &testNode{name: name, index: len(n.nodes), cap: n.nodes[0].cap, accounts: quota.NewAccounts(name, n.terms), purse: quota.NewPurse(n.terms, n.random.Float64)}
+	node := &testNode{name: name, index: len(n.nodes), cap: n.nodes[0].cap, accounts: quota.NewAccounts(name, n.terms), requester: quota.NewRequester(n.terms, n.random.Float64)}
 	n.nodes = append(n.nodes, node)
 	nodes := quota.NewNodes(n.names)
 	for _, other := range n.nodes {
@@ -116,7 +116,7 @@
 		}
 		n.at(other, delay, func() {
 			other.accounts.SetNodes(other.clock(n), nodes)
-			other.purse.SetNodes(nodes)
+			other.requester.SetNodes(nodes)
 		})
 	}
 	n.run(within)
@@ -208,7 +208,7 @@
 func (n *network) request(node *testNode) {
 	n.offered = append(n.offered, n.now)
 	decided := false
-	r := node.purse.Arrive(node.clock(n), workspace, node.cap, func(v quota.Verdict) {
+	r := node.requester.Arrive(node.clock(n), workspace, node.cap, func(v quota.Verdict) {
 		if decided = true; v.Admitted {
 			n.admitted = append(n.admitted, n.now)
 		}
@@ -216,14 +216,14 @@
 	var check func()
 	check = func() {
 		if n.serve(node); !decided {
-			n.at(node, node.purse.NextCheck(node.clock(n), r), check)
+			n.at(node, node.requester.NextCheck(node.clock(n), r), check)
 		}
 	}
 	check()
 }
 
 func (n *network) serve(node *testNode) {
-	for _, ask := range node.purse.Serve(node.clock(n), workspace, n.distance(node)) {
+	for _, ask := range node.requester.Serve(node.clock(n), workspace, n.distance(node)) {
 		n.ask(node, ask)
 	}
 }
@@ -257,14 +257,14 @@
 				return
 			}
 			answered = true
-			from.purse.Answer(sent, from.clock(n), workspace, ask, g)
+			from.requester.Answer(sent, from.clock(n), workspace, ask, g)
 			n.serve(from)
 		})
 	})
 	n.at(from, lossTimeout, func() {
 		if !answered {
 			answered = true
-			from.purse.Fail(from.clock(n), workspace, ask)
+			from.requester.Fail(from.clock(n), workspace, ask)
 			n.serve(from)
 		}
 	})
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -19,14 +19,14 @@
 //	accounts.SetNodes(now, quota.NewNodes(names))
 //	grant := accounts.Grant(now, "workspace", quota.Cap{Rate: 20, Burst: 20}, 1)
 //
-// A node that receives requests has a [Purse]:
+// A node that receives requests has a [Requester]:
 //
-//	purse := quota.NewPurse(terms, rand.Float64)
-//	purse.SetNodes(quota.NewNodes(names))
-//	purse.Arrive(now, "workspace", c, func(v quota.Verdict) { ... })
-//	for _, ask := range purse.Serve(now, "workspace", distance) { ... }
-//	purse.Answer(sent, now, "workspace", ask, grant)
-//	purse.Serve(now, "workspace", distance)
+//	requester := quota.NewRequester(terms, rand.Float64)
+//	requester.SetNodes(quota.NewNodes(names))
+//	requester.Arrive(now, "workspace", c, func(v quota.Verdict) { ... })
+//	for _, ask := range requester.Serve(now, "workspace", distance) { ... }
+//	requester.Answer(sent, now, "workspace", ask, grant)
+//	requester.Serve(now, "workspace", distance)
 //
 // # Terms
 //
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -91,30 +91,30 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			p := quota.NewPurse(testTerms, rand.Float64)
-			p.SetNodes(quota.NewNodes([]string{"a"}))
+			rq := quota.NewRequester(testTerms, rand.Float64)
+			rq.SetNodes(quota.NewNodes([]string{"a"}))
 			serve := func(after time.Duration) []quota.Ask {
-				return p.Serve(start.Add(after), workspace, func(string) (int, bool) { return 0, true })
+				return rq.Serve(start.Add(after), workspace, func(string) (int, bool) { return 0, true })
 			}
 			var verdict quota.Verdict
 			arrive := func(after time.Duration) {
 				verdict = quota.Verdict{}
-				p.Arrive(start.Add(after), workspace, testCap, func(v quota.Verdict) { verdict = v })
+				rq.Arrive(start.Add(after), workspace, testCap, func(v quota.Verdict) { verdict = v })
 			}
 			arrive(0)
 			asks := serve(0)
 			must.Eq(t, []quota.Ask{{Node: "a", Tokens: 1, Limit: testCap}}, asks)
-			p.Answer(start, start.Add(c.answered), workspace, asks[0], quota.Grant{Keeper: true, Tokens: 1})
+			rq.Answer(start, start.Add(c.answered), workspace, asks[0], quota.Grant{Keeper: true, Tokens: 1})
 			serve(c.taken)
 			must.Eq(t, c.ok, verdict.Admitted)
 			if !c.ok {
 				return
 			}
-			p.GiveBack(start.Add(c.taken), verdict.Credit)
+			rq.GiveBack(start.Add(c.taken), verdict.Credit)
 			arrive(c.taken)
 			serve(c.taken)
 			must.True(t, verdict.Admitted)
-			p.GiveBack(start.Add(testTerms.Lifetime), verdict.Credit)
+			rq.GiveBack(start.Add(testTerms.Lifetime), verdict.Credit)
 			arrive(testTerms.Lifetime)
 			serve(testTerms.Lifetime)
 			must.False(t, verdict.Admitted)
--- a/quota/purse.go
+++ b/quota/requester.go
@@ -56,7 +56,7 @@
 type Request struct {
 	holding   *holding
 	arrivedAt time.Time
-	// onVerdict is called once, during a call of [Purse.Serve].
+	// onVerdict is called once, during a call of [Requester.Serve].
 	onVerdict func(v Verdict)
 }
 
@@ -72,8 +72,9 @@
 // be reached.
 type Distance func(node string) (distance int, ok bool)
 
-// Purse holds the credit of a node that receives requests, for all workspaces.
-type Purse struct {
+// Requester obtains credit from keepers for a node that receives requests, and holds it, for all
+// workspaces.
+type Requester struct {
 	terms Terms
 	// random returns a number in [0, 1).
 	random       func() float64
@@ -132,43 +133,43 @@
 	empty bool
 }
 
-// NewPurse returns a purse without credit.
-func NewPurse(terms Terms, random func() float64) *Purse {
-	return &Purse{terms: terms, random: random, holdings: make(map[string]*holding)}
+// NewRequester returns a requester without credit.
+func NewRequester(terms Terms, random func() float64) *Requester {
+	return &Requester{terms: terms, random: random, holdings: make(map[string]*holding)}
 }
 
 // SetNodes replaces the set of nodes.
-func (p *Purse) SetNodes(nodes Nodes) {
-	if !p.nodes.Equal(nodes) {
-		p.nodes = nodes
-		p.nodesVersion++
+func (rq *Requester) SetNodes(nodes Nodes) {
+	if !rq.nodes.Equal(nodes) {
+		rq.nodes = nodes
+		rq.nodesVersion++
 	}
 }
 
 // Retain removes the credit of all workspaces for which keep returns false and for which no
 // request waits.
-func (p *Purse) Retain(keep func(workspace string) bool) {
-	for workspace, h := range p.holdings {
+func (rq *Requester) Retain(keep func(workspace string) bool) {
+	for workspace, h := range rq.holdings {
 		if len(h.queue) == 0 && !keep(workspace) {
-			delete(p.holdings, workspace)
+			delete(rq.holdings, workspace)
 		}
 	}
 }
 
-// Arrive records a request that needs credit. [Purse.Serve] decides on it.
-func (p *Purse) Arrive(now time.Time, workspace string, c Cap, onVerdict func(v Verdict)) *Request {
-	h := p.holdings[workspace]
+// Arrive records a request that needs credit. [Requester.Serve] decides on it.
+func (rq *Requester) Arrive(now time.Time, workspace string, c Cap, onVerdict func(v Verdict)) *Request {
+	h := rq.holdings[workspace]
 	if h == nil {
 		h = &holding{workspace: workspace}
-		p.holdings[workspace] = h
+		rq.holdings[workspace] = h
 	}
 	if c.Rate < h.cap.Rate || c.Burst < h.cap.Burst {
 		// Less may be granted now, so earlier credit is given up.
 		h.batches = nil
 	}
-	if h.cap != c || h.nodesVersion != p.nodesVersion {
-		h.cap, h.nodesVersion = c, p.nodesVersion
-		h.setKeepers(p.nodes.Keepers(workspace, c.keepers(p.terms, p.nodes.Len())), p.terms)
+	if h.cap != c || h.nodesVersion != rq.nodesVersion {
+		h.cap, h.nodesVersion = c, rq.nodesVersion
+		h.setKeepers(rq.nodes.Keepers(workspace, c.keepers(rq.terms, rq.nodes.Len())), rq.terms)
 	}
 	h.requests.count(now)
 	r := &Request{holding: h, arrivedAt: now, onVerdict: onVerdict}
@@ -177,16 +178,16 @@
 }
 
 // Cancel removes a request that has no verdict yet.
-func (p *Purse) Cancel(r *Request) {
+func (rq *Requester) Cancel(r *Request) {
 	r.holding.queue = slices.DeleteFunc(r.holding.queue, func(other *Request) bool { return other == r })
 }
 
 // Serve gives the requests of a workspace credit, refuses those for which none will come in
 // time, and returns which keepers to ask for how much. Each answer must be reported to
-// [Purse.Answer] or [Purse.Fail]. Serve must be called after each arrival and answer, and when
-// [Purse.NextCheck] says.
-func (p *Purse) Serve(now time.Time, workspace string, distance Distance) (asks []Ask) {
-	h := p.holdings[workspace]
+// [Requester.Answer] or [Requester.Fail]. Serve must be called after each arrival and answer, and when
+// [Requester.NextCheck] says.
+func (rq *Requester) Serve(now time.Time, workspace string, distance Distance) (asks []Ask) {
+	h := rq.holdings[workspace]
 	if h == nil {
 		return nil
 	}
@@ -201,12 +202,12 @@
 		r.onVerdict(Verdict{Admitted: true, Credit: credit})
 	}
 	h.queue = slices.Delete(h.queue, 0, served)
-	asks = p.asks(now, h, distance)
+	asks = rq.asks(now, h, distance)
 	awaits := slices.ContainsFunc(h.keepers, func(k *keeper) bool { return k.asked > 0 })
 	h.queue = slices.DeleteFunc(h.queue, func(r *Request) bool {
-		refused := !awaits || now.Sub(r.arrivedAt) >= p.terms.Hold
+		refused := !awaits || now.Sub(r.arrivedAt) >= rq.terms.Hold
 		if refused {
-			r.onVerdict(p.refusal(now, h))
+			r.onVerdict(rq.refusal(now, h))
 		}
 		return refused
 	})
@@ -215,9 +216,9 @@
 
 // NextCheck returns the time after which Serve must be called again for a request without
 // verdict.
-func (p *Purse) NextCheck(now time.Time, r *Request) time.Duration {
+func (rq *Requester) NextCheck(now time.Time, r *Request) time.Duration {
 	waited := now.Sub(r.arrivedAt)
-	for _, at := range []time.Duration{silentAfter + time.Millisecond, p.terms.ask(), p.terms.Hold} {
+	for _, at := range []time.Duration{silentAfter + time.Millisecond, rq.terms.ask(), rq.terms.Hold} {
 		if waited < at {
 			return at - waited
 		}
@@ -264,7 +265,7 @@
 }
 
 // GiveBack returns credit that no request has used. It can be taken again until it expires.
-func (p *Purse) GiveBack(now time.Time, c Credit) {
+func (rq *Requester) GiveBack(now time.Time, c Credit) {
 	if c.issuer != nil && now.Before(c.expires) {
 		c.issuer.add(batch{c.expires, 1})
 	}
@@ -286,14 +287,14 @@
 }
 
 // asks returns which keepers to ask for how much.
-func (p *Purse) asks(now time.Time, h *holding, distance Distance) (asks []Ask) {
-	missing := h.missing(now, p.terms)
+func (rq *Requester) asks(now time.Time, h *holding, distance Distance) (asks []Ask) {
+	missing := h.missing(now, rq.terms)
 	for missing > 0 {
-		k := p.choose(now, h, distance, missing)
+		k := rq.choose(now, h, distance, missing)
 		if k == nil {
 			break
 		}
-		k.asked, k.askedAt = min(missing, max(int(h.expected(now, k, p.terms)), 1)), now
+		k.asked, k.askedAt = min(missing, max(int(h.expected(now, k, rq.terms)), 1)), now
 		missing -= k.asked
 		asks = append(asks, Ask{Node: k.node, Tokens: k.asked, Limit: h.cap})
 	}
@@ -331,7 +332,7 @@
 
 // choose returns the keeper to ask next: of those that are expected to have tokens, the
 // nearest one and of these one with many.
-func (p *Purse) choose(now time.Time, h *holding, distance Distance, missing int) (chosen *keeper) {
+func (rq *Requester) choose(now time.Time, h *holding, distance Distance, missing int) (chosen *keeper) {
 	best := 0.0
 	for _, k := range h.keepers {
 		if k.asked > 0 || k.retryAt.After(now) {
@@ -341,7 +342,7 @@
 		if !ok {
 			continue
 		}
-		score := min(h.expected(now, k, p.terms)/float64(missing), 1) + p.random() - 2*float64(away)
+		score := min(h.expected(now, k, rq.terms)/float64(missing), 1) + rq.random() - 2*float64(away)
 		if chosen == nil || score > best {
 			chosen, best = k, score
 		}
@@ -351,12 +352,12 @@
 
 // Answer records the answer of a keeper to an ask that was sent at the time sent. Credit
 // expires by the time at which it was asked for, since the keeper has granted it later.
-func (p *Purse) Answer(sent, now time.Time, workspace string, ask Ask, g Grant) {
-	h, k := p.keeper(workspace, ask.Node)
+func (rq *Requester) Answer(sent, now time.Time, workspace string, ask Ask, g Grant) {
+	h, k := rq.keeper(workspace, ask.Node)
 	if h == nil {
 		return
 	}
-	lifetime := p.terms.Lifetime
+	lifetime := rq.terms.Lifetime
 	if g.Lifetime > 0 {
 		lifetime = min(lifetime, g.Lifetime)
 	}
@@ -377,14 +378,14 @@
 }
 
 // Fail records that a keeper has not answered.
-func (p *Purse) Fail(now time.Time, workspace string, ask Ask) {
-	if _, k := p.keeper(workspace, ask.Node); k != nil {
+func (rq *Requester) Fail(now time.Time, workspace string, ask Ask) {
+	if _, k := rq.keeper(workspace, ask.Node); k != nil {
 		k.asked, k.empty, k.retryAt = 0, false, now.Add(avoidTime)
 	}
 }
 
-func (p *Purse) keeper(workspace, node string) (h *holding, k *keeper) {
-	h = p.holdings[workspace]
+func (rq *Requester) keeper(workspace, node string) (h *holding, k *keeper) {
+	h = rq.holdings[workspace]
 	if h == nil {
 		return nil, nil
 	}
@@ -396,10 +397,10 @@
 
 // refusal returns why a request has no credit. Callers come again later the smaller the part of
 // them is that this node admits, and at random times.
-func (p *Purse) refusal(now time.Time, h *holding) (v Verdict) {
+func (rq *Requester) refusal(now time.Time, h *holding) (v Verdict) {
 	v.OverCap = slices.ContainsFunc(h.keepers, func(k *keeper) bool { return k.empty && now.Sub(k.retryAt) < avoidTime })
 	excess := h.requests.now(now) / (h.admitted.now(now) + minAdmitted)
 	v.Retry = min(scale(minRefusalRetry, max(excess, 1)), maxRefusalRetry)
-	v.Retry += scale(v.Retry, refusalSpread*p.random())
+	v.Retry += scale(v.Retry, refusalSpread*rq.random())
 	return v
 }
