Read CLOCK_BOOTTIME in one place

Proofs read it as durations and caps as times, each with code of its own, and only the clock of proofs followed the suspended VMs of tests. The container now provides one bootClock, of which caps use the time. Tests replace both as before, and suspended VMs apply to caps too.

The tests of caps, credit, keepers, quota, proofs and restarts in mesh pass with -race.

--- a/mesh/freshness.go
+++ b/mesh/freshness.go
@@ -96,17 +96,13 @@
 	relays bool
 }
 
-func newProofs(settings nodeconfig.Config, logClient *platform.LogClient, m *metrics.Metrics, events eventRecorder) (p *proofs, err error) {
-	clock, err := newBootClock()
-	if err != nil {
-		return nil, err
-	}
+func newProofs(settings nodeconfig.Config, clock bootClock, logClient *platform.LogClient, m *metrics.Metrics, events eventRecorder) (p *proofs) {
 	p = &proofs{
 		settings: settings, clock: clock, log: logClient, metrics: m, events: events,
 		tracker: freshness.New(revocationTime(settings.Bounds)), renewed: make(chan struct{}),
 	}
 	p.bounds.Store(&settings.Bounds)
-	return p, nil
+	return p
 }
 
 // reload applies changed bounds.
--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -241,6 +241,7 @@
 	proofs := n.lifecycle.components.proofs
 	clock := proofs.clock
 	proofs.clock = func() time.Duration { return clock() + time.Duration(v.suspended.Load()) }
+	n.lifecycle.components.caps.now = proofs.clock.now
 	if d.beforeStart != nil {
 		d.beforeStart(n)
 	}
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -46,7 +46,7 @@
 	metrics   *metrics.Metrics
 	client    *http.Client
 	// now reads a clock that counts the time for which the VM is suspended.
-	now clock
+	now func() time.Time
 
 	mu        sync.Mutex
 	requester *quota.Requester
@@ -77,10 +77,10 @@
 	last              time.Time
 }
 
-func newCaps(settings nodeconfig.Config, d *desiredState, b *balancer, dir *fleet.Directory, m *metrics.Metrics, events eventRecorder) *caps {
+func newCaps(settings nodeconfig.Config, clock bootClock, d *desiredState, b *balancer, dir *fleet.Directory, m *metrics.Metrics, events eventRecorder) *caps {
 	terms := quota.NewTerms(settings.Bounds.CapWindow, settings.Bounds.CapOver, settings.Bounds.CapSlack)
 	return &caps{
-		settings: settings, desired: d, balancer: b, directory: dir, events: events, metrics: m, now: bootTime,
+		settings: settings, desired: d, balancer: b, directory: dir, events: events, metrics: m, now: clock.now,
 		requester: quota.NewRequester(terms, rand.Float64), accounts: quota.NewAccounts(settings.Node, terms),
 		links: make(map[string]*quotaLink), refusing: make(map[string]*refusals),
 		client: &http.Client{Transport: &http.Transport{
--- a/mesh/quota_bench_test.go
+++ b/mesh/quota_bench_test.go
@@ -38,14 +38,18 @@
 // BenchmarkQuotaExchange measures one question for credit over a kept connection, with both
 // nodes in this process, and its bytes in both directions without those of TCP/IP.
 func BenchmarkQuotaExchange(b *testing.B) {
-	keeper := newCaps(nodeconfig.Config{Node: "keeper-1"}, &desiredState{}, nil, nil, nil, nil)
+	clock, err := newBootClock()
+	if err != nil {
+		b.Fatal(err)
+	}
+	keeper := newCaps(nodeconfig.Config{Node: "keeper-1"}, clock, &desiredState{}, nil, nil, nil, nil)
 	keeper.byName = map[string]quota.Cap{"ws-0042": {Rate: 1e9, Burst: 1e9}}
 	keeper.accounts.Restore(keeper.now().Add(-time.Hour), quota.NewNodes([]string{"keeper-1"}))
 	mux := http.NewServeMux()
 	mux.Handle(quotaPath, keeper)
 	server := httptest.NewServer(mux)
 	defer server.Close()
-	asking := newCaps(nodeconfig.Config{Node: "node-1"}, &desiredState{}, nil, nil, nil, nil)
+	asking := newCaps(nodeconfig.Config{Node: "node-1"}, clock, &desiredState{}, nil, nil, nil, nil)
 	var bytes atomic.Int64
 	asking.client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
@@ -85,8 +89,12 @@
 	}
 	state := &desiredState{}
 	state.state.Store(desired.New(1, nil, nil, desired.Limits{}, desired.WithWorkspaces(workspaces...)))
+	clock, err := newBootClock()
+	if err != nil {
+		b.Fatal(err)
+	}
 	directory := fleet.NewDirectory(members[0], fleet.NewTable(), nil, nil, nil)
-	c := newCaps(settings, state, balancer, directory, m, nil)
+	c := newCaps(settings, clock, state, balancer, directory, m, nil)
 	c.tick()
 	b.Run("tick", func(b *testing.B) {
 		b.ReportAllocs()
--- a/mesh/quota_test.go
+++ b/mesh/quota_test.go
@@ -33,7 +33,7 @@
 	d.log.Put(operator.DesiredStateTopic, operator.DesiredStateKey, operator.EncodeDesiredStateWith(d.version, operator.Limits{}, routes, []string{"orders"},
 		operator.WithWorkspaces(operator.Workspace{Name: cappedWorkspace, Keys: []string{cappedKey}, Rate: 1, Burst: burst})))
 	d.awaitConvergence()
-	stopped := bootTime().Add(time.Minute)
+	stopped := d.vms[0].node.lifecycle.components.caps.now().Add(time.Minute)
 	for _, v := range d.vms {
 		c := v.node.lifecycle.components.caps
 		eventually(t, func() bool {
