--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -29,7 +29,8 @@
 // The path of a request is ingress.go (accepts requests and decides on attempts),
 // workspaces.go (admits requests by their key), customer_admission.go (refuses customer
 // requests under pressure), node_selector.go and
-// balancer.go (choose the next node), retry_budget.go (decides whether a failed request
+// balancer.go (choose the next node), known_peers.go (selects known nodes by where they are
+// and whether they can be reached), retry_budget.go (decides whether a failed request
 // is sent again), quota.go and quota_messages.go (apply the caps of workspaces), and
 // sidecar.go (runs requests at the backend server, over the connections of
 // instance_pool.go). capacity.go estimates what the server handles well if it states its
