Name no workspace if the key was withdrawn while the body arrived

A request of an anonymous route kept the workspace of its key, and its priority, if the version in force after its body did not have the key any more: access.apply did nothing for a decision without workspace. It ran with the name of a workspace that its key did not belong to. apply now replaces what the earlier decision has set.

TestWithdrawnKeyOfAnonymousRouteNamesNoWorkspace failed before (one workspace received) and passes; the tests of workspaces and keys in mesh pass with -race.

--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -82,7 +82,7 @@
 		return
 	}
 	req := i.newRequest(r, route, receivedAt)
-	access.apply(req)
+	access.apply(req, route)
 	i.sidecar.links.RecordCall(route.Name(), req.callerDeadline)
 	origin := i.admission.origin(req)
 	if origin == calltree.Servers {
@@ -121,7 +121,7 @@
 		i.respond(w, req, access.refusal, receivedAt, state.Version())
 		return
 	}
-	access.apply(req)
+	access.apply(req, route)
 	if verdict := i.quarantine.Verdict(receivedAt, req.fingerprint); verdict.Level == quarantine.Blocked {
 		i.respond(w, req, quarantinedResult(verdict), receivedAt, state.Version())
 		return
--- a/mesh/workspaces.go
+++ b/mesh/workspaces.go
@@ -52,8 +52,10 @@
 	return notRunResult(call.ReasonUnproven, "the desired state in force may not be the newest")
 }
 
-// apply sets the workspace of a request, and its priority if it has one.
-func (a access) apply(req *request) {
+// apply sets the workspace of a request, and the priority of the workspace if it has one, or
+// else that of the route. It replaces what an earlier decision has set.
+func (a access) apply(req *request, route *desired.Route) {
+	req.workspace, req.priority, req.hasOwnPriority = "", route.Priority(), false
 	if a.workspace == nil {
 		return
 	}
--- a/mesh/workspaces_test.go
+++ b/mesh/workspaces_test.go
@@ -95,7 +95,7 @@
 	route := desired.NewRoute("once", "example", "/", []desired.Target{{Service: "orders", Weight: 1}}, desired.WithPriority(1))
 	newRequest := func(opts ...desired.WorkspaceOption) *request {
 		req := &request{route: route.Name(), priority: route.Priority()}
-		access{workspace: desired.NewWorkspace("w", opts...)}.apply(req)
+		access{workspace: desired.NewWorkspace("w", opts...)}.apply(req, route)
 		return req
 	}
 	high, middle, low := newRequest(desired.WithWorkspacePriority(0)), newRequest(), newRequest(desired.WithWorkspacePriority(2))
@@ -162,3 +162,24 @@
 		})
 	}
 }
+
+// Guards against a request of an anonymous route that runs for the workspace of a key that was
+// withdrawn while its body arrived.
+func TestWithdrawnKeyOfAnonymousRouteNamesNoWorkspace(t *testing.T) {
+	d := newDeployment(t, "orders")
+	d.publishWorkspaces(north)
+	d.awaitConvergence()
+	body, rest := io.Pipe()
+	request, err := operator.Request(d.vms[0].settings.Listen.Caller, http.MethodPost, "/open/", "r", 2*time.Second)
+	must.NoError(t, err)
+	operator.AddKey(request, "k1")
+	request.Body = body
+	go func() {
+		_, _ = io.WriteString(rest, "first")
+		d.publishWorkspaces(south)
+		d.awaitConvergence()
+		rest.Close()
+	}()
+	must.Eq(t, http.StatusOK, roundTrip(request).status)
+	must.SliceEmpty(t, operator.ReceivedWorkspace(d.received("r")))
+}
