Count a request for the workspace that its key belongs to when it runs

A key may move to another workspace, or come into force at all, while the body of a request arrives. The request then ran for the new workspace with credit of the earlier one, or without credit, so it could exceed the cap. Ingress now returns the credit and takes credit of the workspace that the second check found, and checks again.

TestMovedKeyCountsForItsNewWorkspace failed before (200 in place of 429) and passes; the tests of caps, credit, workspaces and keys in mesh pass with -race.

--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -117,9 +117,21 @@
 	if !i.accept(w, r, req, state) {
 		return
 	}
-	if access = i.recheckAccess(r, state, route, access); access.refusal != nil {
-		i.respond(w, req, access.refusal, receivedAt, state.Version())
-		return
+	for {
+		creditOf := access.workspaceName()
+		if access = i.recheckAccess(r, state, route, access); access.refusal != nil {
+			i.respond(w, req, access.refusal, receivedAt, state.Version())
+			return
+		}
+		if access.workspaceName() == creditOf {
+			break
+		}
+		// The cap of the workspace that has the key now counts.
+		i.caps.giveBack(credit)
+		if credit, refusal = i.caps.admit(r.Context(), access.workspace); refusal != nil {
+			i.respond(w, req, refusal, receivedAt, state.Version())
+			return
+		}
 	}
 	access.apply(req, route)
 	if verdict := i.quarantine.Verdict(receivedAt, req.fingerprint); verdict.Level == quarantine.Blocked {
--- a/mesh/quota_test.go
+++ b/mesh/quota_test.go
@@ -112,3 +112,29 @@
 		})
 	}
 }
+
+// Guards against a request that runs beyond the cap of its workspace because its key belonged to
+// another one when its body began to arrive, and against credit of that workspace that is lost.
+func TestMovedKeyCountsForItsNewWorkspace(t *testing.T) {
+	d := newCappedDeployment(t, 1, "orders")
+	first := operator.Workspace{Name: "first", Keys: []string{"k-1"}, Rate: 1, Burst: 1}
+	second := operator.Workspace{Name: "second", Keys: []string{"k-2"}, Rate: 1, Burst: 1}
+	d.publishWorkspaces(first, second)
+	d.awaitConvergence()
+	must.Eq(t, http.StatusOK, d.callWithKey(d.vms[0], "/once/a", "uses-up-the-cap", "k-2").status)
+	body, rest := io.Pipe()
+	request, err := operator.Request(d.vms[0].settings.Listen.Caller, http.MethodPost, "/once/a", "moved", 2*time.Second)
+	must.NoError(t, err)
+	operator.AddKey(request, "k-1")
+	request.Body = body
+	go func() {
+		_, _ = io.WriteString(rest, "first")
+		first.Keys, second.Keys = []string{"k-3"}, []string{"k-1"}
+		d.publishWorkspaces(first, second)
+		d.awaitConvergence()
+		rest.Close()
+	}()
+	must.Eq(t, http.StatusTooManyRequests, roundTrip(request).status)
+	must.Eq(t, 0, d.runs("moved"))
+	must.Eq(t, http.StatusOK, d.callWithKey(d.vms[0], "/once/a", "given-back", "k-3").status)
+}
--- a/mesh/workspaces.go
+++ b/mesh/workspaces.go
@@ -52,14 +52,21 @@
 	return notRunResult(call.ReasonUnproven, "the desired state in force may not be the newest")
 }
 
+// workspaceName returns the name of the workspace, or "" if there is none.
+func (a access) workspaceName() string {
+	if a.workspace == nil {
+		return ""
+	}
+	return a.workspace.Name()
+}
+
 // apply sets the workspace of a request, and the priority of the workspace if it has one, or
 // else that of the route. It replaces what an earlier decision has set.
 func (a access) apply(req *request, route *desired.Route) {
-	req.workspace, req.priority, req.hasOwnPriority = "", route.Priority(), false
+	req.workspace, req.priority, req.hasOwnPriority = a.workspaceName(), route.Priority(), false
 	if a.workspace == nil {
 		return
 	}
-	req.workspace = a.workspace.Name()
 	if priority, ok := a.workspace.Priority(); ok {
 		req.priority, req.hasOwnPriority = priority, true
 	}
