--- a/cmd/lacewingslipd/runtime.go
+++ b/cmd/lacewingslipd/runtime.go
@@ -11,10 +11,6 @@
 	// that the process may use. The rest is left for the memory that the kernel uses
 	// for the connections.
 	heapMemoryRatio = 0.6
-	// gcPercent is how much the heap grows between two collections, in percent of what is in
-	// use. A node uses a few megabytes, so that with the default of 100 it collects several
-	// times a second under load. The soft memory limit bounds the growth.
-	gcPercent = 400
 	// maxProcs is the number of threads that run Go code at the same time. A node has less
 	// than one core, and each further thread looks for work whenever a request wakes one.
 	// With a single one, a collection would delay requests.
@@ -34,9 +30,6 @@
 	if !isSet("GOMEMLIMIT") {
 		debug.SetMemoryLimit(int64(heapMemoryRatio * float64(memoryBytes)))
 	}
-	if !isSet("GOGC") {
-		debug.SetGCPercent(gcPercent)
-	}
 }
 
 func isSet(variable string) bool { return os.Getenv(variable) != "" }
--- a/quota/nodes.go
+++ b/quota/nodes.go
@@ -3,30 +3,47 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// Nodes is a set of nodes, among which the keepers of each workspace are chosen.
+// Nodes is a set of nodes, among which the keepers of each workspace are chosen. The keepers
+// of a workspace are spread over the regions: callers come from all of them, and an exchange
+// with another region takes 40 ms and is charged by the byte.
 type Nodes struct {
 	names []string
-	// hashes has the hashes of the names.
-	hashes []uint64
+	// hashes has the hashes of the names, and regions the regions of the nodes.
+	hashes  []uint64
+	regions []string
 }
 
-// NewNodes returns the set of the nodes with the names, which may be in any order.
+// NewNodes returns the set of the nodes with the names, which may be in any order, in one
+// region.
 func NewNodes(names []string) Nodes {
-	names = slices.Compact(slices.Sorted(slices.Values(names)))
-	n := Nodes{names: names, hashes: make([]uint64, len(names))}
-	for i, name := range names {
-		n.hashes[i] = xxhash.Sum64String(name)
+	regionOf := make(map[string]string, len(names))
+	for _, name := range names {
+		regionOf[name] = ""
+	}
+	return NewNodesInRegions(regionOf)
+}
+
+// NewNodesInRegions returns the set of the nodes with the names that are the keys, in the
+// regions that are the values.
+func NewNodesInRegions(regionOf map[string]string) Nodes {
+	n := Nodes{names: slices.Sorted(maps.Keys(regionOf))}
+	for _, name := range n.names {
+		n.hashes = append(n.hashes, xxhash.Sum64String(name))
+		n.regions = append(n.regions, regionOf[name])
 	}
 	return n
 }
 
 // Equal reports whether the sets have the same nodes.
-func (n Nodes) Equal(other Nodes) bool { return slices.Equal(n.names, other.names) }
+func (n Nodes) Equal(other Nodes) bool {
+	return slices.Equal(n.names, other.names) && slices.Equal(n.regions, other.regions)
+}
 
 // Len returns the number of nodes.
 func (n Nodes) Len() int { return len(n.names) }
@@ -34,20 +51,8 @@
 // Keepers returns up to the number of nodes that are the keepers of a workspace, in the order
 // of their rank. A cap of fewer keepers has the first ones.
 func (n Nodes) Keepers(workspace string, number int) (keepers []string) {
-	type ranked struct {
-		index int
-		score uint64
-	}
-	workspaceHash := xxhash.Sum64String(workspace)
-	all := make([]ranked, len(n.names))
-	for i := range n.names {
-		all[i] = ranked{i, score(workspaceHash, n.hashes[i])}
-	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.index, b.index))
-	})
-	for _, r := range all[:min(number, len(all))] {
-		keepers = append(keepers, n.names[r.index])
+	for _, index := range n.ranked(workspace)[:min(number, len(n.names))] {
+		keepers = append(keepers, n.names[index])
 	}
 	return keepers
 }
@@ -59,14 +64,29 @@
 	if !ok {
 		return 0, false
 	}
+	return slices.Index(n.ranked(workspace), own), true
+}
+
+// ranked returns the indexes of all nodes in the order in which they are keepers of the
+// workspace: the first of each region by the rendezvous hash, then the second of each, and so
+// on.
+func (n Nodes) ranked(workspace string) (indexes []int) {
 	workspaceHash := xxhash.Sum64String(workspace)
-	ownScore := score(workspaceHash, n.hashes[own])
+	scores := make([]uint64, len(n.names))
 	for i, hash := range n.hashes {
-		if s := score(workspaceHash, hash); s > ownScore || s == ownScore && i < own {
-			rank++
-		}
+		scores[i] = score(workspaceHash, hash)
+		indexes = append(indexes, i)
+	}
+	byScore := func(a, b int) int { return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(a, b)) }
+	slices.SortFunc(indexes, byScore)
+	// rounds has, for each node, the number of nodes of its region that come before it.
+	rounds, inRegion := make([]int, len(n.names)), make(map[string]int)
+	for _, i := range indexes {
+		rounds[i] = inRegion[n.regions[i]]
+		inRegion[n.regions[i]]++
 	}
-	return rank, true
+	slices.SortFunc(indexes, func(a, b int) int { return cmp.Or(cmp.Compare(rounds[a], rounds[b]), byScore(a, b)) })
+	return indexes
 }
 
 // score returns the rendezvous hash of a workspace and a node.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -19,14 +19,14 @@
 //	accounts.SetNodes(now, quota.NewNodes(names))
 //	grant := accounts.Grant(now, "workspace", quota.Cap{Rate: 20, Burst: 20}, 1)
 //
-// A node that receives requests has a [Purse]:
+// A node that receives requests has a [Requester]:
 //
-//	purse := quota.NewPurse(terms, rand.Float64)
-//	purse.SetNodes(quota.NewNodes(names))
-//	purse.Arrive(now, "workspace", c, func(v quota.Verdict) { ... })
-//	for _, ask := range purse.Serve(now, "workspace", distance) { ... }
-//	purse.Answer(sent, now, "workspace", ask, grant)
-//	purse.Serve(now, "workspace", distance)
+//	requester := quota.NewRequester(terms, rand.Float64)
+//	requester.SetNodes(quota.NewNodes(names))
+//	requester.Arrive(now, "workspace", c, func(v quota.Verdict) { ... })
+//	for _, ask := range requester.Serve(now, "workspace", distance) { ... }
+//	requester.Answer(sent, now, "workspace", ask, grant)
+//	requester.Serve(now, "workspace", distance)
 //
 // # Terms
 //
@@ -44,8 +44,8 @@
 	// one keeper. A bucket of less loses tokens because it is full between two requests.
 	minTokensPerKeeper = 3
 	// minKeepers is the number of keepers of a cap whose burst is too small for more, so that it
-	// does not stop while one of them is down.
-	minKeepers = 2
+	// does not stop while one of them is down, and has one in each of three regions.
+	minKeepers = 3
 	// HandoverDelay is how long a node must have been the keeper by each of its views of the
 	// nodes before it grants credit. Within this time, the earlier keeper learns of the change.
 	HandoverDelay = 2 * time.Second
@@ -129,7 +129,7 @@
 }
 
 // keepers returns the number of keepers that the cap has among the number of nodes. The added
-// tokens give a small cap a second keeper, but are not divided among many: one bucket of their
+// tokens give a small cap further keepers, but are not divided among many: one bucket of their
 // size admits more than several small ones.
 func (c Cap) keepers(t Terms, nodes int) int {
 	burst := c.burst(t)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -1,6 +1,8 @@
 package quota_test
 
 import (
+	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -91,30 +93,30 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			p := quota.NewPurse(testTerms, rand.Float64)
-			p.SetNodes(quota.NewNodes([]string{"a"}))
+			rq := quota.NewRequester(testTerms, rand.Float64)
+			rq.SetNodes(quota.NewNodes([]string{"a"}))
 			serve := func(after time.Duration) []quota.Ask {
-				return p.Serve(start.Add(after), workspace, func(string) (int, bool) { return 0, true })
+				return rq.Serve(start.Add(after), workspace, func(string) (int, bool) { return 0, true })
 			}
 			var verdict quota.Verdict
 			arrive := func(after time.Duration) {
 				verdict = quota.Verdict{}
-				p.Arrive(start.Add(after), workspace, testCap, func(v quota.Verdict) { verdict = v })
+				rq.Arrive(start.Add(after), workspace, testCap, func(v quota.Verdict) { verdict = v })
 			}
 			arrive(0)
 			asks := serve(0)
 			must.Eq(t, []quota.Ask{{Node: "a", Tokens: 1, Limit: testCap}}, asks)
-			p.Answer(start, start.Add(c.answered), workspace, asks[0], quota.Grant{Keeper: true, Tokens: 1})
+			rq.Answer(start, start.Add(c.answered), workspace, asks[0], quota.Grant{Keeper: true, Tokens: 1})
 			serve(c.taken)
 			must.Eq(t, c.ok, verdict.Admitted)
 			if !c.ok {
 				return
 			}
-			p.GiveBack(start.Add(c.taken), verdict.Credit)
+			rq.GiveBack(start.Add(c.taken), verdict.Credit)
 			arrive(c.taken)
 			serve(c.taken)
 			must.True(t, verdict.Admitted)
-			p.GiveBack(start.Add(testTerms.Lifetime), verdict.Credit)
+			rq.GiveBack(start.Add(testTerms.Lifetime), verdict.Credit)
 			arrive(testTerms.Lifetime)
 			serve(testTerms.Lifetime)
 			must.False(t, verdict.Admitted)
@@ -140,3 +142,24 @@
 	must.GreaterEq(t, 0.97, with)
 	must.LessEq(t, int((small.Rate*window.Seconds()+small.Burst)*1.1)+20, peak)
 }
+
+// Guards against keepers that are all far from most callers, and against ranks by which two
+// nodes take themselves for the same keeper.
+func TestKeepersAreSpreadOverRegions(t *testing.T) {
+	regionOf := make(map[string]string)
+	for i := range 69 {
+		regionOf[fmt.Sprintf("node-%d", i)] = []string{"north", "south", "west"}[i*i%7%3]
+	}
+	nodes := quota.NewNodesInRegions(regionOf)
+	for w := range 20 {
+		keepers := nodes.Keepers(fmt.Sprintf("workspace-%d", w), 9)
+		for round := range 3 {
+			regions := make(map[string]bool)
+			for _, keeper := range keepers[3*round : 3*round+3] {
+				regions[regionOf[keeper]] = true
+			}
+			must.MapLen(t, 3, regions)
+		}
+	}
+	must.False(t, nodes.Equal(quota.NewNodes(slices.Collect(maps.Keys(regionOf)))))
+}
