Reproduce clients that fill the memory with request heads

A node holds up to 68 KB of each head, and net/http parses it while it arrives. Lines of seven bytes with names of their own take many times their size in the map of the header fields. The limits of the desired state are not applied to heads.

internal/abuse starts a node process with Limits.MemoryMb=64 and Limits.MaxFds=1024, and 512 clients on each of its five ports in turn. It checks the peak of the resident memory, the open descriptors, and that an ordinary request is answered afterwards.

--- /dev/null
+++ b/internal/abuse/abuse.go
@@ -0,0 +1,246 @@
+// Package abuse starts a node process with low limits and a crowd of clients that do not
+// keep to them.
+//
+// # Usage
+//
+//	d, err := abuse.Start(binaries, directory)
+//	defer d.Close()
+//	crowd := abuse.Open(ctx, 512, d.Address("caller"), attack)
+//	used, err := d.Usage()
+package abuse
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/lacewingslip/lacewingslip/internal/e2e"
+	"github.com/lacewingslip/lacewingslip/internal/loopback"
+	"github.com/lacewingslip/lacewingslip/internal/standin/keyedlog"
+	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
+	"github.com/lacewingslip/lacewingslip/internal/standin/server"
+	"github.com/lacewingslip/lacewingslip/nodeconfig"
+)
+
+const (
+	// MemoryBytes is the limit of memory in the settings of the process.
+	MemoryBytes = 64 << 20
+	// Descriptors is the limit of open descriptors in the settings of the process.
+	Descriptors = 1024
+	// HeaderBytes is the limit of a request head in the desired state.
+	HeaderBytes = 16 << 10
+
+	service          = "orders"
+	route            = "orders"
+	slots            = 8
+	requestTimeout   = 2 * time.Second
+	headerTimeout    = 5 * time.Second
+	idleTimeout      = 15 * time.Second
+	announceInterval = 200 * time.Millisecond
+	retryInterval    = 50 * time.Millisecond
+	// settledReads is how often the number of descriptors must be read unchanged before the
+	// node is taken to have accepted all that it accepts.
+	settledReads = 5
+	maxReads     = 60
+)
+
+// Ports are the names of the ports of a node.
+var Ports = []string{"caller", "peer", "announce", "ready", "operator"}
+
+// Deployment is a node process, its backend server and the log service.
+type Deployment struct {
+	// Node is the process of the node.
+	Node *e2e.Process
+
+	settings  nodeconfig.Config
+	logServer *httptest.Server
+	server    *server.Server
+	output    *os.File
+	stop      chan struct{}
+	requests  atomic.Int64
+}
+
+// Start starts a node with low limits. Its files are in the directory.
+func Start(binaries e2e.Binaries, directory string) (d *Deployment, err error) {
+	defer func() { err = eris.Wrap(err, "start a node with low limits") }()
+	log := keyedlog.New()
+	log.Put(operator.DesiredStateTopic, operator.DesiredStateKey, operator.EncodeDesiredStateWithLimits(1,
+		operator.Limits{IdleTimeout: idleTimeout, HeaderBytes: HeaderBytes, BodyBytes: 1 << 20, HeaderTimeout: headerTimeout},
+		[]operator.Route{{Name: route, Service: service, Timeout: requestTimeout, Attempts: 2}}, service))
+	d = &Deployment{logServer: httptest.NewServer(log), stop: make(chan struct{})}
+	defer func() {
+		if err != nil {
+			d.Close()
+		}
+	}()
+	const ip = "127.0.0.1"
+	if d.server, err = server.Start(ip+":0", "i-1"); err != nil {
+		return nil, err
+	}
+	free, err := loopback.FreeAddresses(ip, 5)
+	if err != nil {
+		return nil, err
+	}
+	_, text, err := net.SplitHostPort(free[4])
+	if err != nil {
+		return nil, err
+	}
+	port, err := strconv.Atoi(text)
+	if err != nil {
+		return nil, err
+	}
+	d.settings = nodeconfig.Config{
+		Node: "node-1", Region: "addis", Zone: "addis-a", IP: ip, Service: service, Backend: d.server.Address(),
+		RegionOf: map[string]string{"addis-a": "addis"},
+		Listen:   nodeconfig.Listen{Caller: free[0], Peer: free[1], Ready: free[2], Announce: free[3]},
+		Log:      d.logServer.Listener.Addr().String(), FirstPort: port, LastPort: port,
+		MemoryBytes: MemoryBytes, Descriptors: Descriptors,
+		Bounds: nodeconfig.Bounds{
+			Drain: time.Second, Grace: 2 * time.Second, ConfigApply: 2 * time.Second, RetryRatio: 0.1, RetryWindow: 10 * time.Second, RetrySlack: 10,
+		},
+	}
+	path := filepath.Join(directory, "node.conf")
+	if err = os.WriteFile(path, operator.Settings(d.settings), 0o600); err != nil {
+		return nil, err
+	}
+	if d.output, err = os.Create(filepath.Join(directory, "node.log")); err != nil {
+		return nil, err
+	}
+	command := exec.Command(binaries.Node(), "platform")
+	command.Env = append(os.Environ(), operator.SettingsVariable+"="+path)
+	command.Stdout, command.Stderr = d.output, d.output
+	if d.Node, err = e2e.StartProcess(command); err != nil {
+		return nil, err
+	}
+	go d.announce()
+	return d, nil
+}
+
+// Address returns the address of a port of the node.
+func (d *Deployment) Address(port string) (address string) {
+	return map[string]string{
+		"caller": d.settings.Listen.Caller, "peer": d.settings.Listen.Peer, "announce": d.settings.Listen.Announce, "ready": d.settings.Listen.Ready,
+		"operator": net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.FirstPort)),
+	}[port]
+}
+
+// Close ends the process and the stand-ins.
+func (d *Deployment) Close() {
+	close(d.stop)
+	if d.Node != nil {
+		d.Node.Kill()
+	}
+	if d.server != nil {
+		d.server.Close()
+	}
+	d.logServer.Close()
+	if d.output != nil {
+		d.output.Close()
+	}
+}
+
+// announce announces the backend server until the deployment is closed.
+func (d *Deployment) announce() {
+	start := time.Now().UnixMilli()
+	for sequence := int64(1); ; sequence++ {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		// An error means that the process does not listen at the moment.
+		_, _ = operator.Announce(ctx, d.settings.Listen.Announce, operator.Announcement{
+			Instance: "i-1", Service: service, Address: d.settings.Backend, Zone: d.settings.Zone, State: "ready", StartMs: start, Sequence: sequence, Slots: slots,
+		})
+		cancel()
+		select {
+		case <-d.stop:
+			return
+		case <-time.After(announceInterval):
+		}
+	}
+}
+
+// WaitAnswered sends ordinary requests until one is answered.
+func (d *Deployment) WaitAnswered(ctx context.Context) (err error) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * requestTimeout}
+	var last string
+	for {
+		request, err := operator.Request(d.settings.Listen.Caller, http.MethodGet, "/"+route+"/x", fmt.Sprintf("ordinary-%d", d.requests.Add(1)), requestTimeout)
+		if err != nil {
+			return err
+		}
+		answer, err := client.Do(request.WithContext(ctx))
+		if err == nil {
+			answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				return nil
+			}
+			last = answer.Status
+		} else {
+			last = err.Error()
+		}
+		select {
+		case <-d.Node.Exited():
+			return eris.Errorf("the process ended: %v", d.Node.Wait(ctx))
+		case <-ctx.Done():
+			return eris.Wrapf(ctx.Err(), "no ordinary request was answered; the last result is %s", last)
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
+// Usage is what the process uses.
+type Usage struct {
+	// PeakBytes is the highest resident memory since the process started.
+	PeakBytes int64
+	// Descriptors is the number of open descriptors.
+	Descriptors int
+}
+
+// Usage reads what the process uses from /proc.
+func (d *Deployment) Usage() (used Usage, err error) {
+	defer func() { err = eris.Wrap(err, "read the usage of the node") }()
+	directory := fmt.Sprintf("/proc/%d", d.Node.ID())
+	status, err := os.ReadFile(filepath.Join(directory, "status"))
+	if err != nil {
+		return Usage{}, err
+	}
+	for line := range strings.Lines(string(status)) {
+		if text, found := strings.CutPrefix(line, "VmHWM:"); found {
+			if _, err = fmt.Sscanf(text, "%d kB", &used.PeakBytes); err != nil {
+				return Usage{}, err
+			}
+			used.PeakBytes <<= 10
+		}
+	}
+	entries, err := os.ReadDir(filepath.Join(directory, "fd"))
+	used.Descriptors = len(entries)
+	return used, err
+}
+
+// Settle waits until the node has accepted what waits at its ports, and returns the highest
+// usage that it read.
+func (d *Deployment) Settle() (used Usage, err error) {
+	unchanged, last := 0, -1
+	for reads := 0; unchanged < settledReads && reads < maxReads; reads++ {
+		current, err := d.Usage()
+		if err != nil {
+			return Usage{}, err
+		}
+		unchanged++
+		if current.Descriptors != last {
+			unchanged, last = 0, current.Descriptors
+		}
+		used = Usage{PeakBytes: current.PeakBytes, Descriptors: max(used.Descriptors, current.Descriptors)}
+		time.Sleep(retryInterval)
+	}
+	return used, nil
+}
--- a/internal/e2e/processes.go
+++ b/internal/e2e/processes.go
@@ -72,6 +72,9 @@
 // Signal sends a signal to the process.
 func (p *Process) Signal(signal syscall.Signal) error { return p.command.Process.Signal(signal) }
 
+// ID returns the process ID.
+func (p *Process) ID() int { return p.command.Process.Pid }
+
 // Wait waits for the process to end. The error is nil for exit code 0.
 func (p *Process) Wait(ctx context.Context) (err error) {
 	select {
--- a/internal/standin/operator/operator.go
+++ b/internal/standin/operator/operator.go
@@ -89,6 +89,8 @@
 	IdleTimeout time.Duration
 	// HeaderBytes and BodyBytes bound the head and the body of a request.
 	HeaderBytes, BodyBytes int
+	// HeaderTimeout is how long a caller may take to send the head of a request.
+	HeaderTimeout time.Duration
 }
 
 // EncodeDesiredState returns the JSON document of a desired state without limits.
@@ -111,6 +113,7 @@
 		{"IdleTimeoutMs", limits.IdleTimeout.Milliseconds()},
 		{"MaxHeaderBytes", int64(limits.HeaderBytes)},
 		{"MaxBodyBytes", int64(limits.BodyBytes)},
+		{"HeaderTimeoutMs", limits.HeaderTimeout.Milliseconds()},
 	} {
 		if limit.value > 0 {
 			limitFields = append(limitFields, fmt.Sprintf("%q:%d", limit.name, limit.value))
@@ -151,6 +154,12 @@
 		fmt.Sprintf("Bounds=DrainMs=%d,GraceS=%g,ConfigApplyMs=%d,RetryBudgetRatio=%g,BudgetWindowS=%g,BudgetSlack=%g",
 			b.Drain.Milliseconds(), b.Grace.Seconds(), b.ConfigApply.Milliseconds(), b.RetryRatio, b.RetryWindow.Seconds(), b.RetrySlack) + keyBounds(b),
 	}
+	if s.MemoryBytes > 0 {
+		lines = append(lines, fmt.Sprintf("Limits.MemoryMb=%d", s.MemoryBytes>>20))
+	}
+	if s.Descriptors > 0 {
+		lines = append(lines, fmt.Sprintf("Limits.MaxFds=%d", s.Descriptors))
+	}
 	for zone, region := range s.RegionOf {
 		lines = append(lines, "Zones."+zone+"="+region)
 	}
