Refuse heads that are too long, too slow or too many for the memory

A connection now follows the head of each request as it arrives and charges what it takes to a budget of an eighth of Limits.MemoryMb, 2 bytes for each byte and 256 for each line. If the budget is short, the head that takes the most is refused with 503, never one that has been read. Other nodes, announcements and readiness have reserves. MaxHeaderBytes and HeaderTimeoutMs of the desired state apply as versions change, with 431 and 408. net/http never gets the end of a refused head, so no such request has run. A late head was answered with 400 before, as if it were malformed.

--- a/mesh/connections.go
+++ b/mesh/connections.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/lacewingslip/lacewingslip/clientlimit"
 	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/metrics"
@@ -54,6 +55,9 @@
 	// expired is true while a read deadline in the past asks the reading goroutine to end
 	// the connection. ended is true once it has.
 	expired, ended bool
+	// refused is true once this node has refused a head in place of net/http.
+	refused bool
+	head    clientHead
 	// extended is true once the time for the head of the next request was extended.
 	extended bool
 	// progress describes the request in progress, for the event at the end of the
@@ -70,8 +74,14 @@
 		if n > 0 {
 			c.recordRead(b[:n], len(b) == 1)
 		}
+		if c.refuse() {
+			break
+		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.mayReadOn() {
 			c.recordReadError(err)
+			if n == 0 && c.refuse() {
+				break
+			}
 			return n, err
 		}
 	}
@@ -104,8 +114,9 @@
 // until the client has closed the connection.
 func (c *serverConn) Close() error {
 	c.recordUnread()
+	c.releaseHead()
 	if c.hasAnswered() && c.CloseWrite() == nil {
-		_ = c.SetReadDeadline(time.Now().Add(clientCloseTimeout))
+		_ = c.Conn.SetReadDeadline(time.Now().Add(clientCloseTimeout))
 		// An error means that the client has reset the connection or does not close it.
 		_, _ = io.Copy(io.Discard, c.Conn)
 	}
@@ -117,7 +128,13 @@
 func (c *serverConn) hasAnswered() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.idle && !c.ended && !c.aborted.Load()
+	return (c.refused || !c.idle && !c.ended) && !c.aborted.Load()
+}
+
+func (c *serverConn) releaseHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.release()
 }
 
 func (c *serverConn) hasEnded() bool {
@@ -130,9 +147,18 @@
 // single byte to notice that the client disconnects, which may be the first one of the next
 // request. Line breaks may follow a request, and begin none.
 func (c *serverConn) recordRead(b []byte, single bool) {
+	evict(c.recordArrived(b, single))
+}
+
+// recordArrived is recordRead. It returns the connections that have to be ended, whose
+// mutexes can't be locked together with this one.
+func (c *serverConn) recordArrived(b []byte, single bool) (victims []*clientlimit.Account) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.clearExpiry()
+	if c.idle {
+		victims = c.head.scan(b)
+	}
 	if len(bytes.Trim(b, "\r\n")) > 0 {
 		if c.idle && !c.reading {
 			c.progress.firstRead = time.Now()
@@ -143,6 +169,7 @@
 	if !c.idleSince.IsZero() {
 		c.idleSince = time.Now()
 	}
+	return victims
 }
 
 // mayReadOn decides after a read deadline has passed whether the read is repeated,
@@ -151,7 +178,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.expired {
-		return c.extendDeadline()
+		if c.extendDeadline() {
+			return true
+		}
+		if c.idle {
+			c.head.endLate()
+		}
+		return false
 	}
 	if c.hasUnreadData() {
 		c.clearExpiry()
@@ -169,7 +202,7 @@
 		return false
 	}
 	c.extended = true
-	return c.SetReadDeadline(time.Now().Add(headerTimeout)) == nil
+	return c.Conn.SetReadDeadline(time.Now().Add(c.headTimeout())) == nil
 }
 
 // startRequest records that the head of a request has been read.
@@ -177,7 +210,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.reading = false, false
-	c.progress = requestProgress{firstRead: c.progress.firstRead, readErr: c.progress.readErr}
+	status := ""
+	if c.refused {
+		status = c.progress.statusLine
+	}
+	c.progress = requestProgress{firstRead: c.progress.firstRead, readErr: c.progress.readErr, statusLine: status}
+	c.head.keep()
 	c.clearExpiry()
 }
 
@@ -187,6 +225,7 @@
 	defer c.mu.Unlock()
 	c.idle, c.reading, c.readAhead, c.idleSince = true, c.readAhead, false, time.Now()
 	c.progress, c.extended = requestProgress{firstRead: c.idleSince}, false
+	c.head.reset()
 }
 
 // expire asks the reading goroutine to end the connection if it has been idle for longer
@@ -201,7 +240,7 @@
 		return 0, false
 	}
 	if c.reading {
-		limit = max(limit, headerTimeout)
+		limit = max(limit, c.headTimeout())
 	}
 	if idle = now.Sub(c.idleSince); idle <= limit {
 		return idle, false
@@ -214,14 +253,14 @@
 func (c *serverConn) setExpired() {
 	c.expired = true
 	// An error means that the connection has been closed already.
-	_ = c.SetReadDeadline(longPast)
+	_ = c.Conn.SetReadDeadline(longPast)
 }
 
 // clearExpiry cancels the expiry. The mutex must be held.
 func (c *serverConn) clearExpiry() {
 	if c.expired {
 		c.expired = false
-		_ = c.SetReadDeadline(time.Time{})
+		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
 }
 
@@ -266,6 +305,9 @@
 type connections struct {
 	// record records an event about a connection.
 	record func(id event.ID, attrs ...slog.Attr)
+	// limits and port are set if the limits of clients apply.
+	limits *clientLimits
+	port   clientlimit.Port
 
 	mu   sync.Mutex
 	open map[*serverConn]struct{}
@@ -302,7 +344,11 @@
 		return context.WithValue(ctx, serverConnKey{}, c)
 	}
 	server.Handler = s.trackRequests(hop.ResetIncomplete(server.Handler))
-	return s, serverListener{listener}
+	listener = serverListener{listener}
+	if s.limits != nil {
+		listener = limitedListener{listener, s.limits, s.port}
+	}
+	return s, listener
 }
 
 // trackRequests wraps a handler to record its progress at the connection.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -38,7 +38,8 @@
 // server, desired_state.go the operator's desired state, and exchange.go and watchers.go
 // other nodes. freshness.go proves that the desired state is the newest, by the clock in
 // boot_clock.go. servers.go serves callers and other nodes, connections.go decides when
-// their connections are closed, and connection_ends.go records those that end without an
+// their connections are closed, client_limits.go refuses heads over the limits, and
+// connection_ends.go records those that end without an
 // answer. lifecycle.go starts and stops everything, and stop_schedule.go
 // decides which requests a stopping node accepts, by the response times in longest_times.go.
 package mesh
@@ -138,7 +139,7 @@
 			func() *upstream.Tracker { return upstream.New(settings.Service, settings.Backend) },
 			func(dir *fleet.Directory) *retryBudget { return newRetryBudget(settings.Bounds, dir.Table().Len) },
 			metrics.New, newListeners, newDesiredState, newBalancer, newSidecar, newDirectory, newExchange, newWatcherSelection, newLifecycle,
-			newAnnouncementHandler, newCustomerAdmission, newAccessControl, newProofs, newCaps, quarantine.New, newQuarantineSync, newIngress, newPeerHandler, newServers,
+			newAnnouncementHandler, newCustomerAdmission, newAccessControl, newProofs, newCaps, quarantine.New, newQuarantineSync, newIngress, newPeerHandler, newClientLimits, newServers,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle, s *servers, b *balancer, e *exchange, w *watcherSelection, a *announcementHandler, sc *sidecar, d *desiredState, dir *fleet.Directory, q *quarantineSync, p *proofs, cp *caps) {
 			l.components = components{servers: s, balancer: b, exchange: e, watchers: w, announcements: a, sidecar: sc, desired: d, directory: dir, quarantine: q, proofs: p, caps: cp}
--- a/mesh/servers.go
+++ b/mesh/servers.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/clientlimit"
 	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/follow"
 	"github.com/lacewingslip/lacewingslip/metrics"
@@ -25,10 +26,14 @@
 )
 
 const (
-	// headerTimeout limits the time that a client may take to send the request
-	// headers.
-	headerTimeout  = 5 * time.Second
-	maxHeaderBytes = 64 << 10
+	// headerTimeout limits the time that a client may take to send the request headers. At
+	// the caller port, a limit of the desired state replaces it.
+	headerTimeout = 5 * time.Second
+	// defaultHeaderBytes limits the head of a request if the desired state has no limit.
+	defaultHeaderBytes = 64 << 10
+	// maxHeaderBytes is the limit of net/http, which can't change while a server is open. The
+	// connections apply the limit in force, see [clientLimits].
+	maxHeaderBytes = 1 << 20
 	// peerServerIdleTimeout is how long the server for other nodes keeps an idle
 	// connection. It is longer than peerIdleTimeout, so that the client side closes
 	// first and no request is sent on a connection that the server is closing.
@@ -90,16 +95,19 @@
 	// callerConnections and peerConnections are the connections of callers and of other
 	// nodes.
 	callerConnections, peerConnections *connections
-	running                            sync.WaitGroup
+	// controlConnections are the connections to the other ports.
+	controlConnections []*connections
+	limits             *clientLimits
+	running            sync.WaitGroup
 }
 
-func newServers(l *listeners, i *ingress, peer *peerHandler, a *announcementHandler, lc *lifecycle, m *metrics.Metrics, events *timeline.Recorder) *servers {
-	s := &servers{listeners: l, caller: newServer(i)}
+func newServers(l *listeners, i *ingress, peer *peerHandler, a *announcementHandler, lc *lifecycle, m *metrics.Metrics, events *timeline.Recorder, limits *clientLimits) *servers {
+	s := &servers{listeners: l, caller: newServer(i), limits: limits}
 	version := peer.desired.version
-	s.callerConnections, l.caller = trackConnections(s.caller, l.caller, withConnectionEvents(events, metrics.Ingress, version))
+	s.callerConnections, l.caller = trackConnections(s.caller, l.caller, withConnectionEvents(events, metrics.Ingress, version), limitClients(limits, callerPort))
 	peers := newServer(peer)
 	peers.IdleTimeout = peerServerIdleTimeout
-	s.peerConnections, l.peer = trackConnections(peers, l.peer, withConnectionEvents(events, metrics.Sidecar, version))
+	s.peerConnections, l.peer = trackConnections(peers, l.peer, withConnectionEvents(events, metrics.Sidecar, version), limitClients(limits, peerPort))
 
 	ready := mux.NewRouter()
 	ready.HandleFunc(platform.ReadyPath, lc.serveReadiness).Methods(http.MethodGet)
@@ -109,6 +117,14 @@
 	operator.Handle(metricsPath, m.Handler()).Methods(http.MethodGet)
 	operator.Handle(timeline.EventsPath, events.Handler()).Methods(http.MethodGet)
 	s.all = []*http.Server{s.caller, peers, newServer(ready), newServer(announce), newServer(operator)}
+	for n, control := range []struct {
+		listener *net.Listener
+		port     clientlimit.Port
+	}{{&l.ready, readyPort}, {&l.announce, announcePort}, {&l.operator, operatorPort}} {
+		var open *connections
+		open, *control.listener = trackConnections(s.all[2+n], *control.listener, withConnectionEvents(events, metrics.Hop(control.port), version), limitClients(limits, control.port))
+		s.controlConnections = append(s.controlConnections, open)
+	}
 	errorLog := log.New(serverErrorWriter{events}, "", 0)
 	for _, server := range s.all {
 		server.ErrorLog = errorLog
@@ -160,6 +176,9 @@
 func (s *servers) close() {
 	s.callerConnections.abort()
 	s.peerConnections.abort()
+	for _, open := range s.controlConnections {
+		open.abort()
+	}
 	for _, server := range s.all {
 		server.Close()
 	}
