Reproduce silent connections and bodies that stop

Clients that send nothing are accepted without limit, and bodies are held in memory up to 256 KB each with no bound on their sum.

--- a/internal/abuse/abuse_test.go
+++ b/internal/abuse/abuse_test.go
@@ -40,6 +40,10 @@
 // run starts a node for each of its ports, lets a crowd loose on the port, and checks that
 // the process lives within its limits and then answers an ordinary request.
 func run(t *testing.T, attack abuse.Attack, checks ...func(t *testing.T, answers map[int]int)) {
+	runCrowd(t, clients, attack, checks...)
+}
+
+func runCrowd(t *testing.T, clients int, attack abuse.Attack, checks ...func(t *testing.T, answers map[int]int)) {
 	for _, port := range abuse.Ports {
 		t.Run(port, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(t.Context(), answerWait)
@@ -96,3 +100,28 @@
 		t.Run(name, func(t *testing.T) { run(t, abuse.EmptyLines(endlessBytes, kept)) })
 	}
 }
+
+// Guards against connections that send nothing and take all descriptors.
+func TestSilentConnections(t *testing.T) {
+	runCrowd(t, abuse.Descriptors+200, abuse.Silence())
+}
+
+// Guards against bodies that begin and stop, and fill the memory until the time of their
+// requests is over.
+func TestBodiesThatStop(t *testing.T) {
+	for name, target := range map[string]string{
+		"request": "/orders/x", "announcement": "/lacewingslip/rpc?call=instances.heartbeat&of=i-2", "exchange": "/lacewingslip/v1/exchange",
+	} {
+		t.Run(name, func(t *testing.T) { run(t, abuse.StoppedBody(target, 256<<10, 240<<10)) })
+	}
+}
+
+// Guards against chunk sizes, chunk extensions and trailers without end that fill the memory.
+func TestChunksWithoutEnd(t *testing.T) {
+	for name, attack := range map[string]abuse.Attack{
+		"size": abuse.Chunks("", "0", endlessBytes), "extension": abuse.Chunks("1;", "x", endlessBytes), "trailers": abuse.Chunks("0\r\n", "a:\r\n", endlessBytes),
+		"extensions of small chunks": abuse.Chunks("", "1;a=b\r\nx\r\n", endlessBytes),
+	} {
+		t.Run(name, func(t *testing.T) { run(t, attack) })
+	}
+}
--- a/internal/abuse/crowd.go
+++ b/internal/abuse/crowd.go
@@ -135,3 +135,21 @@
 	block := string(bytes.Repeat([]byte("x"), 1<<10))
 	return Attack{Begin: "GET /orders/", Repeated: func(int) string { return block }, Bytes: size}
 }
+
+// Silence opens connections and sends nothing.
+func Silence() Attack { return Attack{} }
+
+// StoppedBody sends a body that stops after a number of bytes of its stated length.
+func StoppedBody(target string, stated, sent int) Attack {
+	block := string(bytes.Repeat([]byte(" "), 1<<10))
+	begin := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: example\r\nX-Request-Id: abuse\r\nX-Deadline-Ms: 20000\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", target, stated)
+	return Attack{Begin: begin, Repeated: func(int) string { return block }, Bytes: sent}
+}
+
+// Chunks sends a body in chunks that continues with the text without end.
+func Chunks(begin, repeated string, size int) Attack {
+	return Attack{
+		Begin:    "POST /orders/x HTTP/1.1\r\nHost: example\r\nX-Request-Id: abuse\r\nX-Deadline-Ms: 20000\r\nTransfer-Encoding: chunked\r\n\r\n" + begin,
+		Repeated: func(int) string { return repeated }, Bytes: size,
+	}
+}
