Charge request bodies to a budget while they are read and held

The bodies of all requests together had no bound, and 256 KB of each are held until the request ends. If it is short, the body that takes the most is turned away while it is read, with 503 and Retry-After from callers and a result that has not run from nodes: a request is passed on only after the part that is held. The handler gets a copy of the request, because net/http decides by the type of the original body whether to read the rest before the response; with the body replaced in place, clients that stopped got no answer instead of 404.

--- a/mesh/client_limits.go
+++ b/mesh/client_limits.go
@@ -32,6 +32,8 @@
 	// addedHeaderBytes is how much longer the head of a forwarded request may be than that of
 	// a caller.
 	addedHeaderBytes = 64 << 10
+	// bodyRetryAfter is when a client whose body was turned away may try again.
+	bodyRetryAfter = time.Second
 	// refusalTimeout bounds the time for which a refusal waits to be written.
 	refusalTimeout = time.Second
 )
@@ -45,18 +47,17 @@
 
 // clientLimits are the limits of the clients of a node.
 type clientLimits struct {
-	memory *clientlimit.Budget
+	// memory is the budget of heads, and bodies that of bodies.
+	memory, bodies *clientlimit.Budget
 	// current returns the limits of the desired state in force, which are zero if there are
 	// none.
 	current func() desired.Limits
 }
 
 func newClientLimits(settings nodeconfig.Config, d *desiredState) *clientLimits {
-	budget := headBudgetRatio * float64(settings.MemoryBytes)
 	return &clientLimits{
-		memory: clientlimit.NewBudget(int64(budget), map[clientlimit.Port]int64{
-			peerPort: int64(budget * peerReserveRatio), announcePort: int64(budget * controlReserveRatio), readyPort: int64(budget * controlReserveRatio),
-		}),
+		memory: newClientBudget(headBudgetRatio, settings),
+		bodies: newClientBudget(bodyBudgetRatio, settings),
 		current: func() desired.Limits {
 			if state := d.current(); state != nil {
 				return state.Limits()
@@ -66,6 +67,14 @@
 	}
 }
 
+// newClientBudget returns a budget of a part of the memory of the process.
+func newClientBudget(ratio float64, settings nodeconfig.Config) *clientlimit.Budget {
+	budget := ratio * float64(settings.MemoryBytes)
+	return clientlimit.NewBudget(int64(budget), map[clientlimit.Port]int64{
+		peerPort: int64(budget * peerReserveRatio), announcePort: int64(budget * controlReserveRatio), readyPort: int64(budget * controlReserveRatio),
+	})
+}
+
 // headBytes returns the limit of a head at the port.
 func (l *clientLimits) headBytes(port clientlimit.Port) int64 {
 	limit := int64(l.current().HeaderBytes)
--- a/mesh/client_limits_test.go
+++ b/mesh/client_limits_test.go
@@ -86,6 +86,29 @@
 	eventually(t, func() bool { return use(limits.memory) == 0 })
 }
 
+// Guards against a request that runs, or fills the memory, although the budget of bodies is
+// used up, and against a budget that is not returned.
+func TestBodyBeyondBudgetIsNotRun(t *testing.T) {
+	d := newDeployment(t, "orders")
+	d.publish(once("once"))
+	d.awaitConvergence()
+	v := d.vms[0]
+	limits := v.node.lifecycle.components.servers.limits
+	limits.bodies = clientlimit.NewBudget(100<<10, nil)
+	for name, c := range map[string]struct{ size, want int }{
+		"within": {90 << 10, http.StatusOK}, "beyond": {110 << 10, http.StatusServiceUnavailable},
+	} {
+		head := fmt.Sprintf("POST /once/ HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 2000\r\nContent-Length: %d\r\n\r\n", operator.Host, name, c.size)
+		must.Eq(t, c.want, connect(t, v).answer(head+strings.Repeat("x", c.size)))
+		runs := 0
+		if c.want == http.StatusOK {
+			runs = 1
+		}
+		must.Eq(t, runs, v.server.Runs(name))
+	}
+	eventually(t, func() bool { return use(limits.bodies) == 0 })
+}
+
 func use(budget *clientlimit.Budget) (used int64) {
 	used, _, _ = budget.Use()
 	return used
--- a/mesh/connections.go
+++ b/mesh/connections.go
@@ -366,6 +366,8 @@
 		}
 		started := &startedWriter{ResponseWriter: w}
 		defer s.answerCrash(c, started, id)
+		r, release := c.chargeBody(r)
+		defer release()
 		next.ServeHTTP(started, r)
 		c.endHandler()
 	})
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -171,6 +172,9 @@
 		i.setCommonHeaders(w, req.id)
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return nil, false
+	case errors.Is(err, errBodyRefused):
+		i.reject(w, r, bodyRefusal())
+		return nil, false
 	case err != nil:
 		i.reject(w, r, notRunResult(call.ReasonBadRequest, "the request body is incomplete: "+err.Error()))
 		return nil, false
--- a/mesh/servers.go
+++ b/mesh/servers.go
@@ -221,7 +221,15 @@
 		return
 	}
 	req.header.Del("Content-Length")
-	if req.body, req.stream, err = readBody(r, 0); err != nil {
+	req.body, req.stream, err = readBody(r, 0)
+	if errors.Is(err, errBodyRefused) {
+		p.recordNotRead(r, err)
+		w.Header().Set("Connection", "close")
+		// An error means that the sender has disconnected.
+		_ = writeResult(w, req.id, bodyRefusal(), p.desired.version())
+		return
+	}
+	if err != nil {
 		// The sender disconnected and does not wait for a response.
 		p.recordNotRead(r, err)
 		panic(http.ErrAbortHandler)
