Keep the platform's header names out of internal/abuse

TestWireNamesOccurOnlyHere of package platform failed on the header names in the crowd. The lines now come from the stand-in of the operator; the bytes that the clients send are the same. The test passes, as do TestBodiesThatStop/request and TestHeadsOverTheLimit/caller.

--- a/internal/abuse/crowd.go
+++ b/internal/abuse/crowd.go
@@ -9,10 +9,16 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 )
 
-// stallTimeout ends the attempt of a client to send to a node that does not read.
-const stallTimeout = 10 * time.Second
+const (
+	// stallTimeout ends the attempt of a client to send to a node that does not read.
+	stallTimeout = 10 * time.Second
+	// bodyWait is the time that a client with a body states.
+	bodyWait = 20 * time.Second
+)
 
 // Attack is what each client of a crowd sends.
 type Attack struct {
@@ -118,7 +124,7 @@
 func shortLine(n int) string { return fmt.Sprintf("%05x:\r\n", n) }
 
 // HeadBegin is the beginning of a request that the node would forward.
-const HeadBegin = "GET /orders/x HTTP/1.1\r\nHost: example\r\nX-Request-Id: abuse\r\nX-Deadline-Ms: 2000\r\n"
+var HeadBegin = "GET /orders/x HTTP/1.1\r\n" + operator.HeadLines("abuse", 2*time.Second)
 
 // ShortLines sends a head of many short lines.
 func ShortLines(bytes int) Attack {
@@ -142,14 +148,14 @@
 // StoppedBody sends a body that stops after a number of bytes of its stated length.
 func StoppedBody(target string, stated, sent int) Attack {
 	block := string(bytes.Repeat([]byte(" "), 1<<10))
-	begin := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: example\r\nX-Request-Id: abuse\r\nX-Deadline-Ms: 20000\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", target, stated)
+	begin := fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", target, operator.HeadLines("abuse", bodyWait), stated)
 	return Attack{Begin: begin, Repeated: func(int) string { return block }, Bytes: sent}
 }
 
 // Chunks sends a body in chunks that continues with the text without end.
 func Chunks(begin, repeated string, size int) Attack {
 	return Attack{
-		Begin:    "POST /orders/x HTTP/1.1\r\nHost: example\r\nX-Request-Id: abuse\r\nX-Deadline-Ms: 20000\r\nTransfer-Encoding: chunked\r\n\r\n" + begin,
+		Begin:    "POST /orders/x HTTP/1.1\r\n" + operator.HeadLines("abuse", bodyWait) + "Transfer-Encoding: chunked\r\n\r\n" + begin,
 		Repeated: func(int) string { return repeated }, Bytes: size,
 	}
 }
--- a/internal/standin/operator/operator.go
+++ b/internal/standin/operator/operator.go
@@ -254,6 +254,12 @@
 	return request, nil
 }
 
+// HeadLines returns the header lines of a request of a caller, for clients that write the bytes
+// of their requests themselves.
+func HeadLines(id string, wait time.Duration) (lines string) {
+	return fmt.Sprintf("Host: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", Host, id, wait.Milliseconds())
+}
+
 // ReceivedRequest holds the values that a backend server reads from the headers of a
 // request.
 type ReceivedRequest struct {
