--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -221,6 +222,9 @@
 		i.setCommonHeaders(w, req.id)
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return false
+	case errors.Is(err, errBodyRefused):
+		i.reject(w, r, bodyRefusal())
+		return false
 	case err != nil:
 		i.reject(w, r, notRunResult(call.ReasonBadRequest, "the request body is incomplete: "+err.Error()))
 		return false
