Give credit back before the rest of a refused body arrives

A request refused at admission is answered before its body is read, and the node then waits for the rest of the body for up to the deadline of the request. Its credit was returned only after that, when it had usually expired, so callers within the cap were refused. It is now returned before the response is written.

TestCreditIsGivenBackBeforeTheUnreadBody failed before (429 in place of 200) and passes three times of three with -race.

--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -109,6 +109,9 @@
 	decision := i.admission.admit(req)
 	req.targetRegion, req.rank, req.fromCustomer = decision.targetRegion, decision.rank, origin == calltree.Customers
 	if !decision.admitted {
+		// Credit may expire while the rest of the body arrives.
+		i.caps.giveBack(credit)
+		credit = capCredit{}
 		i.budget.recordRequest(req.service, req.repeatShare)
 		res := notRunResult(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is overloaded: pressure level %.2f", decision.level))
 		i.refuseUnread(w, r, req, res, receivedAt, state.Version())
--- a/mesh/quota_test.go
+++ b/mesh/quota_test.go
@@ -1,16 +1,21 @@
 package mesh
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingslip/lacewingslip/calltree"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
+	"github.com/lacewingslip/lacewingslip/nodeconfig"
 	"github.com/lacewingslip/lacewingslip/platform"
 	"github.com/lacewingslip/lacewingslip/quota"
 )
@@ -138,3 +143,37 @@
 	must.Eq(t, 0, d.runs("moved"))
 	must.Eq(t, http.StatusOK, d.callWithKey(d.vms[0], "/once/a", "given-back", "k-3").status)
 }
+
+// newSecondIngress returns a further ingress of a node, with admission of its own.
+func newSecondIngress(n *Node) *ingress {
+	c := n.lifecycle.components
+	return newIngress(n.lifecycle.settings, c.desired, c.balancer, c.sidecar, c.exchange, c.caps.events, c.caps.metrics, n.lifecycle,
+		newCustomerAdmission(n.lifecycle.settings), newAccessControl(c.proofs), c.caps,
+		newRetryBudget(nodeconfig.Bounds{}, func() int { return 1 }), c.quarantine.list)
+}
+
+// Guards against credit of a request refused at admission that nobody can use while the node
+// waits for the rest of its body.
+func TestCreditIsGivenBackBeforeTheUnreadBody(t *testing.T) {
+	d := newCappedDeployment(t, 1, "orders")
+	i := newSecondIngress(d.vms[0].node)
+	overloaded := &result{report: loadReport{level: 1, origin: calltree.Customers, present: true}}
+	route, _ := i.desired.current().Match(operator.Host, "/once/a")
+	req := &request{route: route.Name(), priority: route.Priority()}
+	for range 200 {
+		for _, region := range append(i.admission.regions, i.settings.Region) {
+			i.admission.recordResult(req, region, overloaded)
+		}
+	}
+	eventually(t, func() bool { return !i.admission.admit(req).admitted })
+	listener := httptest.NewServer(i)
+	defer listener.Close()
+	conn, err := net.Dial("tcp", listener.Listener.Addr().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /once/a HTTP/1.1\r\nHost: %s\r\nX-Request-Id: refused\r\nX-Key: %s\r\nX-Deadline-Ms: 5000\r\nContent-Length: 10\r\n\r\n",
+		operator.Host, cappedKey)
+	must.NoError(t, err)
+	mustRefuse(t, bufio.NewReader(conn), "refused")
+	must.Eq(t, http.StatusOK, d.callWithKey(d.vms[0], "/once/a", "r", cappedKey).status)
+}
