Count credit as spent if the handler panics

The credit of a request was returned unless dispatch had returned a result, so also when the handler panicked after a backend server had run the request. The cap then admitted another one.

TestCreditOfRequestThatRanBeforeAPanicIsSpent failed before (200 in place of 429) and passes.

--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -145,6 +145,8 @@
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline.Add(responseGrace))
 	defer cancel()
 	req.answerBy = i.lifecycle.stopDeadline()
+	// If dispatch panics, the request may have run.
+	ran = true
 	res := i.dispatch(ctx, req, route, state.Version())
 	if ran = res.outcome != call.NotRun; ran {
 		i.responseTimes.record(time.Now(), req.route, time.Since(receivedAt))
--- a/mesh/quota_test.go
+++ b/mesh/quota_test.go
@@ -177,3 +177,21 @@
 	mustRefuse(t, bufio.NewReader(conn), "refused")
 	must.Eq(t, http.StatusOK, d.callWithKey(d.vms[0], "/once/a", "r", cappedKey).status)
 }
+
+// Guards against credit that is used twice because the handler panics after the request has run.
+func TestCreditOfRequestThatRanBeforeAPanicIsSpent(t *testing.T) {
+	d := newCappedDeployment(t, 1, "orders")
+	i := newSecondIngress(d.vms[0].node)
+	// Without it, the handler panics with the result of an attempt.
+	i.exchange = nil
+	request, err := operator.Request(d.vms[0].settings.Listen.Caller, http.MethodGet, "/once/a", "r", 2*time.Second)
+	must.NoError(t, err)
+	operator.AddKey(request, cappedKey)
+	request.RequestURI = "/once/a"
+	func() {
+		defer func() { must.NotNil(t, recover()) }()
+		i.ServeHTTP(httptest.NewRecorder(), request)
+	}()
+	must.Eq(t, 1, d.runs("r"))
+	must.Eq(t, http.StatusTooManyRequests, d.callWithKey(d.vms[0], "/once/a", "second", cappedKey).status)
+}
