Keep the accounts of removed workspaces until they are full

A keeper deleted the account of a workspace that a version left out or left without a cap. If the next version had it again, the new account began with a full bucket, so with several versions a second a workspace got its burst each time. An account is now deleted only once its bucket is full, which is the state that a new one begins with.

TestReturningWorkspaceHasNoFullBucket failed before (6 tokens each time) and passes. go test -race ./quota ./freshness passes, and so do the tests of caps, credit and quota in mesh.

--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -286,7 +286,7 @@
 	}
 	capped := func(workspace string) bool { return c.byName[workspace].Rate > 0 }
 	c.requester.Retain(capped)
-	c.accounts.Retain(capped)
+	c.accounts.Retain(c.now(), capped)
 }
 
 func capOf(w *desired.Workspace) quota.Cap { return quota.Cap{Rate: w.Rate(), Burst: w.Burst()} }
--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -81,15 +81,23 @@
 	}
 }
 
-// Retain removes the accounts of all workspaces for which keep returns false.
-func (a *Accounts) Retain(keep func(workspace string) bool) {
-	for workspace := range a.accounts {
-		if !keep(workspace) {
+// Retain removes the accounts of all workspaces for which keep returns false and whose buckets
+// are full. Others remain until a later call: a workspace that returns gets a new account, which
+// begins with a full bucket.
+func (a *Accounts) Retain(now time.Time, keep func(workspace string) bool) {
+	for workspace, acc := range a.accounts {
+		if !keep(workspace) && acc.isFull(now, a.terms) {
 			delete(a.accounts, workspace)
 		}
 	}
 }
 
+// isFull reports whether the bucket is full by the cap and the share that are known.
+func (acc *account) isFull(now time.Time, terms Terms) bool {
+	added := acc.share * acc.cap.Rate * max(now.Sub(acc.updatedAt), 0).Seconds()
+	return acc.level+added >= acc.share*acc.cap.burst(terms)
+}
+
 // Keeps returns the number of accounts from which credit has been asked.
 func (a *Accounts) Keeps() (accounts int) {
 	for _, acc := range a.accounts {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -140,3 +140,18 @@
 	must.GreaterEq(t, 0.97, with)
 	must.LessEq(t, int((small.Rate*window.Seconds()+small.Burst)*1.1)+20, peak)
 }
+
+// Guards against a cap that is exceeded because a workspace that one version leaves out and the
+// next one has again gets a full bucket each time.
+func TestReturningWorkspaceHasNoFullBucket(t *testing.T) {
+	accounts := quota.NewAccounts("a", testTerms)
+	accounts.Restore(start, quota.NewNodes([]string{"a"}))
+	now := start.Add(time.Hour)
+	must.Positive(t, accounts.Grant(now, workspace, testCap, 1000).Tokens)
+	for range 5 {
+		accounts.Retain(now, func(string) bool { return false })
+		must.Zero(t, accounts.Grant(now, workspace, testCap, 1000).Tokens)
+	}
+	accounts.Retain(now.Add(time.Hour), func(string) bool { return false })
+	must.Zero(t, accounts.Keeps())
+}
