--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -110,6 +110,9 @@
 	decision := i.admission.admit(req)
 	req.targetRegion, req.rank, req.fromCustomer = decision.targetRegion, decision.rank, origin == calltree.Customers
 	if !decision.admitted {
+		// Credit may expire while the rest of the body arrives.
+		i.caps.giveBack(credit)
+		credit = capCredit{}
 		i.budget.recordRequest(req.service, req.repeatShare)
 		res := notRunResult(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is overloaded: pressure level %.2f", decision.level))
 		i.refuseUnread(w, r, req, res, receivedAt, state.Version())
@@ -143,6 +146,8 @@
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline.Add(responseGrace))
 	defer cancel()
 	req.answerBy = i.lifecycle.stopDeadline()
+	// If dispatch panics, the request may have run.
+	ran = true
 	res := i.dispatch(ctx, req, route, state.Version())
 	if ran = res.outcome != call.NotRun; ran {
 		i.responseTimes.record(time.Now(), req.route, time.Since(receivedAt))
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -163,3 +163,18 @@
 	}
 	must.False(t, nodes.Equal(quota.NewNodes(slices.Collect(maps.Keys(regionOf)))))
 }
+
+// Guards against a cap that is exceeded because a workspace that one version leaves out and the
+// next one has again gets a full bucket each time.
+func TestReturningWorkspaceHasNoFullBucket(t *testing.T) {
+	accounts := quota.NewAccounts("a", testTerms)
+	accounts.Restore(start, quota.NewNodes([]string{"a"}))
+	now := start.Add(time.Hour)
+	must.Positive(t, accounts.Grant(now, workspace, testCap, 1000).Tokens)
+	for range 5 {
+		accounts.Retain(now, func(string) bool { return false })
+		must.Zero(t, accounts.Grant(now, workspace, testCap, 1000).Tokens)
+	}
+	accounts.Retain(now.Add(time.Hour), func(string) bool { return false })
+	must.Zero(t, accounts.Keeps())
+}
