Do not refuse routes without a recent report as too late

Where servers state their pace, a request is refused at once if no server is expected to answer it in time. For a route without reports, the mean of all other routes counted as its run time, so a short route with a short deadline beside long ones was refused for good: no request was sent whose report could show its run time. The same held for a route whose reports were from a time when all servers were slow.

The run time counts only if the route was reported within the last second, as the load does. A request without such a report is sent, and the node beside the server refuses it if it can't run in time.

TestRouteWithoutRecentReportIsNotTooLate failed before for both; go test -race ./routing passes.

--- a/routing/routing.go
+++ b/routing/routing.go
@@ -288,7 +288,7 @@
 	if report.HasLoad {
 		state.load, state.reportedAt, state.reportedInFlight = report.Load, now, state.inFlight
 	}
-	s.recordRun(state, report)
+	s.recordRun(now, state, report)
 	if factor := weightFactors[min(report.Result, Unreachable)]; factor < 1 {
 		state.weight = max(state.currentWeight(now)*factor, minWeight)
 		state.weightSetAt = now
--- a/routing/speed.go
+++ b/routing/speed.go
@@ -44,38 +44,52 @@
 	timed bool
 	// mean is the mean run time in seconds over all routes, and routes holds that of each.
 	mean    float64
-	routes  map[string]float64
+	routes  map[string]routeRun
 	choices int
 }
 
+// routeRun is the mean run time of a route in seconds, and when it was last reported.
+type routeRun struct {
+	mean       float64
+	reportedAt time.Time
+}
+
 // record adds a reported run time, and returns it as a multiple of the mean of the route.
-func (t *timing) record(route string, run float64) (slowness float64) {
+func (t *timing) record(now time.Time, route string, run float64) (slowness float64) {
 	if t.routes == nil {
-		t.routes, t.mean = make(map[string]float64), run
+		t.routes, t.mean = make(map[string]routeRun), run
 	}
 	t.mean += runWeight * (run - t.mean)
-	mean, known := t.routes[route]
+	r, known := t.routes[route]
 	if !known {
 		if len(t.routes) >= maxTimedRoutes {
 			return run / t.mean
 		}
-		mean = run
+		r.mean = run
 	}
-	mean += runWeight * (run - mean)
-	t.routes[route] = mean
-	return run / mean
+	r.mean += runWeight * (run - r.mean)
+	r.reportedAt = now
+	t.routes[route] = r
+	return run / r.mean
 }
 
 // runOf returns the mean run time of a route in seconds.
 func (t *timing) runOf(route string) float64 {
-	if run, known := t.routes[route]; known {
-		return run
+	if r, known := t.routes[route]; known {
+		return r.mean
 	}
 	return t.mean
 }
 
+// hasFreshRun reports whether the run time of the route was reported recently. No request is
+// refused because of an older one: without requests, no report would correct it.
+func (t *timing) hasFreshRun(now time.Time, route string) bool {
+	r, known := t.routes[route]
+	return known && now.Sub(r.reportedAt) < maxReportAge
+}
+
 // recordRun records the expected run time that a report states, if it does.
-func (s *service) recordRun(u *upstreamState, report Report) {
+func (s *service) recordRun(now time.Time, u *upstreamState, report Report) {
 	if !report.HasLoad {
 		return
 	}
@@ -86,7 +100,7 @@
 		}
 		return
 	}
-	slowness := s.timing.record(report.Route, report.Run.Seconds())
+	slowness := s.timing.record(now, report.Route, report.Run.Seconds())
 	if u.slowness == 0 {
 		u.slowness = slowness
 	}
@@ -129,7 +143,10 @@
 	}
 	limit := u.currentLimit(now)
 	waiting := max(float64(u.estimatedCalls(now)+1-limit), 0) / float64(limit) * u.meanRun
-	run := minRunShare * s.timing.runOf(q.Route) * u.slowness
+	run := 0.0
+	if s.timing.hasFreshRun(now, q.Route) {
+		run = minRunShare * s.timing.runOf(q.Route) * u.slowness
+	}
 	return waiting+run+roundTrips[u.tier].Seconds() > q.TimeLeft.Seconds()
 }
 
--- a/routing/speed_test.go
+++ b/routing/speed_test.go
@@ -125,3 +125,33 @@
 	report(table, start, map[string]time.Duration{"a0": 0, "b0": 0}, 10)
 	must.Eq(t, 1000, choose(table, start)["a0"])
 }
+
+// Guards against requests of a route that are refused for good: those of a route without
+// reports, because the run times of other routes count for it, and those of a route that all
+// servers ran slowly, because no request is left whose report shows that they recovered.
+func TestRouteWithoutRecentReportIsNotTooLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		route string
+		// after is the time since the last report of the route "r".
+		after time.Duration
+		want  bool
+	}{
+		"recent report":  {"r", 100 * ms, false},
+		"never reported": {"short", 100 * ms, true},
+		"old report":     {"r", 2 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable(upstreams(1, 100, zoneA))
+			report(table, start, map[string]time.Duration{"a0": 400 * ms}, 10)
+			now := start.Add(c.after)
+			// Calls of another route with a later deadline go on.
+			table.RecordResult(now, "s", "a0", 0, routing.Report{
+				HasLoad: true, Load: admission.Load{Running: 10, Limit: 100}, Route: "other", Run: 400 * ms, MeanRun: 400 * ms,
+			})
+			q := routing.Query{Service: "s", Route: c.route, TimeLeft: 150 * ms}
+			_, ok := table.Choose(now, q)
+			must.Eq(t, c.want, ok)
+			must.Eq(t, !c.want, table.TooLate(now, q))
+		})
+	}
+}
