Start requests of a route that has not run beside longer ones

Beside a server that states its pace, the minimum time left of a route whose run time is unknown was that of all routes together. A short route with a short deadline beside long ones was never started, so that its run time was never known. Without a stated pace, such a route has always been started.

Only the run time of the route itself counts now.

TestNewRouteIsStartedBesideLongOnes failed before (600 ms instead of 5 ms); go test -race ./concurrency and the tests of the capacity, the pace and uneven servers in ./mesh pass.

--- a/concurrency/pace.go
+++ b/concurrency/pace.go
@@ -144,12 +144,18 @@
 
 // of returns the mean work of a route, or that of all routes if it is unknown.
 func (t *workTracker) of(route string) float64 {
-	if r := t.routes[route]; r != nil && r.samples >= minSamples {
-		return r.mean
+	if t.knows(route) {
+		return t.routes[route].mean
 	}
 	return t.mean
 }
 
+// knows reports whether the mean work of a route is known.
+func (t *workTracker) knows(route string) bool {
+	r := t.routes[route]
+	return r != nil && r.samples >= minSamples
+}
+
 const (
 	// trendTime is the time constant of the means from which deviations are taken. Changes
 	// that take longer, such as a slow server whose requests pile up, do not count as an
--- a/mesh/capacity.go
+++ b/mesh/capacity.go
@@ -138,10 +138,21 @@
 	return c.estimator.ExpectedRun(route)
 }
 
+// knownRun is expectedRun for a route of which enough requests have ended, and 0 for others.
+func (c *serverCapacity) knownRun(route string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.estimator.Paced() || !c.estimator.KnowsRoute(route) {
+		return 0
+	}
+	return c.estimator.ExpectedRun(route)
+}
+
 // minTimeLeft returns the minimum time left until the deadline for a request of the route to
-// be started.
+// be started. Run times of other routes do not count: if requests were refused because of
+// them, the run time of the route would never be known.
 func (c *serverCapacity) minTimeLeft(route string) time.Duration {
-	if run := c.expectedRun(route); run > 0 {
+	if run := c.knownRun(route); run > 0 {
 		return max(time.Duration(minTimeLeftShare*float64(run)), minStartTime)
 	}
 	return c.runTimes.minTimeLeft(route)
--- a/mesh/capacity_test.go
+++ b/mesh/capacity_test.go
@@ -142,3 +142,19 @@
 		})
 	}
 }
+
+// Guards against a short route with short deadlines that is never started beside long ones,
+// because their run time counts for it as long as none of its requests has run.
+func TestNewRouteIsStartedBesideLongOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newServerCapacity(slot.New(), newRunTimes(), timeline.NewRecorder("n"))
+		c.observe(time.Now(), platform.Load{Slots: 10, Pace: 1})
+		for range 20 {
+			mark := c.begin(time.Now(), "long", time.Now().Add(time.Minute))
+			time.Sleep(time.Second)
+			c.end(time.Now(), mark, "long", &result{outcome: call.Answered, status: http.StatusOK}, true)
+		}
+		must.Between(t, 590*time.Millisecond, c.minTimeLeft("long"), 610*time.Millisecond)
+		must.Eq(t, minStartTime, c.minTimeLeft("short"))
+	})
+}
