Apply the response of an exchange before the end of its body

Since connections for exchanges are kept, a node read the body of the response to its end before it applied the state in it. If the end is late or lost with the other node, a newer desired state, a higher era and a proof waited for it, up to the time-out of the exchange.

The rest of the body is read after the state has been applied.

--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -285,9 +285,6 @@
 	if err = json.NewDecoder(io.LimitReader(resp.Body, maxExchangeBytes)).Decode(&reply); err != nil {
 		return reply, err
 	}
-	// The connection is reused only if the body was read to its end. The error is ignored: its
-	// only consequence is that the connection is not reused.
-	_, _ = io.CopyN(io.Discard, resp.Body, maxExchangeBytes)
 	if reply.Self.Node != p.node {
 		return reply, eris.Errorf("the address now belongs to node %q", reply.Self.Node)
 	}
@@ -302,6 +299,9 @@
 	if reply.Self.Node != msg.Self.Node {
 		e.answered.Store(true)
 	}
+	// The connection is reused only if the body was read to its end, which may arrive late. The
+	// error is ignored: its only consequence is that the connection is not reused.
+	_, _ = io.CopyN(io.Discard, resp.Body, maxExchangeBytes)
 	if known, outdated := e.outdates(reply.Self); outdated && len(msg.Members) == 0 {
 		msg = e.ownMessage()
 		msg.Members = []fleet.Member{known}
