Do not report the run time of other routes for an unknown one

A node whose backend server states its pace reported the mean of all routes for a route of which too few requests had ended. Other nodes took it for the run time of that route and refused short requests with short deadlines as too late while their servers were idle.

The report says now that the run time is unknown (the value 0 of the header). Routing then keeps the slowness that it knows of the server.

TestRunTimeOfOtherRoutesIsNotReported failed without the check in expectedRun (the test needs its second result, so it does not build before), TestUnknownRunTimeKeepsTheSlowness failed without the check in recordRun. The signature of expectedRun changed in two existing tests, which check the same. go test -race ./routing ./concurrency and the tests of capacity, pace and uneven servers in ./mesh pass.

--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -232,7 +232,7 @@
 	report := routing.Report{
 		HasLoad: res.report.present, Bytes: int64(len(res.body)),
 		Load:  admission.Load{Running: res.report.Running, Limit: res.report.Limit, Queued: res.report.Waiting},
-		Route: req.route, Run: res.report.run, MeanRun: res.report.MeanRun,
+		Route: req.route, Paced: res.report.paced, Run: res.report.run, MeanRun: res.report.MeanRun,
 	}
 	switch {
 	case res.outcome == call.Answered, res.reason == call.ReasonCanceled, res.reason == call.ReasonDeadline:
--- a/mesh/capacity.go
+++ b/mesh/capacity.go
@@ -127,32 +127,22 @@
 	}
 }
 
-// expectedRun returns the expected run time of a request of the route, or 0 if the server does
-// not state its pace.
-func (c *serverCapacity) expectedRun(route string) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.estimator.Paced() {
-		return 0
-	}
-	return c.estimator.ExpectedRun(route)
-}
-
-// knownRun is expectedRun for a route of which enough requests have ended, and 0 for others.
-func (c *serverCapacity) knownRun(route string) time.Duration {
+// expectedRun returns the expected run time of a request of the route, or 0 if too few of its
+// requests have ended. paced is false if the server does not state its pace.
+func (c *serverCapacity) expectedRun(route string) (run time.Duration, paced bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.estimator.Paced() || !c.estimator.KnowsRoute(route) {
-		return 0
+		return 0, c.estimator.Paced()
 	}
-	return c.estimator.ExpectedRun(route)
+	return c.estimator.ExpectedRun(route), true
 }
 
 // minTimeLeft returns the minimum time left until the deadline for a request of the route to
 // be started. Run times of other routes do not count: if requests were refused because of
 // them, the run time of the route would never be known.
 func (c *serverCapacity) minTimeLeft(route string) time.Duration {
-	if run := c.knownRun(route); run > 0 {
+	if run, _ := c.expectedRun(route); run > 0 {
 		return max(time.Duration(minTimeLeftShare*float64(run)), minStartTime)
 	}
 	return c.runTimes.minTimeLeft(route)
--- a/mesh/capacity_test.go
+++ b/mesh/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,7 +62,9 @@
 	}
 	capacity := d.vms[0].node.lifecycle.components.sidecar.capacity
 	must.False(t, capacity.estimator.Paced())
-	must.Zero(t, capacity.expectedRun("safe"))
+	run, paced := capacity.expectedRun("safe")
+	must.Zero(t, run)
+	must.False(t, paced)
 	must.Eq(t, usableSlots(8), capacity.slots.Load().Limit)
 }
 
@@ -78,7 +81,8 @@
 	d.vms[0].server.StateLoad("1,0,8,100")
 	must.Eq(t, http.StatusOK, d.call(d.vms[1], http.MethodGet, "/safe/1", "third").status)
 	eventually(t, func() bool {
-		return d.vms[0].node.lifecycle.components.sidecar.capacity.expectedRun("safe") > 1700*time.Millisecond
+		run, _ := d.vms[0].node.lifecycle.components.sidecar.capacity.expectedRun("safe")
+		return run > 1700*time.Millisecond
 	})
 	refused := d.call(d.vms[1], http.MethodGet, "/safe/1", "hopeless")
 	must.Eq(t, http.StatusServiceUnavailable, refused.status)
@@ -158,3 +162,21 @@
 		must.Eq(t, minStartTime, c.minTimeLeft("short"))
 	})
 }
+
+// Guards against a short route that is refused as too late beside long ones, because a server
+// that has run none of its requests reports the run time of the long ones for it.
+func TestRunTimeOfOtherRoutesIsNotReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newServerCapacity(slot.New(), newRunTimes(), timeline.NewRecorder("n"))
+		c.observe(time.Now(), platform.Load{Slots: 10, Pace: 1})
+		mark := c.begin(time.Now(), "long", time.Now().Add(time.Minute))
+		time.Sleep(time.Second)
+		c.end(time.Now(), mark, "long", &result{outcome: call.Answered, status: http.StatusOK}, true)
+		res := notRunResult(call.ReasonTooLate, "")
+		res.report.run, res.report.paced = c.expectedRun("short")
+		w := httptest.NewRecorder()
+		must.NoError(t, writeResult(w, "1", res, 1))
+		must.Zero(t, expectedRun(w.Header()))
+		must.True(t, statesPace(w.Header()))
+	})
+}
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -138,8 +138,9 @@
 	s.reportEvidence(req, res)
 	res.report = loadReport{
 		Load: s.slots.Load(), present: true, level: s.pressureLevel(req.route), origin: s.callers.Origin(req.route),
-		leaf: s.isLeaf(time.Now()), run: s.capacity.expectedRun(req.route),
+		leaf: s.isLeaf(time.Now()),
 	}
+	res.report.run, res.report.paced = s.capacity.expectedRun(req.route)
 	s.metrics.CallEnded(metrics.Call{
 		Hop: metrics.Sidecar, Service: req.service, Importance: importanceOf(req.rank), Outcome: res.outcome, Reason: res.reason,
 	}, time.Since(started))
--- a/mesh/uneven_servers_test.go
+++ b/mesh/uneven_servers_test.go
@@ -178,7 +178,8 @@
 		load := s.slots.Load()
 		report.Load = admission.Load{Running: load.Running, Limit: load.Limit, Queued: load.Waiting}
 		if q.estimate {
-			report.Run, report.MeanRun = s.capacity.expectedRun(q.route), load.MeanRun
+			report.Run, report.Paced = s.capacity.expectedRun(q.route)
+			report.MeanRun = load.MeanRun
 		}
 		time.Sleep(time.Millisecond)
 		q.mu.Lock()
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -31,10 +31,11 @@
 	// because traffic between zones and regions is charged by the byte.
 	headerHop = internalPrefix + "Hop"
 
-	// headerRun has the expected run time of a request of the route in microseconds. It is
-	// in responses of nodes whose backend server states its pace. It is a header of its own
-	// because servers may begin to state their pace during an update, and nodes of earlier
-	// versions reject a response with further fields in headerHop.
+	// headerRun has the expected run time of a request of the route in microseconds, or
+	// unknownRun if too few of them have ended. It is in responses of nodes whose backend
+	// server states its pace. It is a header of its own because servers may begin to state
+	// their pace during an update, and nodes of earlier versions reject a response with
+	// further fields in headerHop.
 	headerRun = internalPrefix + "Run"
 
 	// requestFieldCount and responseFieldCount are the numbers of space-separated
@@ -169,9 +170,10 @@
 	// leaf is true if the backend server calls no other services.
 	leaf    bool
 	present bool
-	// run is the expected run time of a request of the route, or 0 if the backend server
-	// does not state its pace.
-	run time.Duration
+	// run is the expected run time of a request of the route, or 0 if it is unknown. paced is
+	// true if the backend server states its pace.
+	run   time.Duration
+	paced bool
 }
 
 // levelScale converts a pressure level to the integer that is sent between
@@ -203,7 +205,7 @@
 	}
 	h.Set(headerHop, value)
 	setEvidence(h, res.evidence)
-	if res.report.run > 0 {
+	if res.report.paced {
 		h.Set(headerRun, strconv.FormatInt(res.report.run.Microseconds(), 10))
 	}
 	status := res.status
@@ -261,6 +263,7 @@
 	}
 	res.node = node
 	res.report.run = expectedRun(resp.Header)
+	res.report.paced = statesPace(resp.Header)
 	if res.outcome != call.Answered {
 		res.detail = "reported by the node beside the backend server"
 		res.retryAfter = platform.RetryAfter(resp.Header)
@@ -317,8 +320,12 @@
 	return res, numbers[0], nil
 }
 
-// maxRun bounds the run time that is read from a header.
-const maxRun = time.Hour
+const (
+	// maxRun bounds the run time that is read from a header.
+	maxRun = time.Hour
+	// unknownRun is the value of headerRun if the run time is unknown.
+	unknownRun = "0"
+)
 
 // expectedRun returns the value of headerRun, or 0 if it is missing or invalid.
 func expectedRun(h http.Header) time.Duration {
@@ -329,6 +336,9 @@
 	return time.Duration(n) * time.Microsecond
 }
 
+// statesPace reports whether headerRun shows that the backend server states its pace.
+func statesPace(h http.Header) bool { return expectedRun(h) > 0 || h.Get(headerRun) == unknownRun }
+
 func parseNumbers(fields []string) (numbers []int64, err error) {
 	numbers = make([]int64, len(fields))
 	for i, field := range fields {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -85,8 +85,10 @@
 	// Bytes is the size of the answer.
 	Bytes int64
 	// Run is how long the upstream needs for a call of the route at present, and MeanRun
-	// that for a call of any route, or 0 if it does not report that.
+	// that for a call of any route, or 0 if it does not report that. Paced is true if it
+	// reports run times, but not necessarily that of the route.
 	Route        string
+	Paced        bool
 	Run, MeanRun time.Duration
 }
 
--- a/routing/speed.go
+++ b/routing/speed.go
@@ -94,7 +94,7 @@
 		return
 	}
 	if report.Run <= 0 {
-		if u.slowness > 0 {
+		if u.slowness > 0 && !report.Paced {
 			u.slowness = 0
 			s.updateTimed()
 		}
--- a/routing/speed_test.go
+++ b/routing/speed_test.go
@@ -155,3 +155,16 @@
 		})
 	}
 }
+
+// Guards against a slow server that counts as usual again after each call of a route whose run
+// time it does not know yet.
+func TestUnknownRunTimeKeepsTheSlowness(t *testing.T) {
+	table := newTable(upstreams(1, 100, zoneA, zoneB))
+	report(table, start, map[string]time.Duration{"a0": 900 * ms, "b0": 100 * ms}, 10)
+	for _, node := range []string{"a0", "b0"} {
+		table.RecordResult(start, "s", node, 0, routing.Report{
+			HasLoad: true, Load: admission.Load{Running: 10, Limit: 100}, Route: "new", Paced: true,
+		})
+	}
+	must.Eq(t, 0, choose(table, start)["a0"])
+}
