Know the run time of the only route after its first request

If no other route has run, the mean of all routes is that of the route and counts as before.

TestHopelessRequestIsRefusedAtOnce passes again; go test -race ./concurrency passes.

--- a/concurrency/concurrency.go
+++ b/concurrency/concurrency.go
@@ -272,8 +272,8 @@
 	return seconds(e.pace.runTime(e.work.of(route)))
 }
 
-// KnowsRoute reports whether enough requests of the route have ended for ExpectedRun to be that
-// of the route. Otherwise it is that of all routes.
+// KnowsRoute reports whether ExpectedRun is that of the route: enough of its requests have
+// ended, or none of other routes. Otherwise it is that of all routes.
 func (e *Estimator) KnowsRoute(route string) bool { return e.work.knows(route) }
 
 // addOccupancy adds the time until now to the occupancy. It is called before each change of
--- a/concurrency/pace.go
+++ b/concurrency/pace.go
@@ -150,10 +150,11 @@
 	return t.mean
 }
 
-// knows reports whether the mean work of a route is known.
+// knows reports whether the mean work of a route is known. If only that route has run, the
+// mean of all routes is its own.
 func (t *workTracker) knows(route string) bool {
 	r := t.routes[route]
-	return r != nil && r.samples >= minSamples
+	return r != nil && (r.samples >= minSamples || r.samples == t.samples)
 }
 
 const (
