--- a/routing/routing.go
+++ b/routing/routing.go
@@ -85,8 +85,10 @@
 	// Bytes is the size of the answer.
 	Bytes int64
 	// Run is how long the upstream needs for a call of the route at present, and MeanRun
-	// that for a call of any route, or 0 if it does not report that.
+	// that for a call of any route, or 0 if it does not report that. Paced is true if it
+	// reports run times, but not necessarily that of the route.
 	Route        string
+	Paced        bool
 	Run, MeanRun time.Duration
 }
 
@@ -288,7 +290,7 @@
 	if report.HasLoad {
 		state.load, state.reportedAt, state.reportedInFlight = report.Load, now, state.inFlight
 	}
-	s.recordRun(state, report)
+	s.recordRun(now, state, report)
 	if factor := weightFactors[min(report.Result, Unreachable)]; factor < 1 {
 		state.weight = max(state.currentWeight(now)*factor, minWeight)
 		state.weightSetAt = now
