Do not take back credit of a higher cap

When a cap falls, a node gives up the credit that it holds. Credit that requests in progress had taken before was added again when they were refused, and then admitted requests beyond the lower cap until it expired. Credit now states how often the cap had been lowered when it was taken.

TestCreditOfHigherCapIsNotGivenBack failed before and passes; go test -race ./quota passes.

--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -155,3 +155,26 @@
 	accounts.Retain(now.Add(time.Hour), func(string) bool { return false })
 	must.Zero(t, accounts.Keeps())
 }
+
+// Guards against credit of an earlier, higher cap that is spent after it has been given back.
+func TestCreditOfHigherCapIsNotGivenBack(t *testing.T) {
+	rq := quota.NewRequester(testTerms, rand.Float64)
+	rq.SetNodes(quota.NewNodes([]string{"a"}))
+	serve := func() []quota.Ask {
+		return rq.Serve(start, workspace, func(string) (int, bool) { return 0, true })
+	}
+	var verdict quota.Verdict
+	onVerdict := func(v quota.Verdict) { verdict = v }
+	rq.Arrive(start, workspace, testCap, onVerdict)
+	rq.Answer(start, start, workspace, serve()[0], quota.Grant{Keeper: true, Tokens: 1})
+	serve()
+	must.True(t, verdict.Admitted)
+	credit := verdict.Credit
+	lower := quota.Cap{Rate: testCap.Rate / 2, Burst: testCap.Burst}
+	rq.Cancel(rq.Arrive(start, workspace, lower, onVerdict))
+	rq.GiveBack(start, credit)
+	verdict = quota.Verdict{}
+	rq.Arrive(start, workspace, lower, onVerdict)
+	serve()
+	must.False(t, verdict.Admitted)
+}
--- a/quota/requester.go
+++ b/quota/requester.go
@@ -38,6 +38,8 @@
 	expires time.Time
 	// issuer is the holding that the credit belongs to.
 	issuer *holding
+	// reductions is that of the holding when the credit was taken.
+	reductions int
 }
 
 // Verdict is the decision on a request.
@@ -88,6 +90,8 @@
 	workspace string
 	cap       Cap
 	batches   []batch
+	// reductions counts the changes to a lower cap. Credit from before them is given up.
+	reductions int
 	// queue has the requests that have no credit yet, in the order of their arrival.
 	queue []*Request
 	// requests and admitted are the rates of requests and of those with credit.
@@ -166,6 +170,7 @@
 	if c.Rate < h.cap.Rate || c.Burst < h.cap.Burst {
 		// Less may be granted now, so earlier credit is given up.
 		h.batches = nil
+		h.reductions++
 	}
 	if h.cap != c || h.nodesVersion != rq.nodesVersion {
 		h.cap, h.nodesVersion = c, rq.nodesVersion
@@ -257,7 +262,7 @@
 	}
 	first := &h.batches[0]
 	first.tokens--
-	c = Credit{expires: first.expires, issuer: h}
+	c = Credit{expires: first.expires, issuer: h, reductions: h.reductions}
 	if first.tokens == 0 {
 		h.batches = h.batches[1:]
 	}
@@ -266,7 +271,7 @@
 
 // GiveBack returns credit that no request has used. It can be taken again until it expires.
 func (rq *Requester) GiveBack(now time.Time, c Credit) {
-	if c.issuer != nil && now.Before(c.expires) {
+	if c.issuer != nil && c.reductions == c.issuer.reductions && now.Before(c.expires) {
 		c.issuer.add(batch{c.expires, 1})
 	}
 }
