Name the reason when the only servers in time are out of bounds

If all servers of the own region were known to answer too late and the share of traffic to other regions was used up, the request was refused with the reason that no reachable server accepts requests, which was not true.

Servers in other regions count for that decision only if the request may be sent there, and the detail says so.

TestTooLateBesideRemoteThatIsNotAllowed failed before; go test -race ./routing and the tests of capacity, refusals, balancer and exchange in ./mesh pass.

--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -190,13 +190,13 @@
 	return b.peers[u.Node], true
 }
 
-// isTooLate reports whether no node of the request's service is expected to answer it before
-// its deadline.
+// isTooLate reports whether no node to which the request may be sent is expected to answer it
+// before its deadline.
 func (b *balancer) isTooLate(req *request) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	return b.table.TooLate(now, routing.Query{Service: req.service, Route: req.route, TimeLeft: req.deadline.Sub(now)})
+	return b.table.TooLate(now, routing.Query{Service: req.service, Route: req.route, TimeLeft: req.deadline.Sub(now), Cost: int64(len(req.body))})
 }
 
 // isolationNode returns the node that runs the requests of this kind while they are
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -243,7 +243,7 @@
 	for {
 		p, ok := selector.next()
 		if !ok && selector.attempts == 1 && i.balancer.isTooLate(req) {
-			return notRunResult(call.ReasonOverloaded, "no backend server of the service can answer the request before its deadline")
+			return notRunResult(call.ReasonOverloaded, "no backend server to which the request may be sent can answer it before its deadline")
 		}
 		if !ok {
 			return res
--- a/routing/speed.go
+++ b/routing/speed.go
@@ -150,8 +150,8 @@
 	return waiting+run+roundTrips[u.tier].Seconds() > q.TimeLeft.Seconds()
 }
 
-// TooLate reports whether no untried upstream of the region of the query, or of any region,
-// can answer before the time left has passed.
+// TooLate reports whether no untried upstream of the region of the query, or of any region to
+// which the call may go, can answer before the time left has passed.
 func (t *Table) TooLate(now time.Time, q Query) bool {
 	s := t.services[q.Service]
 	if s == nil || !s.timing.timed {
@@ -160,7 +160,7 @@
 	some := false
 	for i := range s.upstreams {
 		u := &s.upstreams[i]
-		if q.excludes(u) {
+		if q.excludes(u) || q.Region == "" && u.tier == remoteTier && !t.remoteAllowed(s, q.Cost) {
 			continue
 		}
 		if !s.isTooLate(u, now, q) {
--- a/routing/speed_test.go
+++ b/routing/speed_test.go
@@ -168,3 +168,18 @@
 	}
 	must.Eq(t, 0, choose(table, start)["a0"])
 }
+
+// Guards against a refusal that says that no server is reachable, when those of the own region
+// can't answer in time and the share of traffic to others is used up.
+func TestTooLateBesideRemoteThatIsNotAllowed(t *testing.T) {
+	remote := upstreams(1, 100, zoneA)[0]
+	remote.Node, remote.Region = "far", "elsewhere"
+	table := newTable(append(upstreams(1, 100, zoneA), remote))
+	report(table, start, map[string]time.Duration{"a0": 2000 * ms, "far": 100 * ms}, 10)
+	for cost, want := range map[int64]bool{0: false, 1 << 20: true} {
+		q := routing.Query{Service: "s", Route: "r", TimeLeft: 400 * ms, Cost: cost}
+		_, ok := table.Choose(start, q)
+		must.Eq(t, !want, ok)
+		must.Eq(t, want, table.TooLate(start, q))
+	}
+}
