Give reads for proofs two seconds beside a slow log

A read of the log ends after one second since, so that a version written by a log that has just recovered is not missed. Reads for proofs were written for two seconds, and with the shorter time a log that needs a second for each response gave none: nodes that fail closed refused all keys although the log was available. Several reads for proofs are in progress at a time, so a lost one delays no proof, and they have a time-out of their own.

--- a/mesh/freshness.go
+++ b/mesh/freshness.go
@@ -25,8 +25,10 @@
 	// response. The log usually responds within 4 ms. It may be slow, or have lost the read
 	// while it was away.
 	lateReadTime = 500 * time.Millisecond
-	// maxProofReads bounds these reads. Each ends after 2 s.
-	maxProofReads = 4
+	// maxProofReads bounds these reads. Each ends after proofReadTimeout, so that a log that needs
+	// more than a second for each response still gives proofs.
+	maxProofReads    = 4
+	proofReadTimeout = 2 * time.Second
 	// maxFurtherReads bounds the reads that follow each other until one returns no record.
 	maxFurtherReads = 3
 	// positionLifetime is how long after a read for a proof the next one continues there.
@@ -50,6 +52,8 @@
 	settings nodeconfig.Config
 	clock    bootClock
 	log      *platform.LogClient
+	// proofLog is the log with the time-out of reads for proofs.
+	proofLog *platform.LogClient
 	events   eventRecorder
 	metrics  *metrics.Metrics
 	bounds   atomic.Pointer[nodeconfig.Bounds]
@@ -98,7 +102,7 @@
 
 func newProofs(settings nodeconfig.Config, clock bootClock, logClient *platform.LogClient, m *metrics.Metrics, events eventRecorder) (p *proofs) {
 	p = &proofs{
-		settings: settings, clock: clock, log: logClient, metrics: m, events: events,
+		settings: settings, clock: clock, log: logClient, proofLog: logClient.WithReadTimeout(proofReadTimeout), metrics: m, events: events,
 		tracker: freshness.New(revocationTime(settings.Bounds)), renewed: make(chan struct{}),
 	}
 	p.bounds.Store(&settings.Bounds)
@@ -404,9 +408,9 @@
 	var records []platform.Record
 	var next platform.Position
 	if known {
-		records, next, err = p.log.Read(ctx, platform.DesiredStateTopic, from, 0)
+		records, next, err = p.proofLog.Read(ctx, platform.DesiredStateTopic, from, 0)
 	} else {
-		records, next, err = p.log.Newest(ctx, platform.DesiredStateTopic)
+		records, next, err = p.proofLog.Newest(ctx, platform.DesiredStateTopic)
 	}
 	if err == nil && known && (next.Era != from.Era || next.Offset < from.Offset) {
 		p.forgetPosition(from)
