Ignore the load that another instance states in its refusal

A server that has taken the address of another one refuses a request for that one with 421, and states its own load in the same response. The node beside it took that load for its server's: its pace, and the number of requests that still run there. The estimate of the next requests was then that of a stranger until the next answer.

The load counts only in responses of the instance that the request was sent to. The health response at a restart checks the instance already; the responses of other nodes carry no load of a server.

TestLoadOfAnotherInstanceIsIgnored failed before and passes now, three runs.

--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -303,7 +303,7 @@
 		return s.answerHealthCheck(c)
 	}
 	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != s.instance {
-		refusal := "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " + s.instance + "\r\nContent-Length: 0\r\n\r\n"
+		refusal := "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " + s.instance + "\r\n" + s.answerLoadHeader() + "Content-Length: 0\r\n\r\n"
 		if s.repeatsMisdirected() {
 			*late = refusal
 		}
--- a/mesh/capacity_test.go
+++ b/mesh/capacity_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lacewingslip/lacewingslip/call"
 	"github.com/lacewingslip/lacewingslip/hop"
+	"github.com/lacewingslip/lacewingslip/internal/standin/server"
 	"github.com/lacewingslip/lacewingslip/platform"
 	"github.com/lacewingslip/lacewingslip/pressure"
 	"github.com/lacewingslip/lacewingslip/slot"
@@ -68,6 +69,22 @@
 	must.Eq(t, usableSlots(8), capacity.slots.Load().Limit)
 }
 
+// Guards against an estimate by the load of a server that has taken the address of another one.
+// The refusal of a request for the other one states it.
+func TestLoadOfAnotherInstanceIsIgnored(t *testing.T) {
+	d := newDeployment(t, "orders", "catalogue")
+	v := d.vms[0]
+	v.server.Close()
+	other, err := server.Start(v.settings.Backend, "other")
+	must.NoError(t, err)
+	t.Cleanup(other.Close)
+	other.StateLoad("7,9,8,400")
+	must.Eq(t, http.StatusServiceUnavailable, d.call(d.vms[1], http.MethodPost, "/once/1", "r").status)
+	must.Zero(t, other.Runs("r"))
+	_, paced := v.node.lifecycle.components.sidecar.capacity.expectedRun("once")
+	must.False(t, paced)
+}
+
 // Guards against a request that waits for a server which can't answer it in time, although its
 // caller could be told at once.
 func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -278,7 +278,7 @@
 	if err != nil {
 		return resultOfError(ctx, err), err
 	}
-	if load, ok := platform.ServerLoad(resp.Header); ok && !mayBeLateCopy(resp) {
+	if load, ok := platform.ServerLoad(resp.Header); ok && statesOwnLoad(resp) {
 		s.capacity.observe(time.Now(), load)
 	}
 	return resultOfResponse(resp), nil
@@ -399,6 +399,12 @@
 	return platform.RequestID(resp.Header) == "" && resp.OnReusedConnection() && resp.StatusCode != http.StatusMisdirectedRequest
 }
 
+// statesOwnLoad reports whether the load in a response is that of the server that the request
+// was sent to. Another instance at the address refuses the request and states its own load.
+func statesOwnLoad(resp *hop.Answer) bool {
+	return resp.StatusCode != http.StatusMisdirectedRequest && !mayBeLateCopy(resp)
+}
+
 // resultOfResponse reads a response of the backend server. The result is
 // answered only if the response is complete. A response with a success status must
 // also be signed and have no content encoding.
