Grant own credit by the cap in force

A node granted itself credit by the cap of the desired state with which a request arrived, and other nodes by the one in force. A request that arrived just before a cap was lowered, or waited for credit meanwhile, switched the account back to the earlier cap: a node with a full bucket of 10 admitted 10 requests after the burst had been lowered to 2.

Both are granted by the version in force now.

--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -190,7 +190,8 @@
 			}
 			// More requests may be served now.
 			again = true
-			c.requester.Answer(now, now, workspace, ask, c.accounts.Grant(now, workspace, ask.Limit, ask.Tokens))
+			c.updateState()
+			c.requester.Answer(now, now, workspace, ask, c.accounts.Grant(now, workspace, c.byName[workspace], ask.Tokens))
 		}
 	}
 }
--- a/mesh/quota_test.go
+++ b/mesh/quota_test.go
@@ -31,13 +31,7 @@
 func newCappedDeployment(t *testing.T, burst float64, services ...string) *deployment {
 	t.Helper()
 	d := newDeployment(t, services...)
-	d.version++
-	open := once("open")
-	open.Anonymous = true
-	routes := []operator.Route{once("once"), open, {Name: "nowhere", Service: "nowhere", Attempts: 1}}
-	d.log.Put(operator.DesiredStateTopic, operator.DesiredStateKey, operator.EncodeDesiredStateWith(d.version, operator.Limits{}, routes, []string{"orders"},
-		operator.WithWorkspaces(operator.Workspace{Name: cappedWorkspace, Keys: []string{cappedKey}, Rate: 1, Burst: burst})))
-	d.awaitConvergence()
+	d.publishCap(burst)
 	stopped := d.vms[0].node.lifecycle.components.caps.now().Add(time.Minute)
 	for _, v := range d.vms {
 		c := v.node.lifecycle.components.caps
@@ -53,6 +47,35 @@
 	return d
 }
 
+// publishCap brings a cap with a rate of 1 and the burst into force at all nodes.
+func (d *deployment) publishCap(burst float64) {
+	d.t.Helper()
+	d.version++
+	open := once("open")
+	open.Anonymous = true
+	routes := []operator.Route{once("once"), open, {Name: "nowhere", Service: "nowhere", Attempts: 1}}
+	d.log.Put(operator.DesiredStateTopic, operator.DesiredStateKey, operator.EncodeDesiredStateWith(d.version, operator.Limits{}, routes, []string{"orders"},
+		operator.WithWorkspaces(operator.Workspace{Name: cappedWorkspace, Keys: []string{cappedKey}, Rate: 1, Burst: burst})))
+	d.awaitConvergence()
+}
+
+// Guards against a node that grants itself credit by an earlier cap, for a request that arrived
+// just before the cap was lowered, while it grants others credit by the one in force.
+func TestOwnCreditIsGrantedByTheCapInForce(t *testing.T) {
+	d := newCappedDeployment(t, 10, "orders")
+	components := d.vms[0].node.lifecycle.components
+	earlier, ok := components.desired.current().WorkspaceOf(cappedKey)
+	must.True(t, ok)
+	d.publishCap(2)
+	admitted := 0
+	for range 10 {
+		if _, refusal := components.caps.admit(t.Context(), earlier); refusal == nil {
+			admitted++
+		}
+	}
+	must.Eq(t, 2, admitted)
+}
+
 // Guards against a cap that each node applies alone, whole or in part, and against refusals
 // without a time to retry, of requests that run, or of requests without workspace.
 func TestCapHoldsOverAllNodes(t *testing.T) {
