Keep caller-chosen keys out of events and errors

Events 3101 to 3103 and the error for a key that was used for other content had the caller-chosen key in clear, so it stood in logs and timelines, from which others could repeat a booking's key. Events have its hash now, the one by which the index of claims knows it, and the error names no key.

TestEventsHaveNoCallerKeys failed before, for the error and the events, and passes now with the other tests of booking.

--- a/booking/claimindex.go
+++ b/booking/claimindex.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -138,3 +139,9 @@
 	sum := sha256.Sum256([]byte(callerKey))
 	return callerKeyHash(sum[:16])
 }
+
+// attrCallerKey returns the hash of a caller-chosen key as an attribute of events. Whoever knows
+// the key can find its events, but nobody can read it from them.
+func attrCallerKey(callerKey string) slog.Attr {
+	return slog.String("callerKeyHash", fmt.Sprintf("%x", hashCallerKey(callerKey)))
+}
--- a/booking/claims.go
+++ b/booking/claims.go
@@ -209,7 +209,7 @@
 			continue
 		}
 		p.err = logUnavailableError(err)
-		s.claims.recorder.Record(event.ClaimFailed, slog.String("callerKey", p.callerKey), slog.Any("error", err))
+		s.claims.recorder.Record(event.ClaimFailed, attrCallerKey(p.callerKey), slog.Any("error", err))
 		close(p.done)
 	}
 }
@@ -343,13 +343,13 @@
 		p.err = &ClaimError{
 			Reason:  call.ReasonKeyReused,
 			Outcome: call.NotRun,
-			Cause:   fmt.Errorf("caller-chosen key %q was first used for a request with different content", p.callerKey),
+			Cause:   errors.New("the caller-chosen key was first used for a request with different content"),
 		}
 	case first.issued == p.issued:
-		s.claims.recorder.Record(event.ClaimWon, slog.String("callerKey", p.callerKey))
+		s.claims.recorder.Record(event.ClaimWon, attrCallerKey(p.callerKey))
 		p.key = first.issued
 	default:
-		s.claims.recorder.Record(event.ClaimLost, slog.String("callerKey", p.callerKey))
+		s.claims.recorder.Record(event.ClaimLost, attrCallerKey(p.callerKey))
 		p.key = first.issued
 	}
 	close(p.done)
--- a/booking/claims_test.go
+++ b/booking/claims_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"github.com/lacewingslip/lacewingslip/booking"
 	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/internal/matrix"
 )
 
@@ -109,6 +111,44 @@
 	}
 }
 
+// recordedEvents keeps the attributes of events as text.
+type recordedEvents struct{ text []string }
+
+func (r *recordedEvents) Record(_ event.ID, attrs ...slog.Attr) {
+	r.text = append(r.text, fmt.Sprint(attrs))
+}
+
+// Guards against caller-chosen keys in logs and timelines, where others could read and repeat
+// them: when a claim is won, lost, reused for other content, or fails.
+func TestEventsHaveNoCallerKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		down := false
+		log := matrix.NewLog(time.Millisecond, func(matrix.LogRequest) matrix.LogFault {
+			if down {
+				return matrix.LogDown
+			}
+			return matrix.LogWorks
+		})
+		events := &recordedEvents{}
+		first, second := booking.NewClaims(log, booking.WithRecorder(events)), booking.NewClaims(log, booking.WithRecorder(events))
+		key := callerKey(0, "order-7")
+		_, err := claim(first, key, "a")
+		must.NoError(t, err)
+		_, err = second.Claim(context.Background(), key, bodyFingerprint("a"), issueKey(1))
+		must.NoError(t, err)
+		_, err = claim(first, key, "b")
+		must.Error(t, err)
+		must.StrNotContains(t, err.Error(), "order-7")
+		down = true
+		_, err = claim(first, callerKey(0, "order-8"), "a")
+		must.Error(t, err)
+		must.Len(t, 3, events.text)
+		for _, text := range events.text {
+			must.StrNotContains(t, text, "order-")
+		}
+	})
+}
+
 // Guards against nodes that decide differently about keys near either end of
 // their validity because their clocks differ.
 func TestClaimsAge(t *testing.T) {
