--- a/clientlimit/clientlimit.go
+++ b/clientlimit/clientlimit.go
@@ -35,10 +35,9 @@
 	mu    sync.Mutex
 	limit int64
 	ports map[Port]*portUse
-	// used is what all accounts hold, and leaving the part of it that is about to be
-	// released by accounts that were chosen as victims.
+	// used is what all accounts hold, and leaving the part of it that evicted accounts have
+	// not released yet.
 	used, leaving int64
-	evictions     int64
 }
 
 type portUse struct {
@@ -147,11 +146,11 @@
 	a.held = 0
 }
 
-// Use returns what all accounts hold, the limit, and how many accounts were turned away.
-func (b *Budget) Use() (used, limit, evictions int64) {
+// Used returns what all accounts hold.
+func (b *Budget) Used() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.used, b.limit, b.evictions
+	return b.used
 }
 
 func (a *Account) setHeld(held int64) {
@@ -174,7 +173,6 @@
 	a.unlist()
 	a.evicted = true
 	a.budget.leaving += a.held
-	a.budget.evictions++
 }
 
 // isShort reports whether the clients of a port use more than is left for them beside the
--- a/clientlimit/clientlimit_test.go
+++ b/clientlimit/clientlimit_test.go
@@ -87,8 +87,7 @@
 		for _, account := range accounts {
 			account.Release()
 		}
-		used, _, _ := budget.Use()
-		must.Zero(t, used)
+		must.Zero(t, budget.Used())
 		_, ok := budget.Open("caller", nil).Charge(limit - reserve)
 		must.True(t, ok)
 	})
--- a/concurrency/concurrency.go
+++ b/concurrency/concurrency.go
@@ -40,8 +40,9 @@
 	// adjustInterval is the time between two changes of the limit.
 	adjustInterval = 500 * time.Millisecond
 	// The limit rises unless the elasticity is above maxElasticity by certainty standard
-	// errors. It falls then if work takes more than maxExcess times as long as at best. A limit that falls without need costs more than one that falls late, and
-	// the means of the work vary by a tenth by chance.
+	// errors. It falls then if work takes more than maxExcess times as long as at best. A
+	// limit that falls without need costs more than one that falls late, and the means of the
+	// work vary by a tenth by chance.
 	maxElasticity = 0.3
 	certainty     = 2
 	maxExcess     = 1.35
@@ -253,10 +254,6 @@
 // its standard error, or 0 and infinity if that is unknown.
 func (e *Estimator) Elasticity() (elasticity, deviation float64) { return e.moments.elasticity() }
 
-// Excess returns how long work takes as a multiple of the time that it took at best, apart
-// from the pace.
-func (e *Estimator) Excess() float64 { return e.work.excess }
-
 // Pace returns the stated pace without noise.
 func (e *Estimator) Pace() float64 { return e.pace.lasting }
 
@@ -272,8 +269,9 @@
 	return seconds(e.pace.runTime(e.work.of(route)))
 }
 
-// KnowsRoute reports whether ExpectedRun is that of the route: enough of its requests have
-// ended, or none of other routes. Otherwise it is that of all routes.
+// KnowsRoute reports whether ExpectedRun is based on requests of the route alone, which it is
+// once enough of them have ended, or while no other route has run. Otherwise it is the mean
+// over all routes.
 func (e *Estimator) KnowsRoute(route string) bool { return e.work.knows(route) }
 
 // addOccupancy adds the time until now to the occupancy. It is called before each change of
--- a/mesh/capacity.go
+++ b/mesh/capacity.go
@@ -34,7 +34,8 @@
 	mu        sync.Mutex
 	server    upstream.Server
 	estimator *concurrency.Estimator
-	// reportedLimit and reportedPace are those of the last events.
+	// reportedLimit and reportedPace are the values in the last events, so that only larger
+	// changes are recorded.
 	reportedLimit, reportedPace float64
 }
 
--- a/mesh/client_limits_test.go
+++ b/mesh/client_limits_test.go
@@ -80,10 +80,10 @@
 	for range 3 {
 		client := connect(t, v)
 		client.write(requestOfSize("cut", 8<<10)[:8<<10])
-		eventually(t, func() bool { return use(limits.memory) > 0 })
+		eventually(t, func() bool { return limits.memory.Used() > 0 })
 		client.conn.Close()
 	}
-	eventually(t, func() bool { return use(limits.memory) == 0 })
+	eventually(t, func() bool { return limits.memory.Used() == 0 })
 }
 
 // Guards against a request that runs, or fills the memory, although the budget of bodies is
@@ -106,10 +106,5 @@
 		}
 		must.Eq(t, runs, v.server.Runs(name))
 	}
-	eventually(t, func() bool { return use(limits.bodies) == 0 })
-}
-
-func use(budget *clientlimit.Budget) (used int64) {
-	used, _, _ = budget.Use()
-	return used
+	eventually(t, func() bool { return limits.bodies.Used() == 0 })
 }
--- a/mesh/idle_bench_test.go
+++ b/mesh/idle_bench_test.go
@@ -25,8 +25,8 @@
 )
 
 // BenchmarkIdleNode measures nodes that carry no requests for a second, at rest and while
-// records of other nodes change. The figures are those of one node, with its share of the log
-// service.
+// records of other nodes change. It reports the cost per node, which includes a share of the
+// stand-in log service.
 //
 //	go test ./mesh -run xxx -bench IdleNode -benchtime 5x
 func BenchmarkIdleNode(b *testing.B) {
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -60,21 +60,8 @@
 // ServeHTTP handles one request of a caller.
 func (i *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	receivedAt := time.Now()
-	state := i.desired.current()
-	if state == nil {
-		i.reject(w, r, notRunResult(call.ReasonNoUpstream, "no desired state has been received yet"))
-		return
-	}
-	route, ok := state.Match(r.Host, requestPath(r))
-	if !ok && !i.access.mayDeny(state) {
-		i.reject(w, r, unprovenResult())
-		return
-	}
+	state, route, ok := i.match(w, r)
 	if !ok {
-		i.events.Record(event.CallNotRun, attrRequest(platform.RequestID(r.Header)), attrHop(metrics.Ingress),
-			attrReason(call.ReasonUnknownRoute), slog.String("host", r.Host), slog.Int64("version", state.Version()))
-		i.setCommonHeaders(w, platform.RequestID(r.Header))
-		w.WriteHeader(http.StatusNotFound)
 		return
 	}
 	access := i.access.check(state, route, r.Header)
@@ -84,60 +71,21 @@
 	}
 	req := i.newRequest(r, route, receivedAt)
 	access.apply(req, route)
-	i.sidecar.links.RecordCall(route.Name(), req.callerDeadline)
-	origin := i.admission.origin(req)
-	if origin == calltree.Servers {
-		i.sidecar.recordCall(receivedAt)
-	}
-	if !i.lifecycle.accepts(time.Now(), i.lateRequest(req, origin)) {
-		i.refuseUnread(w, r, req, notRunResult(call.ReasonDraining, "the node is stopping"), receivedAt, state.Version())
-		return
-	}
-	if origin != calltree.Customers {
-		req.repeatShare = i.sidecar.repeats.share()
-	}
-	credit, refusal := i.caps.admit(r.Context(), access.workspace)
-	if refusal != nil {
-		i.refuseUnread(w, r, req, refusal, receivedAt, state.Version())
-		return
-	}
-	ran := false
-	defer func() {
-		if !ran {
-			i.caps.giveBack(credit)
-		}
-	}()
-	decision := i.admission.admit(req)
-	req.targetRegion, req.rank, req.fromCustomer = decision.targetRegion, decision.rank, origin == calltree.Customers
-	if !decision.admitted {
+	credit := &heldCredit{caps: i.caps}
+	defer credit.giveBack()
+	if res := i.admit(r.Context(), req, access, credit); res != nil {
 		// Credit may expire while the rest of the body arrives.
-		i.caps.giveBack(credit)
-		credit = capCredit{}
-		i.budget.recordRequest(req.service, req.repeatShare)
-		res := notRunResult(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is overloaded: pressure level %.2f", decision.level))
+		credit.giveBack()
 		i.refuseUnread(w, r, req, res, receivedAt, state.Version())
 		return
 	}
 	if !i.accept(w, r, req, state) {
 		return
 	}
-	for {
-		creditOf := access.workspaceName()
-		if access = i.recheckAccess(r, state, route, access); access.refusal != nil {
-			i.respond(w, req, access.refusal, receivedAt, state.Version())
-			return
-		}
-		if access.workspaceName() == creditOf {
-			break
-		}
-		// The cap of the workspace that has the key now counts.
-		i.caps.giveBack(credit)
-		if credit, refusal = i.caps.admit(r.Context(), access.workspace); refusal != nil {
-			i.respond(w, req, refusal, receivedAt, state.Version())
-			return
-		}
+	if res := i.confirmAccess(r, req, state, route, access, credit); res != nil {
+		i.respond(w, req, res, receivedAt, state.Version())
+		return
 	}
-	access.apply(req, route)
 	if verdict := i.quarantine.Verdict(receivedAt, req.fingerprint); verdict.Level == quarantine.Blocked {
 		i.respond(w, req, quarantinedResult(verdict), receivedAt, state.Version())
 		return
@@ -146,15 +94,76 @@
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline.Add(responseGrace))
 	defer cancel()
 	req.answerBy = i.lifecycle.stopDeadline()
-	// If dispatch panics, the request may have run.
-	ran = true
-	res := i.dispatch(ctx, req, route, state.Version())
-	if ran = res.outcome != call.NotRun; ran {
+	res := i.dispatchWithCredit(ctx, req, route, state.Version(), credit)
+	if res.outcome != call.NotRun {
 		i.responseTimes.record(time.Now(), req.route, time.Since(receivedAt))
 	}
 	i.respond(w, req, res, receivedAt, state.Version())
 }
 
+// match finds the route of a request. ok is false if there is none and the error response has
+// been written.
+func (i *ingress) match(w http.ResponseWriter, r *http.Request) (state *desired.State, route *desired.Route, ok bool) {
+	state = i.desired.current()
+	if state == nil {
+		i.reject(w, r, notRunResult(call.ReasonNoUpstream, "no desired state has been received yet"))
+		return nil, nil, false
+	}
+	route, ok = state.Match(r.Host, requestPath(r))
+	switch {
+	case ok:
+		return state, route, true
+	case !i.access.mayDeny(state):
+		i.reject(w, r, unprovenResult())
+	default:
+		i.events.Record(event.CallNotRun, attrRequest(platform.RequestID(r.Header)), attrHop(metrics.Ingress),
+			attrReason(call.ReasonUnknownRoute), slog.String("host", r.Host), slog.Int64("version", state.Version()))
+		i.setCommonHeaders(w, platform.RequestID(r.Header))
+		w.WriteHeader(http.StatusNotFound)
+	}
+	return nil, nil, false
+}
+
+// admit decides whether a request is accepted before its body is read, and returns the refusal
+// if not. The cap comes before the pressure, so that callers over their cap use up nothing of
+// what others are admitted for.
+func (i *ingress) admit(ctx context.Context, req *request, access access, credit *heldCredit) (refusal *result) {
+	now := time.Now()
+	i.sidecar.links.RecordCall(req.route, req.callerDeadline)
+	origin := i.admission.origin(req)
+	if origin == calltree.Servers {
+		i.sidecar.recordCall(now)
+	}
+	if !i.lifecycle.accepts(now, i.lateRequest(req, origin)) {
+		return notRunResult(call.ReasonDraining, "the node is stopping")
+	}
+	if origin != calltree.Customers {
+		req.repeatShare = i.sidecar.repeats.share()
+	}
+	if refusal = credit.take(ctx, access); refusal != nil {
+		return refusal
+	}
+	decision := i.admission.admit(req)
+	req.targetRegion, req.rank, req.fromCustomer = decision.targetRegion, decision.rank, origin == calltree.Customers
+	if !decision.admitted {
+		i.budget.recordRequest(req.service, req.repeatShare)
+		return notRunResult(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is overloaded: pressure level %.2f", decision.level))
+	}
+	return nil
+}
+
+// dispatchWithCredit dispatches a request and gives its credit back if it has not run.
+func (i *ingress) dispatchWithCredit(ctx context.Context, req *request, route *desired.Route, version int64, credit *heldCredit) (res *result) {
+	// If dispatch panics, the request may have run.
+	held := *credit
+	credit.spend()
+	res = i.dispatch(ctx, req, route, version)
+	if res.outcome == call.NotRun {
+		held.giveBack()
+	}
+	return res
+}
+
 // lateRequest describes a request for the decision whether a stopping node accepts it.
 func (i *ingress) lateRequest(req *request, origin calltree.Origin) lateRequest {
 	return lateRequest{
--- a/mesh/lifecycle.go
+++ b/mesh/lifecycle.go
@@ -238,4 +238,7 @@
 	l.metrics.SetMembers(healthReachable, reachable)
 	l.metrics.SetMembers(healthLost, unreachable)
 	l.metrics.SetDesiredVersion(l.components.desired.version())
+	limits := l.components.servers.limits
+	l.metrics.SetClientMemory(metrics.ClientHeads, limits.memory.Used())
+	l.metrics.SetClientMemory(metrics.ClientBodies, limits.bodies.Used())
 }
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -55,9 +55,7 @@
 	// nodes has the known nodes at a revision of the balancer.
 	nodes    map[string]quotaNode
 	revision uint64
-	// keeps is true once accounts knows the nodes.
-	keeps bool
-	links map[string]*quotaLink
+	links    map[string]*quotaLink
 	// refusing has the workspaces of which requests are refused.
 	refusing map[string]*refusals
 }
@@ -87,10 +85,32 @@
 	}
 }
 
-// capCredit is what a request within its cap uses. The zero value is that of a request
-// without a cap.
+// capCredit is the credit that a request of a workspace with a cap holds. It is zero for
+// other requests.
 type capCredit struct{ credit quota.Credit }
 
+// heldCredit is the credit that a request holds until it runs or is refused.
+type heldCredit struct {
+	caps   *caps
+	credit capCredit
+}
+
+// take takes credit of the workspace that the request runs for. refusal is nil if the request is
+// within the cap.
+func (h *heldCredit) take(ctx context.Context, access access) (refusal *result) {
+	h.credit, refusal = h.caps.admit(ctx, access.workspace)
+	return refusal
+}
+
+// spend keeps the credit from being given back.
+func (h *heldCredit) spend() { h.credit = capCredit{} }
+
+// giveBack returns credit that is still held.
+func (h *heldCredit) giveBack() {
+	h.caps.giveBack(h.credit)
+	h.spend()
+}
+
 // admit decides on a request of a workspace, which is nil if the request has none. It waits
 // for the answers of keepers if this node has no credit at hand. refusal is nil if the request
 // is admitted.
@@ -245,17 +265,9 @@
 			}
 		}
 	}
-	// A node that knows only some of the others would take itself for a keeper of caps that
-	// others keep.
-	if !loaded || c.keeps && !changed {
-		return
-	}
-	if !c.keeps && c.directory.Earlier().Epoch > 0 {
-		c.accounts.Restore(now, c.nodeSet())
-	} else {
-		c.accounts.SetNodes(now, c.nodeSet())
+	if changed || loaded && !c.accounts.Complete() {
+		c.accounts.Learn(now, c.nodeSet(), loaded, c.directory.Earlier().Epoch > 0)
 	}
-	c.keeps = true
 }
 
 // isLoaded reports whether the records of all nodes have been read from the log.
--- a/mesh/quota_test.go
+++ b/mesh/quota_test.go
@@ -38,7 +38,7 @@
 		eventually(t, func() bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			return c.keeps && len(c.nodes) == len(d.vms) && len(c.byName) == 1
+			return c.accounts.Complete() && len(c.nodes) == len(d.vms) && len(c.byName) == 1
 		})
 		c.mu.Lock()
 		c.now = func() time.Time { return stopped }
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -49,7 +49,7 @@
 	// priority is the priority of the workspace, if it has one, or else that of the route; 0
 	// is the highest. It is known only at the ingress node.
 	priority int
-	// hasOwnPriority is true if priority is that of the workspace.
+	// hasOwnPriority is true if the workspace sets the priority, and false if the route does.
 	hasOwnPriority bool
 	// rank orders the requests in the slot queue; lower ranks go first.
 	rank int
--- a/mesh/workspaces.go
+++ b/mesh/workspaces.go
@@ -72,6 +72,27 @@
 	}
 }
 
+// confirmAccess decides on the key again once the whole request has been read, by the version
+// that is in force then. If the key belongs to another workspace now, its cap counts. refusal is
+// nil if the request may run.
+func (i *ingress) confirmAccess(r *http.Request, req *request, earlier *desired.State, route *desired.Route, before access, credit *heldCredit) (refusal *result) {
+	for {
+		current := i.recheckAccess(r, earlier, route, before)
+		if current.refusal != nil {
+			return current.refusal
+		}
+		if current.workspaceName() == before.workspaceName() {
+			current.apply(req, route)
+			return nil
+		}
+		credit.giveBack()
+		if refusal = credit.take(r.Context(), current); refusal != nil {
+			return refusal
+		}
+		before = current
+	}
+}
+
 // recheckAccess decides again once the whole request has been read: its key may have been
 // withdrawn meanwhile. before is the decision by the earlier state. The decision is by the
 // state in force after it, because a proof holds for the version in force.
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -55,6 +55,7 @@
 	labelRegion     = "region"
 	labelHealth     = "health"
 	labelResult     = "result"
+	labelContent    = "content"
 )
 
 var (
@@ -129,6 +130,11 @@
 		Labels:  []string{labelVerdict},
 		Meaning: "Requests of workspaces with a cap by verdict: admitted, overCap, or noKeeper if no keeper of the cap could be asked.",
 	}
+	clientMemory = Instrument{
+		Name: "lacewingslip.client.memory", Exported: "lacewingslip_client_memory_bytes", Kind: Gauge, Unit: "By",
+		Labels:  []string{labelContent},
+		Meaning: "Memory that clients take, by content: heads or bodies of requests. Clients beyond the limits in operate/limits.md are turned away.",
+	}
 	capMessages = Instrument{
 		Name: "lacewingslip.cap.messages", Exported: "lacewingslip_cap_messages_total", Kind: Counter, Unit: "{message}",
 		Labels:  []string{labelResult},
@@ -165,7 +171,7 @@
 	return []Instrument{
 		calls, callDuration, retries, queueLength, running, limit,
 		bookings, crossRegionBytes, members, settingsOffset, pressure, desiredVersion, proofAge, blockedRequests,
-		capRequests, capMessages, capAccounts,
+		capRequests, capMessages, capAccounts, clientMemory,
 		pace, expectedRun, elasticity, abandoned,
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -99,6 +99,7 @@
 	blockedRequests  metric.Int64Gauge
 	capRequests      metric.Int64Counter
 	capMessages      metric.Int64Counter
+	clientMemory     metric.Int64Gauge
 	capAccounts      metric.Int64Gauge
 	pace             metric.Float64Gauge
 	expectedRun      metric.Float64Gauge
@@ -228,6 +229,21 @@
 	m.capRequests.Add(context.Background(), 1, m.pair(labelVerdict, string(verdict), "", "").add...)
 }
 
+// ClientContent is what clients send that is held in memory.
+type ClientContent string
+
+const (
+	// ClientHeads are the heads of requests.
+	ClientHeads ClientContent = "heads"
+	// ClientBodies are the bodies of requests.
+	ClientBodies ClientContent = "bodies"
+)
+
+// SetClientMemory sets how much memory clients take.
+func (m *Metrics) SetClientMemory(content ClientContent, bytes int64) {
+	m.clientMemory.Record(context.Background(), bytes, m.pair(labelContent, string(content), "", "").record...)
+}
+
 // CapMessageSent counts a message to a keeper of caps.
 func (m *Metrics) CapMessageSent(answered bool) {
 	result := "failed"
@@ -270,6 +286,7 @@
 	m.blockedRequests = c.gauge(blockedRequests)
 	m.capRequests = c.counter(capRequests)
 	m.capMessages = c.counter(capMessages)
+	m.clientMemory = c.gauge(clientMemory)
 	m.capAccounts = c.gauge(capAccounts)
 	m.pace = c.floatGauge(pace)
 	m.expectedRun = c.floatGauge(expectedRun)
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -102,6 +102,7 @@
 	m.SetProofAge(time.Second)
 	m.CapDecided(metrics.CapExceeded)
 	m.CapMessageSent(true)
+	m.SetClientMemory(metrics.ClientHeads, 1)
 	m.SetCapAccounts(3)
 	m.SetCapacity("orders", metrics.Capacity{Pace: 1})
 
--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -34,6 +34,8 @@
 	// viewsVersion counts the changes of views.
 	viewsVersion int
 	accounts     map[string]*account
+	// complete is true once this node has known all nodes.
+	complete bool
 }
 
 // view is a set of nodes and when it came into force.
@@ -61,6 +63,26 @@
 	return &Accounts{self: self, terms: terms, views: make([]view, 1), accounts: make(map[string]*account)}
 }
 
+// Learn takes over the nodes that this one knows. complete is true once the records of all
+// nodes have been read: a node that knows only some of them would take itself for a keeper of
+// caps that others keep, so it grants nothing before. restarted is true if the others know the
+// node from an earlier process.
+func (a *Accounts) Learn(now time.Time, nodes Nodes, complete, restarted bool) {
+	switch {
+	case a.complete:
+		a.SetNodes(now, nodes)
+	case !complete:
+	case restarted:
+		a.Restore(now, nodes)
+	default:
+		a.SetNodes(now, nodes)
+	}
+	a.complete = a.complete || complete
+}
+
+// Complete reports whether the node has known all nodes.
+func (a *Accounts) Complete() bool { return a.complete }
+
 // SetNodes replaces the set of nodes, which must be complete as far as this node can know. A
 // node that becomes a keeper by a change waits for HandoverDelay.
 func (a *Accounts) SetNodes(now time.Time, nodes Nodes) {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -201,3 +201,37 @@
 	serve()
 	must.False(t, verdict.Admitted)
 }
+
+// Guards against a node that grants a part of a cap that another one keeps, because it knows
+// only some nodes yet, or because a new node takes itself for a restarted one, in each order in
+// which a process hears of nodes.
+func TestKeeperOnceAllNodesAreKnown(t *testing.T) {
+	some, all := quota.NewNodes([]string{"a"}), quota.NewNodes([]string{"a", "b"})
+	large := quota.Cap{Rate: 100, Burst: 100}
+	for name, c := range map[string]struct {
+		learn func(a *quota.Accounts)
+		// at is when the node begins to grant, and keeps is false if it never does.
+		at    time.Duration
+		keeps bool
+	}{
+		"never complete":  {func(a *quota.Accounts) { a.Learn(start, some, false, true) }, 0, false},
+		"new":             {func(a *quota.Accounts) { a.Learn(start, all, true, false) }, quota.HandoverDelay, true},
+		"restarted":       {func(a *quota.Accounts) { a.Learn(start, all, true, true) }, 0, true},
+		"some first":      {func(a *quota.Accounts) { a.Learn(start, some, false, true); a.Learn(start, all, true, true) }, 0, true},
+		"new, some first": {func(a *quota.Accounts) { a.Learn(start, some, false, false); a.Learn(start, all, true, false) }, quota.HandoverDelay, true},
+		"restarted, removed": {func(a *quota.Accounts) {
+			a.Learn(start, all, true, true)
+			a.Learn(start, quota.NewNodes([]string{"b"}), true, true)
+		}, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := quota.NewAccounts("a", testTerms)
+			c.learn(a)
+			if c.at > 0 {
+				must.False(t, a.Grant(start.Add(c.at-1), workspace, large, 1).Keeper)
+			}
+			must.Eq(t, c.keeps, a.Grant(start.Add(c.at), workspace, large, 1).Keeper)
+			must.Eq(t, c.keeps, a.Grant(start.Add(time.Hour), workspace, large, 1).Tokens == 1)
+		})
+	}
+}
--- a/quota/requester.go
+++ b/quota/requester.go
@@ -38,7 +38,8 @@
 	expires time.Time
 	// issuer is the holding that the credit belongs to.
 	issuer *holding
-	// reductions is that of the holding when the credit was taken.
+	// reductions is the number of times that the cap had been lowered when the credit was
+	// taken. Credit of a higher cap can't be given back.
 	reductions int
 }
 
@@ -66,7 +67,7 @@
 type Ask struct {
 	Node   string
 	Tokens int
-	// Limit is the cap by which the keeper was chosen.
+	// Limit is the cap that was in force when the keeper was chosen.
 	Limit Cap
 }
 
