Share what starts a platform node, and the order of watchers

internal/abuse, the benchmark of node processes and the soak each allocated addresses and wrote settings for a platform node; e2e.SetPlatformAddresses and StartPlatformNode do it once. Three functions selected the nodes that come first in the order of watchers, each in its own way; firstInOrder is the one. The loads of quota cut nodes off by one function.

--- a/internal/abuse/abuse.go
+++ b/internal/abuse/abuse.go
@@ -16,7 +16,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -26,7 +25,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lacewingslip/lacewingslip/internal/e2e"
-	"github.com/lacewingslip/lacewingslip/internal/loopback"
 	"github.com/lacewingslip/lacewingslip/internal/standin/keyedlog"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 	"github.com/lacewingslip/lacewingslip/internal/standin/server"
@@ -88,39 +86,21 @@
 	if d.server, err = server.Start(ip+":0", "i-1"); err != nil {
 		return nil, err
 	}
-	free, err := loopback.FreeAddresses(ip, 5)
-	if err != nil {
-		return nil, err
-	}
-	_, text, err := net.SplitHostPort(free[4])
-	if err != nil {
-		return nil, err
-	}
-	port, err := strconv.Atoi(text)
-	if err != nil {
-		return nil, err
-	}
 	d.settings = nodeconfig.Config{
-		Node: "node-1", Region: "addis", Zone: "addis-a", IP: ip, Service: service, Backend: d.server.Address(),
-		RegionOf: map[string]string{"addis-a": "addis"},
-		Listen:   nodeconfig.Listen{Caller: free[0], Peer: free[1], Ready: free[2], Announce: free[3]},
-		Log:      d.logServer.Listener.Addr().String(), FirstPort: port, LastPort: port,
+		Node: "node-1", Region: "addis", Zone: "addis-a", Service: service, Backend: d.server.Address(),
+		RegionOf: map[string]string{"addis-a": "addis"}, Log: d.logServer.Listener.Addr().String(),
 		MemoryBytes: MemoryBytes, Descriptors: Descriptors,
 		Bounds: nodeconfig.Bounds{
 			Drain: time.Second, Grace: 2 * time.Second, ConfigApply: 2 * time.Second, RetryRatio: 0.1, RetryWindow: 10 * time.Second, RetrySlack: 10,
 		},
 	}
-	path := filepath.Join(directory, "node.conf")
-	if err = os.WriteFile(path, operator.Settings(d.settings), 0o600); err != nil {
+	if err = e2e.SetPlatformAddresses(&d.settings, ip); err != nil {
 		return nil, err
 	}
 	if d.output, err = os.Create(filepath.Join(directory, "node.log")); err != nil {
 		return nil, err
 	}
-	command := exec.Command(binaries.Node(), "platform")
-	command.Env = append(os.Environ(), operator.SettingsVariable+"="+path)
-	command.Stdout, command.Stderr = d.output, d.output
-	if d.Node, err = e2e.StartProcess(command); err != nil {
+	if d.Node, err = e2e.StartPlatformNode(binaries, directory, d.settings, d.output); err != nil {
 		return nil, err
 	}
 	go d.announce()
--- a/internal/e2e/platform_bench_test.go
+++ b/internal/e2e/platform_bench_test.go
@@ -4,12 +4,9 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,7 +17,6 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lacewingslip/lacewingslip/internal/e2e"
-	"github.com/lacewingslip/lacewingslip/internal/loopback"
 	"github.com/lacewingslip/lacewingslip/internal/standin/keyedlog"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 	"github.com/lacewingslip/lacewingslip/internal/standin/server"
@@ -113,20 +109,14 @@
 		must.NoError(b, err)
 		b.Cleanup(s.Close)
 		s.SetServiceTime(platformServiceTime)
-		free, err := loopback.FreeAddresses(ip, 5)
-		must.NoError(b, err)
-		_, text, err := net.SplitHostPort(free[4])
-		must.NoError(b, err)
-		port, err := strconv.Atoi(text)
-		must.NoError(b, err)
 		zone := []string{"addis-a", "dire-a"}[n%2]
 		settings := nodeconfig.Config{
-			Node: fmt.Sprintf("node-%d", n), Region: strings.TrimSuffix(zone, "-a"), Zone: zone, IP: ip, Service: "orders", Backend: s.Address(),
+			Node: fmt.Sprintf("node-%d", n), Region: strings.TrimSuffix(zone, "-a"), Zone: zone, Service: "orders", Backend: s.Address(),
 			RegionOf: map[string]string{"addis-a": "addis", "dire-a": "dire"},
-			Listen:   nodeconfig.Listen{Caller: free[0], Peer: free[1], Ready: free[2], Announce: free[3]},
-			Log:      logServer.Listener.Addr().String(), FirstPort: port, LastPort: port, MemoryBytes: platformMemory,
+			Log:      logServer.Listener.Addr().String(), MemoryBytes: platformMemory,
 			Bounds: nodeconfig.Bounds{Drain: time.Second, Grace: 2 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50},
 		}
+		must.NoError(b, e2e.SetPlatformAddresses(&settings, ip))
 		nodes = append(nodes, startPlatformNode(b, settings))
 	}
 	return nodes
@@ -135,12 +125,7 @@
 // startPlatformNode starts a node process and announces the server beside it.
 func startPlatformNode(b *testing.B, settings nodeconfig.Config) (n *platformNode) {
 	b.Helper()
-	path := filepath.Join(b.TempDir(), settings.Node+".conf")
-	text := append(operator.Settings(settings), fmt.Appendf(nil, "Limits.MemoryMb=%d\n", settings.MemoryBytes>>20)...)
-	must.NoError(b, os.WriteFile(path, text, 0o600))
-	command := exec.Command(binaries.Node(), "platform")
-	command.Env = append(os.Environ(), operator.SettingsVariable+"="+path)
-	process, err := e2e.StartProcess(command)
+	process, err := e2e.StartPlatformNode(binaries, b.TempDir(), settings, nil)
 	must.NoError(b, err)
 	b.Cleanup(process.Kill)
 	announcement := operator.Announcement{
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -4,12 +4,10 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -18,7 +16,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lacewingslip/lacewingslip/internal/e2e"
-	"github.com/lacewingslip/lacewingslip/internal/loopback"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 	"github.com/lacewingslip/lacewingslip/internal/standin/server"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
@@ -88,23 +85,13 @@
 	if v.backendLink, err = newLink(ip+":0", ""); err != nil {
 		return nil, err
 	}
-	free, err := loopback.FreeAddresses(ip, 5)
-	if err != nil {
-		return nil, err
-	}
-	_, text, err := net.SplitHostPort(free[4])
-	if err != nil {
-		return nil, err
-	}
-	port, err := strconv.Atoi(text)
-	if err != nil {
-		return nil, err
-	}
 	v.settings = nodeconfig.Config{
-		Node: fmt.Sprintf("node-%d", n), Region: region, Zone: zone, IP: ip, Service: service, Backend: v.backendLink.address(),
+		Node: fmt.Sprintf("node-%d", n), Region: region, Zone: zone, Service: service, Backend: v.backendLink.address(),
 		RegionOf: map[string]string{"addis-a": "addis", "hawassa-a": "hawassa", "dire-a": "dire"},
-		Listen:   nodeconfig.Listen{Caller: free[0], Peer: free[1], Ready: free[2], Announce: free[3]},
-		Log:      v.logLink.address(), FirstPort: port, LastPort: port, Bounds: bounds,
+		Log:      v.logLink.address(), Bounds: bounds,
+	}
+	if err = e2e.SetPlatformAddresses(&v.settings, ip); err != nil {
+		return nil, err
 	}
 	v.peerLink.setTarget(v.settings.Listen.Peer)
 	if err = os.WriteFile(v.settingsPath(), operator.Settings(v.settings), 0o600); err != nil {
--- a/mesh/known_peers.go
+++ b/mesh/known_peers.go
@@ -59,16 +59,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, p := range b.peers {
-		if p.unreachable {
-			continue
-		}
-		at, _ := slices.BinarySearchFunc(peers, p.watcherOrder, func(p *peer, order uint64) int { return cmp.Compare(p.watcherOrder, order) })
-		if at < number {
-			peers = slices.Insert(peers, at, p)
-			peers = peers[:min(number, len(peers))]
+		if !p.unreachable {
+			peers = append(peers, p)
 		}
 	}
-	return peers
+	return firstInOrder(peers, number)
+}
+
+// firstInOrder returns the number of nodes that come first in the order of watchers. It
+// reorders the given ones.
+func firstInOrder(peers []*peer, number int) []*peer {
+	slices.SortFunc(peers, func(x, y *peer) int { return cmp.Compare(x.watcherOrder, y.watcherOrder) })
+	return peers[:min(number, len(peers))]
 }
 
 // otherWatchers returns the watchers of all zones, except this node. The reachable nodes of a
@@ -83,8 +85,7 @@
 		}
 	}
 	for _, peers := range byZone {
-		slices.SortFunc(peers, func(x, y *peer) int { return cmp.Compare(x.watcherOrder, y.watcherOrder) })
-		for _, p := range peers[:min(watchersPerZone, len(peers))] {
+		for _, p := range firstInOrder(peers, watchersPerZone) {
 			if p.node != b.settings.Node {
 				watchers = append(watchers, p)
 			}
--- a/mesh/watchers.go
+++ b/mesh/watchers.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"cmp"
 	"context"
 	"hash/fnv"
 	"log/slog"
@@ -130,9 +129,7 @@
 // watchersToFollow returns the watchers of the zone, or none if this node is
 // one of them.
 func (w *watcherSelection) watchersToFollow() (peers []*peer) {
-	peers = w.balancer.reachableInZone()
-	slices.SortFunc(peers, func(a, b *peer) int { return cmp.Compare(a.watcherOrder, b.watcherOrder) })
-	peers = peers[:min(watchersPerZone, len(peers))]
+	peers = firstInOrder(w.balancer.reachableInZone(), watchersPerZone)
 	for _, p := range peers {
 		if p.node == w.balancer.settings.Node {
 			return nil
--- a/quota/loads_test.go
+++ b/quota/loads_test.go
@@ -57,38 +57,17 @@
 		"cut off": {69, large, func(n *network) {
 			n.all(200, 20*time.Second)
 			n.run(4 * time.Second)
-			for _, node := range n.nodes[:24] {
-				node.side = 1
-			}
-			n.run(12 * time.Second)
-			for _, node := range n.nodes[:24] {
-				node.side = 0
-			}
-			n.run(5 * time.Second)
+			cutOff(n, func(int) int { return 1 })
 		}, 0.9},
 		"small, cut off": {69, small, func(n *network) {
 			n.all(12, 20*time.Second)
 			n.run(4 * time.Second)
-			for _, node := range n.nodes[:24] {
-				node.side = 1
-			}
-			n.run(12 * time.Second)
-			for _, node := range n.nodes[:24] {
-				node.side = 0
-			}
-			n.run(5 * time.Second)
+			cutOff(n, func(int) int { return 1 })
 		}, 0.9},
 		"each cut off alone": {69, large, func(n *network) {
 			n.all(200, 20*time.Second)
 			n.run(4 * time.Second)
-			for side, node := range n.nodes[:24] {
-				node.side = side + 1
-			}
-			n.run(12 * time.Second)
-			for _, node := range n.nodes[:24] {
-				node.side = 0
-			}
-			n.run(5 * time.Second)
+			cutOff(n, func(node int) int { return node + 1 })
 		}, 0.8},
 		"killed": {69, large, func(n *network) {
 			n.all(200, 20*time.Second)
@@ -135,3 +114,15 @@
 		})
 	}
 }
+
+// cutOff puts 24 nodes on other sides of a cut for 12 s, and lets the network recover.
+func cutOff(n *network, sideOf func(node int) (side int)) {
+	for i, node := range n.nodes[:24] {
+		node.side = sideOf(i)
+	}
+	n.run(12 * time.Second)
+	for _, node := range n.nodes[:24] {
+		node.side = 0
+	}
+	n.run(5 * time.Second)
+}
