--- a/mesh/client_limits_test.go
+++ b/mesh/client_limits_test.go
@@ -89,12 +89,11 @@
 // Guards against a request that runs, or fills the memory, although the budget of bodies is
 // used up, and against a budget that is not returned.
 func TestBodyBeyondBudgetIsNotRun(t *testing.T) {
-	d := newDeployment(t, "orders")
-	d.publish(once("once"))
+	d := newEmptyDeployment(t)
+	d.beforeStart = func(n *Node) { n.lifecycle.components.servers.limits.bodies = clientlimit.NewBudget(100<<10, nil) }
+	v := d.addVM("orders")
 	d.awaitConvergence()
-	v := d.vms[0]
 	limits := v.node.lifecycle.components.servers.limits
-	limits.bodies = clientlimit.NewBudget(100<<10, nil)
 	for name, c := range map[string]struct{ size, want int }{
 		"within": {90 << 10, http.StatusOK}, "beyond": {110 << 10, http.StatusServiceUnavailable},
 	} {
