Wait for the slow server's first response before checking its pace

Cause: when all of the first ten calls went to the fast server, the slow one had not responded yet, so its node could not know the pace. A trace of 80 runs showed 0 runs at the slow server in exactly the 3 runs with pace 1, and pace 4 in the 77 others. The test now goes on with batches of calls until the slow server has responded too; that it is asked again is what the probes of package routing promise.

--- a/mesh/capacity_test.go
+++ b/mesh/capacity_test.go
@@ -29,7 +29,7 @@
 	fast.server.SetServiceTime(10 * time.Millisecond)
 	slow.server.StateLoad("1,0,8,400")
 	fast.server.StateLoad("1,0,8,100")
-	calls := func(batch string, n int) (atFast int) {
+	calls := func(batch string, n int) (atFast, atSlow int) {
 		for i := range n {
 			id := fmt.Sprintf("%s-%d", batch, i)
 			r := d.call(ingress, http.MethodGet, "/safe/1", id)
@@ -39,14 +39,18 @@
 			}
 			must.Eq(t, "", r.header.Get("X-Server-Load"))
 			atFast += fast.server.Runs(id)
+			atSlow += slow.server.Runs(id)
 		}
-		return atFast
+		return atFast, atSlow
 	}
-	// While the machine is busy, the fast server may seem slow until it is probed again.
-	batch := 0
+	// While the machine is busy, the fast server may seem slow until it is probed again. The
+	// slow one states its pace with its first response, which may take until it is probed.
+	batch, slowRuns := 0, 0
 	eventually(t, func() bool {
 		batch++
-		return calls(fmt.Sprint(batch), 10) >= 9
+		atFast, atSlow := calls(fmt.Sprint(batch), 10)
+		slowRuns += atSlow
+		return atFast >= 9 && slowRuns > 0
 	})
 	estimator := slow.node.lifecycle.components.sidecar.capacity.estimator
 	must.Eq(t, 4.0, estimator.Pace())
