Tell how fast a retry budget may be spent

A node that limits the calls it lets begin needs the rate at which retries can go on until the window moves on, and not only how many are left at this moment. The windows that end in the future already decide about each retry, so the rate is the lowest of what they leave, divided by the time until they end, with the requests expected meanwhile. Available gives the same values as before; its loop is shared.

TestSustainableRateLasts spends at the rate for a window, also after half of the budget was spent and while nine tenths of the requests end.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -10,6 +10,8 @@
 //	...
 //	if w.Spend(now, limit) { send the request again }
 //
+// [Window.SustainableRate] tells how fast the budget may be spent so that it lasts.
+//
 // # Load pattern
 //
 // Retries are needed in short periods, for example while all servers of a service
@@ -94,37 +96,68 @@
 // Available returns the number of retries that the limit allows at this moment.
 func (w *Window) Available(now time.Time, limit Limit) (retries float64) {
 	w.advance(now)
-	// latest[n] holds the sums over the latest n steps.
-	var latest [historySteps + 1]counts
+	sums := w.sums()
+	for ahead := range stepsPerWindow + 1 {
+		left := sums.left(ahead, limit, counts{})
+		if ahead == 0 || left < retries {
+			retries = left
+		}
+	}
+	return max(retries, 0)
+}
+
+// Rates are the requests per second that are expected from now on, and the part of them
+// that repeated runs make.
+type Rates struct{ Requests, Repeats float64 }
+
+// SustainableRate returns how many retries per second the limit allows at a constant rate
+// for the duration, which counts up to the length of the window.
+func (w *Window) SustainableRate(now time.Time, limit Limit, expected Rates, duration time.Duration) (retriesPerS float64) {
+	w.advance(now)
+	sums := w.sums()
+	steps := min(max(int(duration/w.step), 1), stepsPerWindow)
+	for ahead := 1; ahead <= steps; ahead++ {
+		seconds := (time.Duration(ahead) * w.step).Seconds()
+		left := sums.left(ahead, limit, counts{requests: expected.Requests * seconds, repeats: expected.Repeats * seconds}) / seconds
+		if ahead == 1 || left < retriesPerS {
+			retriesPerS = left
+		}
+	}
+	return max(retriesPerS, 0)
+}
+
+// stepSums holds at index n the sums over the latest n steps.
+type stepSums [historySteps + 1]counts
+
+func (w *Window) sums() (latest stepSums) {
 	for n, c := range w.steps {
 		latest[n+1] = latest[n].add(c)
 	}
+	return latest
+}
+
+// left returns the number of retries that the limit leaves in the windows that end up to the
+// given number of steps ahead, and contain the rest of a window's length up to now. It is
+// negative if the limit is exceeded. expected are the requests in the steps ahead. The bounds
+// of these windows lie within steps, so requests count only in steps that are in all of the
+// windows, and retries in steps that are in any.
+func (latest *stepSums) left(ahead int, limit Limit, expected counts) (retries float64) {
 	// requestsIn returns the requests of the steps with indexes from newest to below
-	// oldest. Negative indexes are steps in the future, which have none yet.
+	// oldest. Negative indexes are steps in the future, which count only as expected.
 	requestsIn := func(oldest, newest int) float64 {
 		return latest[oldest].requests - latest[max(newest, 0)].requests
 	}
-	// Each round is for the windows that end up to the given number of steps ahead, and
-	// contain the given length of steps up to now. Their bounds lie within steps, so
-	// requests count only in steps that are in all of these windows, and retries in steps
-	// that are in any.
-	for ahead := range stepsPerWindow + 1 {
-		length := stepsPerWindow - ahead
-		requests := max(
-			requestsIn(length, 0),
-			requestsIn(length+stepsPerWindow/2, length-stepsPerWindow/2+partialSteps),
-			requestsIn(length+stepsPerWindow, length+partialSteps),
-		)
-		spent := latest[length+partialSteps]
-		left := min(
-			limit.RetryRatio*requests+limit.Slack-spent.retries,
-			limit.RepeatRatio*requests+limit.Slack-spent.repeats,
-		)
-		if ahead == 0 || left < retries {
-			retries = left
-		}
-	}
-	return max(retries, 0)
+	length := stepsPerWindow - ahead
+	requests := max(
+		requestsIn(length, 0)+expected.requests,
+		requestsIn(length+stepsPerWindow/2, length-stepsPerWindow/2+partialSteps),
+		requestsIn(length+stepsPerWindow, length+partialSteps),
+	)
+	spent := latest[length+partialSteps]
+	return min(
+		limit.RetryRatio*requests+limit.Slack-spent.retries,
+		limit.RepeatRatio*requests+limit.Slack-spent.repeats-expected.repeats,
+	)
 }
 
 // advance moves the window to the step that contains now.
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -1,6 +1,7 @@
 package budget_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -123,3 +124,54 @@
 		now = now.Add(time.Millisecond)
 	}
 }
+
+// Guards against a rate that uses the budget up before the window moves on, and against one
+// that leaves much of it unused. Spending at the rate, computed again in each tick, has to go
+// on for the rest of the window, also if a part of the budget was spent before.
+func TestSustainableRateLasts(t *testing.T) {
+	const requestsPerTick = 100
+	for name, c := range map[string]struct {
+		spentBefore int
+		// continuing is the share of the requests that continue.
+		continuing float64
+	}{
+		"nothing spent":           {continuing: 1},
+		"half spent":              {spentBefore: 1000, continuing: 1},
+		"most requests end":       {continuing: 0.1},
+		"half spent and most end": {spentBefore: 1000, continuing: 0.1},
+		"all spent and all end":   {spentBefore: 2000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, now := budget.NewWindow(window), time.Now()
+			for range 2 * ticks {
+				for range requestsPerTick {
+					w.RecordRequest(now, 0)
+				}
+				now = now.Add(tick)
+			}
+			left := limit.RetryRatio * requestsPerTick * float64(ticks)
+			for range c.spentBefore {
+				if w.Spend(now, limit) {
+					left--
+				}
+			}
+			var wanted float64
+			var spent [4]float64
+			for n := range ticks {
+				for range int(c.continuing * requestsPerTick) {
+					w.RecordRequest(now, 0)
+				}
+				expected := budget.Rates{Requests: c.continuing * requestsPerTick / tick.Seconds()}
+				wanted += w.SustainableRate(now, limit, expected, time.Duration(ticks-n)*tick) * tick.Seconds()
+				for ; wanted >= 1; wanted-- {
+					if w.Spend(now, limit) {
+						spent[4*n/ticks]++
+					}
+				}
+				now = now.Add(tick)
+			}
+			must.Between(t, 0.8*left-100, spent[0]+spent[1]+spent[2]+spent[3], left)
+			must.GreaterEq(t, 0.15*left-25, slices.Min(spent[:]))
+		})
+	}
+}
