Separate the level from the demand that leads to it

The share of calls that fail leads to a demand as well, but not one in slots, so pressure.Gauge can't turn it into a level. The part that does so and compensates for the feedback delay is now pressure.Regulator, with the time constant as an argument. Gauge uses it with the same constants and gives the same levels; its tests are unchanged.

--- a/pressure/pressure.go
+++ b/pressure/pressure.go
@@ -30,21 +30,21 @@
 )
 
 const (
-	// targetDemand is the demand, as a share of the usable slots, at which the
+	// TargetDemand is the demand, as a share of the usable slots, at which the
 	// level stays constant. Above it, waiting times grow faster than throughput:
 	// at 0.9 of 13 slots, a request waits for a quarter of its run time.
-	targetDemand = 0.9
+	TargetDemand = 0.9
 	// demandTimeConstant is the time constant of the moving average of the demand.
 	demandTimeConstant = 400 * time.Millisecond
-	// feedbackDelay is how long a change of the level takes to affect the demand:
+	// FeedbackDelay is how long a change of the level takes to affect the demand:
 	// answers have to carry the level up the call tree, and customer requests
 	// admitted earlier still make calls. The present demand therefore results from
-	// the level that applied feedbackDelay ago. Correcting the present level instead
+	// the level that applied FeedbackDelay ago. Correcting the present level instead
 	// makes the level oscillate between its bounds.
-	feedbackDelay = 800 * time.Millisecond
-	// correctionTimeConstant is the time constant with which the level approaches
+	FeedbackDelay = 800 * time.Millisecond
+	// CorrectionTimeConstant is the time constant with which the level approaches
 	// the level computed from the demand.
-	correctionTimeConstant = 300 * time.Millisecond
+	CorrectionTimeConstant = 300 * time.Millisecond
 	// queueWeight is the weight of waiting requests in the demand, relative to
 	// running ones. The queue distinguishes a backend server that is merely full
 	// from one that is stuck, whose arrival rate says little about its demand.
@@ -66,8 +66,14 @@
 	arrivalRate float64
 	utilization float64
 	demand      float64
-	level       float64
-	// history holds the levels of the latest ticks, oldest first.
+	regulator   Regulator
+}
+
+// Regulator turns a demand into a level. It is not safe for concurrent use.
+type Regulator struct {
+	lastUpdate time.Time
+	level      float64
+	// history holds the levels of the latest updates, oldest first.
 	history []levelSample
 }
 
@@ -88,7 +94,7 @@
 func (g *Gauge) Level() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.level
+	return g.regulator.level
 }
 
 // Demand returns the capacity that the offered requests need, as a share of the
@@ -107,16 +113,33 @@
 	first := g.lastTick.IsZero()
 	g.lastTick = now
 	if first || load.Limit <= 0 || elapsed <= 0 {
-		return g.level
+		g.regulator.lastUpdate = now
+		return g.regulator.level
 	}
 	g.updateDemand(elapsed, load)
-	newLevel := nextLevel(g.levelAt(now.Add(-feedbackDelay)), g.demand)
-	g.level += sampleWeight(elapsed, correctionTimeConstant) * (newLevel - g.level)
-	if g.level < 0.005 {
-		g.level = 0
+	return g.regulator.Update(now, g.demand, CorrectionTimeConstant)
+}
+
+// Level returns the present level.
+func (r *Regulator) Level() float64 { return r.level }
+
+// Update moves the level, with the time constant, towards the one that brings the demand to
+// TargetDemand, and returns it. The demand is that of the requests that are admitted at present.
+// The first call only sets the time.
+func (r *Regulator) Update(now time.Time, demand float64, timeConstant time.Duration) (level float64) {
+	elapsed := now.Sub(r.lastUpdate)
+	first := r.lastUpdate.IsZero()
+	r.lastUpdate = now
+	if first || elapsed <= 0 {
+		return r.level
+	}
+	newLevel := nextLevel(r.levelAt(now.Add(-FeedbackDelay)), demand)
+	r.level += sampleWeight(elapsed, timeConstant) * (newLevel - r.level)
+	if r.level < 0.005 {
+		r.level = 0
 	}
-	g.history = append(g.history, levelSample{now, g.level})
-	return g.level
+	r.history = append(r.history, levelSample{now, r.level})
+	return r.level
 }
 
 // updateDemand sets the demand to the larger of two estimates: one from the
@@ -133,23 +156,23 @@
 
 // levelAt returns the level at an earlier time, and drops the levels before it
 // from the history.
-func (g *Gauge) levelAt(t time.Time) (level float64) {
+func (r *Regulator) levelAt(t time.Time) (level float64) {
 	n := 0
-	for n+1 < len(g.history) && !g.history[n+1].time.After(t) {
+	for n+1 < len(r.history) && !r.history[n+1].time.After(t) {
 		n++
 	}
-	g.history = g.history[n:]
-	if len(g.history) == 0 || g.history[0].time.After(t) {
+	r.history = r.history[n:]
+	if len(r.history) == 0 || r.history[0].time.After(t) {
 		return 0
 	}
-	return g.history[0].level
+	return r.history[0].level
 }
 
-// nextLevel returns the level that would bring the demand to targetDemand, given
+// nextLevel returns the level that would bring the demand to TargetDemand, given
 // the demand and the level that led to it. It assumes that all demand comes from
 // the rank that is partly refused; the error is corrected in the next ticks.
 func nextLevel(level, demand float64) float64 {
-	ratio := targetDemand / max(demand, minDemand)
+	ratio := TargetDemand / max(demand, minDemand)
 	refusedRanks := math.Floor(min(level, maxLevel-1))
 	admittedShare := max(1-(level-refusedRanks), minAdmittedShare)
 	newLevel := refusedRanks + 1 - admittedShare*ratio
