Refuse what needs a service that rejects too many calls

Cause: a node beside a calling server reported the overload of a called service only if its slots were full. Servers that reject requests with free slots caused no refusals, and retries were spent on trees that failed anyway.

Each node now keeps a throughput.Controller for each service that it sends requests to. Its level is part of the level that responses to the callers of its own routes carry, by the links between routes that are known already, so that ingress refuses the least important requests that need the service. A call is retried only if it was granted that when it began; requests that customers send to the service directly always are.

go test -race ./mesh passed except TestFasterServerGetsMoreWork, in which the race detector found that the test reads the estimator of a running node without its mutex (capacity_test.go, lines 56 and 57, not part of this change). Without -race all tests passed.

--- a/event/node.go
+++ b/event/node.go
@@ -12,6 +12,8 @@
 	IdleConnectionsClosed ID = 1006
 	RequestNotRead        ID = 1007
 	ServerError           ID = 1008
+	// CallSuccessChanged is about the calls that the backend server beside this node makes.
+	CallSuccessChanged    ID = 1040
 	BackendAnnounced      ID = 1101
 	BackendDraining       ID = 1102
 	BackendDrained        ID = 1103
@@ -29,6 +31,7 @@
 	{ID: NodeStopping, Name: "nodeStopping", Level: slog.LevelInfo, Meaning: "A planned stop began: new calls are refused, calls in progress continue."},
 	{ID: NodeStopped, Name: "nodeStopped", Level: slog.LevelInfo, Meaning: "All calls in progress have ended and the node exits."},
 	{ID: StopDeadlineExceeded, Name: "stopDeadlineExceeded", Level: slog.LevelError, Meaning: "Calls were still in progress at the stop deadline and were aborted. Increase stopDeadline if this happens in planned stops."},
+	{ID: CallSuccessChanged, Name: "callSuccessChanged", Level: slog.LevelInfo, Meaning: "The level changed by 0.25 or more, or ended, at which customer requests are refused because the backend server beside this node calls a service that rejects more calls than can be retried. The attributes are that service, the level, the rate of calls, of those that succeed and of those that could all succeed, and the share of attempts that the service rejects."},
 	{ID: BackendAnnounced, Name: "backendAnnounced", Level: slog.LevelInfo, Meaning: "The backend server beside this node announced itself and receives calls."},
 	{ID: BackendDraining, Name: "backendDraining", Level: slog.LevelInfo, Meaning: "The backend server started to shut down and receives no new calls."},
 	{ID: BackendUnreachable, Name: "backendUnreachable", Level: slog.LevelWarn, Meaning: "The backend server refuses connections, so other nodes send it no calls until it accepts them again."},
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -91,6 +91,7 @@
 		return
 	}
 	i.budget.recordRequest(req.service, req.repeatShare)
+	i.sidecar.calls.begin(time.Now(), req)
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline.Add(responseGrace))
 	defer cancel()
 	req.answerBy = i.lifecycle.stopDeadline()
@@ -250,8 +251,9 @@
 // dispatch sends a request to one node after another until a backend server
 // responds. After an attempt that reached a backend server, the request is sent
 // again only if the server did not run it or the request is idempotent, and if
-// both the route and the retry budget allow another attempt. The route limits the
-// number of backend servers, not the attempts that a server did not run.
+// both the route and the retry budget allow another attempt. While the budget can't carry
+// all calls of the backend server, calls are retried only in some of the time. The route limits
+// the number of backend servers, not the attempts that a server did not run.
 func (i *ingress) dispatch(ctx context.Context, req *request, route *desired.Route, version int64) (res *result) {
 	selector := &nodeSelector{balancer: i.balancer, admission: i.admission, request: req, maxBackends: route.Attempts()}
 	isolated := i.quarantine.Verdict(time.Now(), req.fingerprint).Level != quarantine.Free
@@ -284,6 +286,7 @@
 		i.exchange.quarantine.mergeEvidenceOn(req.fingerprint, res.evidence)
 		i.balancer.recordResult(req, p.node, res)
 		i.admission.recordResult(req, p.region, res)
+		i.sidecar.calls.recordAttempt(req, res)
 		if res.report.present {
 			i.budget.recordLeaf(req.service, res.report.leaf)
 		}
@@ -310,7 +313,7 @@
 		if isolated || crashes > maxCrashesPerRequest || i.quarantine.Verdict(time.Now(), req.fingerprint).Level != quarantine.Free {
 			return res
 		}
-		if res.outcome == call.Unknown && req.kind != desired.Idempotent || !selector.hasNext() || !i.budget.trySpend(req.service) {
+		if res.outcome == call.Unknown && req.kind != desired.Idempotent || !selector.hasNext() || !req.retriesGranted || !i.budget.trySpend(req.service) {
 			return res
 		}
 		req.repeatShare = 1
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -37,7 +37,7 @@
 // pace. crash.go detects that the server has crashed under a request, quarantine.go shares
 // with other nodes which requests do that, and evidence.go sends what is known of a request
 // along with it and with its result. repeats.go estimates which calls belong to repeated
-// runs. announcements.go tracks the backend
+// runs, and call_success.go how many calls can succeed. announcements.go tracks the backend
 // server, desired_state.go the operator's desired state, and exchange.go and watchers.go
 // other nodes. freshness.go proves that the desired state is the newest, by the clock in
 // clock.go. servers.go serves callers and other nodes, connections.go decides when their
@@ -141,7 +141,7 @@
 			},
 			func() *upstream.Tracker { return upstream.New(settings.Service, settings.Backend) },
 			func(dir *fleet.Directory) *retryBudget { return newRetryBudget(settings.Bounds, dir.Table().Len) },
-			metrics.New, newListeners, newDesiredState, newBalancer, newSidecar, newDirectory, newExchange, newWatcherSelection, newLifecycle,
+			metrics.New, newListeners, newDesiredState, newCallSuccess, newBalancer, newSidecar, newDirectory, newExchange, newWatcherSelection, newLifecycle,
 			newAnnouncementHandler, newCustomerAdmission, newAccessControl, newBootClock, newProofs, newCaps, quarantine.New, newQuarantineSync, newIngress, newPeerHandler, newClientLimits, newServers,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle, s *servers, b *balancer, e *exchange, w *watcherSelection, a *announcementHandler, sc *sidecar, d *desiredState, dir *fleet.Directory, q *quarantineSync, p *proofs, cp *caps) {
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -73,6 +73,9 @@
 	// work: because it was sent to a backend server before, or because a repeated run
 	// has made it.
 	repeatShare float64
+	// retriesGranted is true if the request may be sent again as far as the budget allows. It is
+	// known only at the ingress node.
+	retriesGranted bool
 	// fingerprint identifies the request in the list of those that crash backend servers.
 	fingerprint quarantine.Fingerprint
 	// evidence is the evidence against the request at the node that sent it.
--- a/mesh/retry_budget.go
+++ b/mesh/retry_budget.go
@@ -6,6 +6,7 @@
 
 	"github.com/lacewingslip/lacewingslip/budget"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
+	"github.com/lacewingslip/lacewingslip/throughput"
 )
 
 const (
@@ -75,6 +76,18 @@
 	return s.window.Spend(now, b.limit(now, s))
 }
 
+// sustainable returns what the budget of the service allows the controller's calls from now on.
+func (b *retryBudget) sustainable(now time.Time, service string, c *throughput.Controller) throughput.Retries {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(now, service)
+	limit := b.limit(now, s)
+	return throughput.Retries{
+		RatePerS:  s.window.SustainableRate(now, limit, c.Rates(), c.Duration(now, b.bounds.RetryWindow)),
+		Available: s.window.Available(now, limit), Ratio: limit.RetryRatio,
+	}
+}
+
 // limit returns the part of the deployment's budget for the service that this node may
 // spend.
 func (b *retryBudget) limit(now time.Time, s *serviceBudget) budget.Limit {
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -66,6 +66,8 @@
 	// routePressure holds the pressure levels of the routes that the backend server
 	// calls.
 	routePressure *pressure.Shedder
+	// calls decides how many calls of the backend server can succeed.
+	calls *callSuccess
 	// repeats estimates which calls of the backend server belong to repeated runs.
 	repeats repeatTracker
 	// lastCallAt is when the backend server last made a call as far as is known, in
@@ -84,7 +86,7 @@
 	stopping atomic.Bool
 }
 
-func newSidecar(settings nodeconfig.Config, tracker *upstream.Tracker, admission *customerAdmission, m *metrics.Metrics, d *desiredState, list *quarantine.List, events eventRecorder) *sidecar {
+func newSidecar(settings nodeconfig.Config, tracker *upstream.Tracker, admission *customerAdmission, m *metrics.Metrics, d *desiredState, list *quarantine.List, calls *callSuccess, events eventRecorder) *sidecar {
 	s := &sidecar{
 		healthPath: func() string {
 			if state := d.current(); state != nil {
@@ -96,7 +98,7 @@
 		metrics: m, runTimes: newRunTimes(), longestRuns: newLongestTimes(),
 		gauge: &pressure.Gauge{}, links: calltree.NewLinks(), callers: calltree.NewCallers(), routePressure: admission.routePressure,
 		settings: settings, tracker: tracker, slots: slot.New(), events: events,
-		backend: newInstancePool(settings.Backend), quarantine: list,
+		backend: newInstancePool(settings.Backend), quarantine: list, calls: calls,
 	}
 	s.capacity = newServerCapacity(s.slots, s.runTimes, events)
 	s.crashes = newCrashDetector(list, events, s.checkListening, tracker.Server)
@@ -249,6 +251,7 @@
 	})
 	run := s.links.Start(req.route, req.deadline)
 	defer s.links.End(run)
+	s.calls.recordRun(s.links.Children(req.route))
 	s.repeats.start(req.repeatShare)
 	defer s.repeats.end(req.repeatShare)
 	s.silence.requestSent(time.Now())
@@ -291,12 +294,12 @@
 
 // pressureLevel returns the highest pressure level among the services that
 // requests of the route need: this service and those that it calls for the
-// route.
+// route. The latter are overloaded too if more of their calls fail than can be retried.
 func (s *sidecar) pressureLevel(route string) float64 {
 	level := s.gauge.Level()
 	now := time.Now()
 	for _, child := range s.links.Children(route) {
-		level = max(level, s.routePressure.Level(now, pressure.Target{Route: child}))
+		level = max(level, s.routePressure.Level(now, pressure.Target{Route: child}), s.calls.level(child))
 	}
 	return level
 }
@@ -316,6 +319,7 @@
 	s.metrics.SetLoad(s.settings.Service, metrics.Load{Running: load.Running, Limit: load.Limit, Queued: load.Waiting})
 	s.metrics.SetPressure(s.settings.Service, level)
 	s.checkSilence(now, load.MeanRun)
+	s.calls.tick(now)
 	s.links.Tick(now)
 	s.callers.Tick(now, services)
 	s.backend.current().Sweep(now)
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -164,6 +164,26 @@
 		Labels:  []string{labelService},
 		Meaning: "Calls that the backend server may still run although nobody waits for the answer. They count against the limit.",
 	}
+	callsSucceeding = Instrument{
+		Name: "lacewingslip.calls.succeeding", Exported: "lacewingslip_calls_succeeding_per_second", Kind: Gauge, Unit: "{call}/s",
+		Labels:  []string{labelService},
+		Meaning: "Calls of the service per second that this node sends and that the service does not reject.",
+	}
+	callsSustainable = Instrument{
+		Name: "lacewingslip.calls.sustainable", Exported: "lacewingslip_calls_sustainable_per_second", Kind: Gauge, Unit: "{call}/s",
+		Labels:  []string{labelService},
+		Meaning: "Calls of the service per second that can all succeed, by the share that it rejects and the retries that the budget of this node still allows, at most 1000000.",
+	}
+	callsRejected = Instrument{
+		Name: "lacewingslip.calls.rejected", Exported: "lacewingslip_calls_rejected", Kind: Gauge, Unit: "{ratio}",
+		Labels:  []string{labelService},
+		Meaning: "Share of the recent attempts of this node that the service has rejected.",
+	}
+	callPressure = Instrument{
+		Name: "lacewingslip.call.pressure", Exported: "lacewingslip_call_pressure", Kind: Gauge, Unit: "{level}",
+		Labels:  []string{labelService},
+		Meaning: "Level at which customer requests are refused because more calls of the service fail than can be retried, with the meaning of lacewingslip_pressure.",
+	}
 )
 
 // Catalogue returns all instruments in the order of docs/operate/metrics.md.
@@ -173,5 +193,6 @@
 		bookings, crossRegionBytes, members, settingsOffset, pressure, desiredVersion, proofAge, blockedRequests,
 		capRequests, capMessages, capAccounts, clientMemory,
 		pace, expectedRun, elasticity, abandoned,
+		callsSucceeding, callsSustainable, callsRejected, callPressure,
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -78,6 +78,12 @@
 	Abandoned  int
 }
 
+// CallSuccess is how many calls of a service succeed.
+type CallSuccess struct {
+	SucceededPerS, SustainablePerS float64
+	RejectedShare, Level           float64
+}
+
 // Metrics holds the instruments of one process. It is safe for concurrent use.
 type Metrics struct {
 	handler  http.Handler
@@ -105,6 +111,10 @@
 	expectedRun      metric.Float64Gauge
 	elasticity       metric.Float64Gauge
 	abandoned        metric.Int64Gauge
+	callsSucceeding  metric.Float64Gauge
+	callsSustainable metric.Float64Gauge
+	callsRejected    metric.Float64Gauge
+	callPressure     metric.Float64Gauge
 
 	// Label sets are cached per combination of values, because creating one sorts and
 	// allocates.
@@ -218,6 +228,18 @@
 	m.abandoned.Record(ctx, int64(c.Abandoned), set.record...)
 }
 
+// SetCallSuccess records how many calls of the service succeed.
+func (m *Metrics) SetCallSuccess(service string, s CallSuccess) {
+	set := m.serviceSets.get(service, func() []attribute.KeyValue {
+		return []attribute.KeyValue{attribute.String(labelService, service)}
+	})
+	ctx := context.Background()
+	m.callsSucceeding.Record(ctx, s.SucceededPerS, set.record...)
+	m.callsSustainable.Record(ctx, s.SustainablePerS, set.record...)
+	m.callsRejected.Record(ctx, s.RejectedShare, set.record...)
+	m.callPressure.Record(ctx, s.Level, set.record...)
+}
+
 // SetBlockedRequests records the number of different calls that are refused because they
 // crash backend servers.
 func (m *Metrics) SetBlockedRequests(requests int) {
@@ -292,6 +314,10 @@
 	m.expectedRun = c.floatGauge(expectedRun)
 	m.elasticity = c.floatGauge(elasticity)
 	m.abandoned = c.gauge(abandoned)
+	m.callsSucceeding = c.floatGauge(callsSucceeding)
+	m.callsSustainable = c.floatGauge(callsSustainable)
+	m.callsRejected = c.floatGauge(callsRejected)
+	m.callPressure = c.floatGauge(callPressure)
 	return c.err
 }
 
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -105,6 +105,7 @@
 	m.SetClientMemory(metrics.ClientHeads, 1)
 	m.SetCapAccounts(3)
 	m.SetCapacity("orders", metrics.Capacity{Pace: 1})
+	m.SetCallSuccess("orders", metrics.CallSuccess{SucceededPerS: 40, SustainablePerS: 50, RejectedShare: 0.3, Level: 0.4})
 
 	server := httptest.NewServer(m.Handler())
 	defer server.Close()
