--- a/throughput/throughput.go
+++ b/throughput/throughput.go
@@ -42,10 +42,11 @@
 	// changeDeviations is the number of standard deviations from which on the attempts since the
 	// last tick show that the share has changed, so that the earlier ones no longer count.
 	changeDeviations = 4
+	// minSampleAttempts is the number of attempts since the last tick from which on they can show
+	// that.
+	minSampleAttempts = 10
 	// rateTimeConstant is the time constant of the rates of calls and runs.
 	rateTimeConstant = 400 * time.Millisecond
-	// minSampleAttempts is the number of attempts from which on their share means anything.
-	minSampleAttempts = 10
 	// callsPerRunTimeConstant is the time constant of the number of calls that a run makes.
 	callsPerRunTimeConstant = 10 * time.Second
 	// minRunsToLearn is the number of runs from which the calls per run are known.
@@ -56,14 +57,13 @@
 	// budget: most trees then succeed without any retry.
 	minRejectedShare = 0.1
 	// deviations is the number of standard deviations by which the rejected share must exceed
-	// what retries carry. A node that makes few calls sees one in ten of them rejected by chance.
+	// what retries carry: among few calls, a large share may be rejected by chance.
 	deviations = 3
 	// endShare is the share of the retries that the budget allows below which the calls no longer
 	// count as too many. Being below 1 it avoids a change with each tick.
 	endShare = 0.8
 	// carryTime is the time for which the budget must carry all calls before retries are granted,
-	// if it has not run out yet. It is longer than the level takes to affect the calls, so a large
-	// excess is not retried before, and a small one always is.
+	// if it has not run out yet. It is longer than the level takes to affect the calls.
 	carryTime = 2 * time.Second
 	// largeExcess is the ratio of needed to sustainable retries above which no retries are granted
 	// until the level takes effect.
@@ -81,8 +81,11 @@
 	// reject requests because of their number would otherwise get all and none by turns.
 	relapseTime        = 5 * time.Second
 	maxEndTimeConstant = 1600 * time.Millisecond
-	durationShare      = 0.8
-	// minDurationShare is the share of the window for which the retries have to last at least.
+	// durationShare is the share of the window for which the retries have to last, from the time
+	// when the rejections began. Retries that are left at the end of an overload are lost, and
+	// most overloads are shorter than a window.
+	durationShare = 0.8
+	// minDurationShare is the share of the window for which the retries have to last later on.
 	minDurationShare = 0.1
 	// maxSustainableRate bounds the sustainable rate, which is unlimited if nothing is rejected.
 	maxSustainableRate = 1e6
@@ -120,8 +123,6 @@
 	SustainablePerS float64
 	// Level is the share of the runs that must not be begun, in the meaning of package pressure.
 	Level float64
-	// Limiting is true while the calls need more retries than the budget allows.
-	Limiting bool
 }
 
 // Controller decides about the calls of one service. It is not safe for concurrent use.
@@ -184,8 +185,7 @@
 	return budget.Rates{Requests: c.callRate + c.customerRate, Repeats: c.repeatRate}
 }
 
-// Duration returns for how long the retries of a budget with the window have to last: until
-// those at the beginning of the overload leave the window.
+// Duration returns for how long the retries of a budget with the window have to last.
 func (c *Controller) Duration(now time.Time, window time.Duration) time.Duration {
 	duration := time.Duration(durationShare * float64(window))
 	if !c.rejectingSince.IsZero() {
@@ -215,7 +215,7 @@
 
 	state := State{
 		CallsPerS: c.Rates().Requests, SucceededPerS: c.successRate, RejectedShare: c.rejectedShare(),
-		SustainablePerS: maxSustainableRate, Limiting: c.limiting,
+		SustainablePerS: maxSustainableRate,
 	}
 	if retriesPerCall > 0 {
 		state.SustainablePerS = min(retryRate/retriesPerCall+c.customerRate, maxSustainableRate)
