Count a run once per called service without allocating

Cause: each run of a request that calls others made a map only to count it once for a service of which it calls several routes. The number of the run at the service does the same.

--- a/mesh/call_success.go
+++ b/mesh/call_success.go
@@ -31,6 +31,8 @@
 
 	mu       sync.Mutex
 	services map[string]*calledService
+	// runs is the number of runs recorded.
+	runs uint64
 	// routes has the services to which the requests of a route were sent, by name, with the time
 	// of the last one: a split route has several.
 	routes map[string]map[string]time.Time
@@ -40,7 +42,9 @@
 type calledService struct {
 	controller *throughput.Controller
 	lastCallAt time.Time
-	level      float64
+	// lastRun is the number of the last run that calls the service.
+	lastRun uint64
+	level   float64
 	// reportedLevel is the level in the last event.
 	reportedLevel float64
 }
@@ -101,15 +105,14 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	counted := make(map[*calledService]struct{}, len(routes))
+	c.runs++
 	for _, route := range routes {
 		for name := range c.routes[route] {
-			service := c.services[name]
-			if _, done := counted[service]; done || service == nil {
-				continue
+			// Several of the routes may be of the same service.
+			if service := c.services[name]; service != nil && service.lastRun != c.runs {
+				service.lastRun = c.runs
+				service.controller.RecordRun()
 			}
-			counted[service] = struct{}{}
-			service.controller.RecordRun()
 		}
 	}
 }
