Use shares of workspaces and planned returns at ingress

Customer requests with a workspace are decided by package fairshare instead of the credit per rank; requests without one keep the credit. All customer requests that are refused under pressure get their Retry-After from package backoff. The repeated request has to be answered within the caller's time, so the longest recent time of the route, or a third of the time that is left if that is less, is kept for the answer.

The weight of a workspace is its cap relative to the mean cap, or 1.

New metrics by verdict only: share_requests_total and retry_after_seconds. Event 1050 shareExceeded names a workspace beyond its share, at most one in 5 s.

--- a/desired/desired.go
+++ b/desired/desired.go
@@ -128,6 +128,8 @@
 	limits     Limits
 	priorities []int
 	workspaces []*Workspace
+	// meanRate is the mean cap of the workspaces that have one.
+	meanRate float64
 	// byKey has the workspace of each key.
 	byKey map[KeyDigest]*Workspace
 }
--- a/desired/workspace.go
+++ b/desired/workspace.go
@@ -74,11 +74,33 @@
 // Burst returns how many requests above the rate may arrive at once.
 func (w *Workspace) Burst() float64 { return w.burst }
 
+// meanRate returns the mean cap of the workspaces that have one, or 0 if none has.
+func meanRate(workspaces []*Workspace) float64 {
+	sum, capped := 0.0, 0
+	for _, w := range workspaces {
+		if w.rate > 0 {
+			sum += w.rate
+			capped++
+		}
+	}
+	return sum / float64(max(capped, 1))
+}
+
+// WeightOf returns the weight of a workspace when capacity is divided: its cap relative to the
+// mean cap, or 1 if it has none.
+func (s *State) WeightOf(w *Workspace) float64 {
+	if w.rate <= 0 {
+		return 1
+	}
+	return w.rate / s.meanRate
+}
+
 // WithWorkspaces sets the workspaces of a desired state. Of two workspaces with the same key,
 // the first one has it.
 func WithWorkspaces(workspaces ...*Workspace) StateOption {
 	return func(s *State) {
 		s.workspaces = workspaces
+		s.meanRate = meanRate(workspaces)
 		s.byKey = make(map[KeyDigest]*Workspace, len(workspaces))
 		for _, w := range workspaces {
 			for _, key := range w.keys {
--- a/mesh/customer_admission.go
+++ b/mesh/customer_admission.go
@@ -6,7 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/lacewingslip/lacewingslip/backoff"
 	"github.com/lacewingslip/lacewingslip/calltree"
+	"github.com/lacewingslip/lacewingslip/fairshare"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 	"github.com/lacewingslip/lacewingslip/pressure"
 )
@@ -20,6 +22,10 @@
 	// routePressure holds the pressure levels per route, whichever region
 	// responded. They are used for the routes that backend servers call.
 	routePressure *pressure.Shedder
+	// shares divides what is admitted between workspaces, and returns plans when the callers
+	// of refused requests come again.
+	shares  *fairshare.Divider
+	returns *backoff.Planner
 	// ownRegion is the region of this node, and regions lists all regions.
 	ownRegion string
 	regions   []string
@@ -62,6 +68,7 @@
 	a := &customerAdmission{
 		regionPressure: pressure.NewShedder(), routePressure: pressure.NewShedder(), ownRegion: settings.Region, origins: make(map[string]routeOrigin),
 		workspacePriorities: make(map[int]time.Time),
+		shares:              fairshare.New(rand.Float64), returns: backoff.New(rand.Float64),
 	}
 	for _, region := range settings.RegionOf {
 		if !slices.Contains(a.regions, region) {
@@ -159,6 +166,10 @@
 	// rank orders the request in the slot queue.
 	rank     int
 	admitted bool
+	// divided is true if the request has a workspace and only a part of its rank is admitted,
+	// and shares is the decision between workspaces then.
+	divided bool
+	shares  fairshare.Decision
 }
 
 const (
@@ -203,11 +214,21 @@
 	a.mu.Unlock()
 	key := pressure.Target{Route: req.route, Region: a.ownRegion}
 	decision.level = a.regionPressure.Level(now, key)
-	if origin != calltree.Customers || priorityIndex < 0 || a.regionPressure.Admit(now, key, priorityIndex, priorityCount) {
+	if origin != calltree.Customers || priorityIndex < 0 {
 		decision.admitted = true
 		return decision
 	}
-	decision.targetRegion, decision.admitted = a.regionWithCapacity(req.route, a.ownRegion)
+	share := pressure.Share(decision.level, priorityIndex, priorityCount)
+	if req.workspace == "" {
+		decision.admitted = a.regionPressure.Admit(now, key, priorityIndex, priorityCount)
+	} else {
+		decision.shares = a.shares.Admit(now, req.route, share, shareRequest(req))
+		decision.admitted, decision.divided = decision.shares.Verdict.Admitted(), decision.shares.Verdict != fairshare.Unrestricted
+	}
+	a.returns.Record(now, returnTarget(req), share, decision.admitted)
+	if !decision.admitted {
+		decision.targetRegion, decision.admitted = a.regionWithCapacity(req.route, a.ownRegion)
+	}
 	return decision
 }
 
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/call"
@@ -25,8 +26,8 @@
 	// servers that it sends requests to, so that the result that they report
 	// arrives before this node times out.
 	responseGrace = 30 * time.Millisecond
-	// A refused caller is told to retry after minRetryAfter plus a random time of
-	// up to retryAfterSpread.
+	// A caller that is refused for another reason than pressure is told to retry after
+	// minRetryAfter plus a random time of up to retryAfterSpread.
 	minRetryAfter    = 400 * time.Millisecond
 	retryAfterSpread = 600 * time.Millisecond
 	// maxCrashesPerRequest is the number of backend servers that may crash under a request
@@ -55,6 +56,8 @@
 	// responseTimes has the time from the arrival of a request to the end of its last
 	// attempt.
 	responseTimes *longestTimes
+	// shareEventAt is when an event about a workspace beyond its share was last recorded.
+	shareEventAt atomic.Pointer[time.Time]
 }
 
 // ServeHTTP handles one request of a caller.
@@ -144,10 +147,14 @@
 		return refusal
 	}
 	decision := i.admission.admit(req)
+	i.recordShares(now, req, decision)
 	req.targetRegion, req.rank, req.fromCustomer = decision.targetRegion, decision.rank, origin == calltree.Customers
 	if !decision.admitted {
 		i.budget.recordRequest(req.service, req.repeatShare)
-		return notRunResult(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is overloaded: pressure level %.2f", decision.level))
+		refusal = notRunResult(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is overloaded: pressure level %.2f", decision.level))
+		refusal.retryAfter = i.admission.planReturn(now, req, i.responseTimes.ofRoute(now, req.route))
+		i.metrics.ReturnPlanned(refusal.retryAfter)
+		return refusal
 	}
 	return nil
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -27,8 +27,9 @@
 // # Files
 //
 // The path of a request is ingress.go (accepts requests and decides on attempts),
-// workspaces.go (admits requests by their key), customer_admission.go (refuses customer
-// requests under pressure), node_selector.go and
+// workspaces.go (admits requests by their key), customer_admission.go and
+// fair_shares.go (refuse customer requests under pressure, by the shares of workspaces, and
+// tell their callers when to return), node_selector.go and
 // balancer.go (choose the next node), known_peers.go (selects known nodes by where they are
 // and whether they can be reached), retry_budget.go (decides whether a failed request
 // is sent again), quota.go and quota_messages.go (apply the caps of workspaces), and
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -44,8 +44,11 @@
 	caller string
 	// workspace is the name of the workspace to which the caller's key belongs, or "".
 	workspace string
-	route     string
-	kind      desired.Kind
+	// weight is the weight of the workspace when capacity is divided, or 0 for the mean. It is
+	// known only at the ingress node.
+	weight float64
+	route  string
+	kind   desired.Kind
 	// priority is the priority of the workspace, if it has one, or else that of the route; 0
 	// is the highest. It is known only at the ingress node.
 	priority int
--- a/mesh/workspaces.go
+++ b/mesh/workspaces.go
@@ -18,6 +18,8 @@
 type access struct {
 	// workspace is the one that has the key, or nil if the request is anonymous.
 	workspace *desired.Workspace
+	// weight is the weight of the workspace when capacity is divided.
+	weight float64
 	// refusal is the result of a request that must not run, or nil.
 	refusal *result
 }
@@ -31,7 +33,7 @@
 	workspace, known := state.WorkspaceOf(platform.APIKey(h))
 	switch {
 	case known && c.proofs.serves():
-		return access{workspace: workspace}
+		return access{workspace: workspace, weight: state.WeightOf(workspace)}
 	case route.Anonymous():
 		return access{}
 	case known || !c.mayDeny(state):
@@ -63,7 +65,7 @@
 // apply sets the workspace of a request, and the priority of the workspace if it has one, or
 // else that of the route. It replaces what an earlier decision has set.
 func (a access) apply(req *request, route *desired.Route) {
-	req.workspace, req.priority, req.hasOwnPriority = a.workspaceName(), route.Priority(), false
+	req.workspace, req.weight, req.priority, req.hasOwnPriority = a.workspaceName(), a.weight, route.Priority(), false
 	if a.workspace == nil {
 		return
 	}
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -130,6 +130,15 @@
 		Labels:  []string{labelVerdict},
 		Meaning: "Requests of workspaces with a cap by verdict: admitted, overCap, or noKeeper if no keeper of the cap could be asked.",
 	}
+	shareRequests = Instrument{
+		Name: "lacewingslip.share.requests", Exported: "lacewingslip_share_requests_total", Kind: Counter, Unit: "{request}",
+		Labels:  []string{labelVerdict},
+		Meaning: "Requests of workspaces on routes under pressure by verdict: withinShare if the workspace asks for less than its share, beyondShare if it is admitted although it asks for more, returned if it is admitted before new ones because its caller has waited, or refused.",
+	}
+	retryAfter = Instrument{
+		Name: "lacewingslip.retry.after", Exported: "lacewingslip_retry_after_seconds", Kind: Histogram, Unit: "s",
+		Meaning: "Times after which callers that are refused under pressure are told to return.",
+	}
 	clientMemory = Instrument{
 		Name: "lacewingslip.client.memory", Exported: "lacewingslip_client_memory_bytes", Kind: Gauge, Unit: "By",
 		Labels:  []string{labelContent},
@@ -171,7 +180,7 @@
 	return []Instrument{
 		calls, callDuration, retries, queueLength, running, limit,
 		bookings, crossRegionBytes, members, settingsOffset, pressure, desiredVersion, proofAge, blockedRequests,
-		capRequests, capMessages, capAccounts, clientMemory,
+		capRequests, capMessages, capAccounts, shareRequests, retryAfter, clientMemory,
 		pace, expectedRun, elasticity, abandoned,
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -99,6 +99,8 @@
 	blockedRequests  metric.Int64Gauge
 	capRequests      metric.Int64Counter
 	capMessages      metric.Int64Counter
+	shareRequests    metric.Int64Counter
+	retryAfter       metric.Float64Histogram
 	clientMemory     metric.Int64Gauge
 	capAccounts      metric.Int64Gauge
 	pace             metric.Float64Gauge
@@ -229,6 +231,16 @@
 	m.capRequests.Add(context.Background(), 1, m.pair(labelVerdict, string(verdict), "", "").add...)
 }
 
+// ShareDecided counts a request of a workspace of whose rank only a part is admitted.
+func (m *Metrics) ShareDecided(verdict string) {
+	m.shareRequests.Add(context.Background(), 1, m.pair(labelVerdict, verdict, "", "").add...)
+}
+
+// ReturnPlanned records after which time the caller of a refused request is to return.
+func (m *Metrics) ReturnPlanned(after time.Duration) {
+	m.retryAfter.Record(context.Background(), after.Seconds())
+}
+
 // ClientContent is what clients send that is held in memory.
 type ClientContent string
 
@@ -286,6 +298,8 @@
 	m.blockedRequests = c.gauge(blockedRequests)
 	m.capRequests = c.counter(capRequests)
 	m.capMessages = c.counter(capMessages)
+	m.shareRequests = c.counter(shareRequests)
+	m.retryAfter = c.histogram(retryAfter)
 	m.clientMemory = c.gauge(clientMemory)
 	m.capAccounts = c.gauge(capAccounts)
 	m.pace = c.floatGauge(pace)
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -35,6 +35,8 @@
 		`lacewingslip_settings_offset 17`,
 		`lacewingslip_cap_requests_total{verdict="overCap"} 1`,
 		`lacewingslip_cap_messages_total{result="answered"} 1`,
+		`lacewingslip_share_requests_total{verdict="refused"} 1`,
+		`lacewingslip_retry_after_seconds_sum 0.5`,
 	} {
 		must.StrContains(t, scraped, sample+"\n")
 	}
@@ -102,6 +104,8 @@
 	m.SetProofAge(time.Second)
 	m.CapDecided(metrics.CapExceeded)
 	m.CapMessageSent(true)
+	m.ShareDecided("refused")
+	m.ReturnPlanned(500 * time.Millisecond)
 	m.SetClientMemory(metrics.ClientHeads, 1)
 	m.SetCapAccounts(3)
 	m.SetCapacity("orders", metrics.Capacity{Pace: 1})
