Keep the debt of returned requests across routes

A request on a route of which all requests are admitted, or where its workspace is within its share, cleared what the workspace had used in advance by returning on an overloaded route.

Also, the time to return is planned by the time at which the request is refused. Before, it was that of its arrival, which is up to 150 ms earlier if it has waited for credit of its cap.

--- a/fairshare/demand.go
+++ b/fairshare/demand.go
@@ -38,8 +38,9 @@
 	// count is the number of requests with weights that decay over demandWindow.
 	count float64
 	last  time.Time
-	// balance is the number of requests that were to be admitted, less that of those that were,
-	// since all were admitted last.
+	// balance is what the probabilities of the requests beyond the share of the workspace add up
+	// to, less the number of those admitted. Requests on a route of which all are admitted do
+	// not change it: they would clear the debt of those that returned on another route.
 	balance float64
 	// expected has the requests that have been told to return, by fingerprint.
 	expected map[uint64]*expectedReturn
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -144,7 +144,7 @@
 	ratio := max(weight, minWeight) / rate
 	state.recordRequest(now, ratio)
 	if share >= 1 {
-		state.balance, demand.balance = 0, 0
+		state.balance = 0
 		return Decision{Verdict: Unrestricted, Demand: rate, Share: rate}
 	}
 	fairRate := state.fairRate(share)
@@ -157,7 +157,6 @@
 // decide decides on a request that is to be admitted with the probability.
 func (d *Divider) decide(demand *demand, probability float64, returned bool) Verdict {
 	if probability >= 1 {
-		demand.balance = 0
 		return WithinShare
 	}
 	verdict := Refused
--- a/fairshare/fairshare_test.go
+++ b/fairshare/fairshare_test.go
@@ -130,6 +130,30 @@
 	must.InDelta(t, share, total, 0.01)
 }
 
+// Guards against a workspace that gets more than its share on one route by returning, because
+// its requests on another route, of which all are admitted, clear what it has used in advance.
+func TestDebtOutlastsOtherRoutes(t *testing.T) {
+	d, now := fairshare.New(rand.New(rand.NewPCG(1, 2)).Float64), start
+	const rounds = 5000
+	admitted := make(map[string]int)
+	for n := range uint64(rounds) {
+		now = now.Add(10 * time.Millisecond)
+		for _, workspace := range []string{"returns", "leaves"} {
+			r := fairshare.Request{Workspace: workspace, Fingerprint: n}
+			if workspace == "returns" {
+				d.Admit(now, "other", 1, fairshare.Request{Workspace: workspace, Fingerprint: rounds + n})
+				d.ExpectReturn(now, r, 0)
+			}
+			if d.Admit(now, "r", 0.5, r).Verdict.Admitted() {
+				admitted[workspace]++
+			}
+		}
+	}
+	t.Logf("of %d requests each, %d of the workspace that returns are admitted and %d of the other", rounds, admitted["returns"], admitted["leaves"])
+	must.GreaterEq(t, admitted["returns"], admitted["leaves"])
+	must.InDelta(t, rounds, float64(admitted["returns"]+admitted["leaves"]), 0.01*rounds)
+}
+
 // Guards against a node that refuses its only caller for good.
 func TestOnlyCaller(t *testing.T) {
 	for _, share := range []float64{0.1, 0.5} {
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -152,7 +152,7 @@
 	if !decision.admitted {
 		i.budget.recordRequest(req.service, req.repeatShare)
 		refusal = notRunResult(call.ReasonOverloaded, fmt.Sprintf("a service that the request needs is overloaded: pressure level %.2f", decision.level))
-		refusal.retryAfter = i.admission.planReturn(now, req, i.responseTimes.ofRoute(now, req.route))
+		refusal.retryAfter = i.admission.planReturn(time.Now(), req, i.responseTimes.ofRoute(now, req.route))
 		i.metrics.ReturnPlanned(refusal.retryAfter)
 		return refusal
 	}
