Report shares exceeded only for requests that are refused

A request that its region refuses may be accepted by another one, so it is not a reason for event 1050. Such requests count as refused in the metric, which says so now.

--- a/mesh/fair_shares.go
+++ b/mesh/fair_shares.go
@@ -66,7 +66,7 @@
 		return
 	}
 	i.metrics.ShareDecided(decision.shares.Verdict.String())
-	if decision.shares.Verdict.Admitted() {
+	if decision.admitted {
 		return
 	}
 	last := i.shareEventAt.Load()
--- a/mesh/fair_shares_test.go
+++ b/mesh/fair_shares_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"github.com/lacewingslip/lacewingslip/calltree"
 	"github.com/lacewingslip/lacewingslip/desired"
+	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 	"github.com/lacewingslip/lacewingslip/platform"
@@ -126,15 +128,21 @@
 	})
 }
 
+// recordedEvents counts events.
+type recordedEvents map[event.ID]int
+
+func (e recordedEvents) Record(id event.ID, _ ...slog.Attr) { e[id]++ }
+
 // Guards against a refusal under pressure without a time to return, or with one that is of no
-// use, in deployments with and without workspaces.
+// use, in deployments with and without workspaces, and against an event for each refusal.
 func TestRefusalUnderPressureStatesWhenToReturn(t *testing.T) {
 	for name, workspaces := range map[string][]operator.Workspace{"without workspaces": nil, "with workspaces": {north}} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t, "orders")
 			d.publishWorkspaces(workspaces...)
 			d.awaitConvergence()
-			i := newSecondIngress(d.vms[0].node)
+			i, events, begin := newSecondIngress(d.vms[0].node), make(recordedEvents), time.Now()
+			i.events = events
 			route, _ := i.desired.current().Match(operator.Host, "/once/a")
 			req := &request{route: route.Name(), priority: route.Priority()}
 			refused := 0
@@ -157,6 +165,8 @@
 				must.Between(t, 100*time.Millisecond, platform.RetryAfter(recorder.Header()), 800*time.Millisecond)
 			}
 			must.Greater(t, 30, refused)
+			must.Eq(t, len(workspaces) > 0, events[event.ShareExceeded] > 0)
+			must.LessEq(t, 1+int(time.Since(begin)/shareEventInterval), events[event.ShareExceeded])
 		})
 	}
 }
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -133,7 +133,7 @@
 	shareRequests = Instrument{
 		Name: "lacewingslip.share.requests", Exported: "lacewingslip_share_requests_total", Kind: Counter, Unit: "{request}",
 		Labels:  []string{labelVerdict},
-		Meaning: "Requests of workspaces on routes under pressure by verdict: withinShare if the workspace asks for less than its share, beyondShare if it is admitted although it asks for more, returned if it is admitted before new ones because its caller has waited, or refused.",
+		Meaning: "Requests of workspaces on routes under pressure by verdict: withinShare if the workspace asks for less than its share, beyondShare if it is admitted although it asks for more, returned if it is admitted before new ones because its caller has waited, or refused, also if another region accepts it then.",
 	}
 	retryAfter = Instrument{
 		Name: "lacewingslip.retry.after", Exported: "lacewingslip_retry_after_seconds", Kind: Histogram, Unit: "s",
