Don't ask a node again that would refuse the request again

A request that a node refuses at once, because no slot would be free in time, is sent to the nodes of its home region again with a longer time limit for its wait. Where a service has one node there, or all are full, that was the same node, and it refused again if the wait that it expected was longer than the request may wait at all.

The refusal now states the expected wait (Lacewingslip-Wait, in milliseconds, only in such refusals; a header of its own, which nodes of earlier versions ignore). The node is left out of the last selection in the home region if that wait, less the time since, is longer than the request may wait there. A refusal after a wait states none, as do nodes of earlier versions, and the node is asked again as before.

TestFullNodeIsNotAskedAgain fails with the former selection.

--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -295,7 +295,7 @@
 			return res
 		case res.outcome == call.NotRun && res.reason != call.ReasonShed:
 			i.updatePeer(p, epoch, res)
-			selector.refused = append(selector.refused, p.node)
+			selector.recordRefusal(p, res)
 			continue
 		}
 		selector.recordBackend(p, res.outcome == call.NotRun)
--- a/mesh/node_selector.go
+++ b/mesh/node_selector.go
@@ -23,6 +23,9 @@
 	// regionQueueTimeout is how long a request waits at a node before it is sent to
 	// another region. It is about twice the round trip between regions.
 	regionQueueTimeout = 80 * time.Millisecond
+	// maxWaitAge is how long the wait counts that a node expected when it refused a request.
+	// Requests with short queue timeouts may have left its queue afterwards.
+	maxWaitAge = firstQueueTimeout
 	// lastQueueTimeoutShare is the share of the time left until the deadline for
 	// which a request may wait at the last node that it is sent to.
 	lastQueueTimeoutShare = 0.25
@@ -38,6 +41,8 @@
 	// refused lists the nodes that refused the request. reachedBackend lists those
 	// whose backend server received the request or may have received it.
 	refused, reachedBackend []string
+	// full has the refusals for want of a slot that state the expected wait.
+	full []fullNode
 	// shedBy is the first node whose backend server received the request and stated
 	// that it did not run it, or nil. mayHaveRun is true after an attempt that may have
 	// run.
@@ -51,6 +56,20 @@
 	stage selectionStage
 }
 
+// fullNode is a node that has refused the request because no slot would be free in time.
+type fullNode struct {
+	node      string
+	refusedAt time.Time
+	wait      time.Duration
+}
+
+// refuses reports whether the node would refuse the request again, because the wait that it
+// expected when it refused it is longer than the request may wait now.
+func (n fullNode) refuses(now time.Time, queueTimeout time.Duration) bool {
+	elapsed := now.Sub(n.refusedAt)
+	return elapsed <= maxWaitAge && n.wait-elapsed > queueTimeout
+}
+
 // selectionStage is a stage in the selection of nodes. The stages are in the
 // order in which they are tried.
 type selectionStage uint8
@@ -116,6 +135,15 @@
 	return s.shedBy, true
 }
 
+// recordRefusal records that a node refused the request without sending it to its backend
+// server.
+func (s *nodeSelector) recordRefusal(p *peer, res *result) {
+	s.refused = append(s.refused, p.node)
+	if res.wait > 0 {
+		s.full = append(s.full, fullNode{p.node, time.Now(), res.wait})
+	}
+}
+
 // recordBackend records that the backend server beside a node received the request.
 // shed is true if it stated that it did not run the request.
 func (s *nodeSelector) recordBackend(p *peer, shed bool) {
@@ -166,7 +194,7 @@
 		return b.choose(r, s.excluded(), region)
 	case stageHomeRegionQueue:
 		r.queueTimeout = lastQueueTimeout
-		return b.choose(r, s.reachedBackend, s.homeRegion())
+		return b.choose(r, s.excludedFromQueue(), s.homeRegion())
 	default:
 		if r.fromCustomer && len(s.refused) > 0 {
 			return nil, false
@@ -189,3 +217,16 @@
 func (s *nodeSelector) excluded() []string {
 	return append(s.refused[:len(s.refused):len(s.refused)], s.reachedBackend...)
 }
+
+// excludedFromQueue returns the nodes that are not asked to queue the request: those whose
+// backend server has received it, and those that would refuse it again.
+func (s *nodeSelector) excludedFromQueue() (nodes []string) {
+	nodes = s.reachedBackend[:len(s.reachedBackend):len(s.reachedBackend)]
+	now := time.Now()
+	for _, n := range s.full {
+		if n.refuses(now, s.request.queueTimeout) {
+			nodes = append(nodes, n.node)
+		}
+	}
+	return nodes
+}
--- a/mesh/node_selector_test.go
+++ b/mesh/node_selector_test.go
@@ -1,12 +1,16 @@
 package mesh
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingslip/lacewingslip/fleet"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
+	"github.com/lacewingslip/lacewingslip/slot"
 )
 
 // Replays a request that as many backend servers as its route allows have refused.
@@ -43,3 +47,50 @@
 		})
 	}
 }
+
+// Guards against asking a node again that has just stated that the request would wait there for
+// longer than it may, and against leaving out one whose queue may have become shorter.
+func TestFullNodeIsNotAskedAgain(t *testing.T) {
+	const timeout = 250 * time.Millisecond
+	for name, c := range map[string]struct {
+		wait, elapsed time.Duration
+		want          bool
+	}{
+		"the wait is too long":             {wait: 300 * time.Millisecond, want: true},
+		"the wait is short enough":         {wait: 200 * time.Millisecond},
+		"the wait is nearly over":          {wait: 255 * time.Millisecond, elapsed: 8 * time.Millisecond},
+		"the refusal was some time ago":    {wait: time.Minute, elapsed: 80 * time.Millisecond},
+		"the node has not stated a wait":   {},
+		"the wait is as long as permitted": {wait: timeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := fullNode{node: "first", refusedAt: time.Unix(100, 0), wait: c.wait}
+			must.Eq(t, c.want, n.refuses(n.refusedAt.Add(c.elapsed), timeout))
+		})
+	}
+	for wait, again := range map[time.Duration]bool{0: true, time.Millisecond: true, time.Minute: false} {
+		b := newBalancer(nodeconfig.Config{Region: "here"}, nil)
+		b.setMembers(func() []fleet.Member {
+			return []fleet.Member{{Node: "only", Address: "127.0.0.2:1", Region: "here", Service: "orders", Slots: 10, TakesWork: true, Epoch: 1}}
+		})
+		s := &nodeSelector{
+			balancer: b, admission: newCustomerAdmission(nodeconfig.Config{}), maxBackends: 2,
+			request: &request{service: "orders", deadline: time.Now().Add(time.Second), fromCustomer: true},
+		}
+		p, ok := s.next()
+		must.True(t, ok)
+		s.recordRefusal(p, &result{wait: wait})
+		_, ok = s.next()
+		must.Eq(t, again, ok)
+	}
+}
+
+// Guards against a wait that is lost or changed between nodes, and against invalid ones.
+func TestExpectedWait(t *testing.T) {
+	w := httptest.NewRecorder()
+	must.NoError(t, writeResult(w, "1", overloadedResult(&slot.FullError{Wait: 1500 * time.Millisecond}), 1))
+	must.Eq(t, 1500*time.Millisecond, expectedWait(w.Header()))
+	for _, value := range []string{"", "-1", "3600001", "1.5"} {
+		must.Zero(t, expectedWait(http.Header{headerWait: {value}}))
+	}
+}
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -95,6 +95,8 @@
 	stream *hop.Answer
 	// retryAfter is when a refused caller may come again, or 0 for the default.
 	retryAfter time.Duration
+	// wait is the estimate by which the request was refused at once for want of a slot, or 0.
+	wait time.Duration
 	// node is the node that returned the result.
 	node string
 	// report is the load that the node beside the backend server reported.
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -187,7 +187,7 @@
 	case err != nil && ctx.Err() != nil:
 		return notRunResult(call.ReasonCanceled, "the caller disconnected while the request was queued")
 	case err != nil:
-		return notRunResult(call.ReasonOverloaded, err.Error())
+		return overloadedResult(err)
 	}
 	started := time.Now()
 	mark := s.capacity.begin(started, req.route, req.deadline)
@@ -222,6 +222,16 @@
 	return s.forward(ctx, req, true)
 }
 
+// overloadedResult returns the result of a request that got no slot.
+func overloadedResult(err error) *result {
+	res := notRunResult(call.ReasonOverloaded, err.Error())
+	var full *slot.FullError
+	if errors.As(err, &full) {
+		res.wait = full.Wait
+	}
+	return res
+}
+
 // quarantinedResult returns the result of a request that is refused for the verdict.
 func quarantinedResult(verdict quarantine.Verdict) *result {
 	res := notRunResult(call.ReasonQuarantined, "such requests have crashed backend servers")
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -38,6 +38,11 @@
 	// further fields in headerHop.
 	headerRun = internalPrefix + "Run"
 
+	// headerWait has the estimate in milliseconds by which a request was refused at once for
+	// want of a slot. It is a header of its own because nodes of earlier versions ignore it,
+	// while they reject further fields in headerHop.
+	headerWait = internalPrefix + "Wait"
+
 	// requestFieldCount and responseFieldCount are the numbers of space-separated
 	// fields in headerHop. Optional fields of the form name=value follow them. They are sent
 	// only where a deployment uses the feature that needs them, because nodes of earlier
@@ -211,6 +216,9 @@
 	if res.report.paced {
 		h.Set(headerRun, strconv.FormatInt(res.report.run.Microseconds(), 10))
 	}
+	if res.wait > 0 {
+		h.Set(headerWait, strconv.FormatInt(res.wait.Milliseconds(), 10))
+	}
 	status := res.status
 	if status == 0 {
 		status = call.HTTPStatus(res.outcome, res.reason)
@@ -270,6 +278,7 @@
 	if res.outcome != call.Answered {
 		res.detail = "reported by the node beside the backend server"
 		res.retryAfter = platform.RetryAfter(resp.Header)
+		res.wait = expectedWait(resp.Header)
 		res.evidence = readEvidence(resp.Header)
 		// The body is discarded: the other node has logged the details.
 		_, _, _ = resp.ReadAll(maxBufferedBytes)
@@ -324,7 +333,7 @@
 }
 
 const (
-	// maxRun bounds the run time that is read from a header.
+	// maxRun bounds the run time and the wait that are read from a header.
 	maxRun = time.Hour
 	// unknownRun is the value of headerRun if the run time is unknown.
 	unknownRun = "0"
@@ -342,6 +351,19 @@
 // statesPace reports whether headerRun shows that the backend server states its pace.
 func statesPace(h http.Header) bool { return expectedRun(h) > 0 || h.Get(headerRun) == unknownRun }
 
+// expectedWait returns the value of headerWait, or 0 if it is missing or invalid.
+func expectedWait(h http.Header) time.Duration {
+	text := h.Get(headerWait)
+	if text == "" {
+		return 0
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 || n > maxRun.Milliseconds() {
+		return 0
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
 func parseNumbers(fields []string) (numbers []int64, err error) {
 	numbers = make([]int64, len(fields))
 	for i, field := range fields {
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -33,6 +33,18 @@
 	ErrClosed = errors.New("the backend server takes no requests")
 )
 
+// FullError is an [ErrFull] for a request that was refused at once.
+type FullError struct {
+	// Wait is the estimate of how long the request would have waited.
+	Wait time.Duration
+}
+
+// Error implements error.
+func (e *FullError) Error() string { return ErrFull.Error() }
+
+// Unwrap returns [ErrFull].
+func (e *FullError) Unwrap() error { return ErrFull }
+
 // meanRunWeight is the weight of the latest request in the mean run time.
 const meanRunWeight = 0.05
 
@@ -170,8 +182,8 @@
 		}
 		return 1
 	})
-	if time.Until(r.WaitUntil) < q.estimateWait(index) {
-		return nil, ErrFull
+	if wait := q.estimateWait(index); time.Until(r.WaitUntil) < wait {
+		return nil, &FullError{Wait: wait}
 	}
 	w = &waiter{request: r, result: make(chan error, 1)}
 	q.waiting = slices.Insert(q.waiting, index, w)
--- a/slot/slot_test.go
+++ b/slot/slot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,6 +76,9 @@
 		started := time.Now()
 		_, err := q.Acquire(context.Background(), slot.Request{WaitUntil: started.Add(10 * time.Millisecond)})
 		must.ErrorIs(t, err, slot.ErrFull)
+		var full *slot.FullError
+		must.True(t, errors.As(err, &full))
+		must.Eq(t, 500*time.Millisecond, full.Wait)
 		must.Eq(t, started, time.Now())
 	})
 }
