Set the gauges of a node once a second

The periodic work of a node set its gauges ten times a second: ten records of instruments each time, and a count of all nodes. Scrapes are seconds apart, so they are set once a second now. What is decided from the same values is still decided at each tick.

--- a/mesh/lifecycle.go
+++ b/mesh/lifecycle.go
@@ -17,6 +17,8 @@
 const (
 	// tickInterval is the interval of the periodic work.
 	tickInterval = 100 * time.Millisecond
+	// metricsInterval is the interval at which gauges are set. Scrapes are further apart.
+	metricsInterval = time.Second
 	// Values of the metrics label that states whether this node can reach a node.
 	healthReachable = "reachable"
 	healthLost      = "lost"
@@ -201,6 +203,7 @@
 func (l *lifecycle) runPeriodicWork(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	var metricsAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -212,7 +215,10 @@
 			l.components.caps.tick()
 			l.closeIdleConnections(now)
 			l.components.exchange.probeUnreachable(ctx, now)
-			l.updateMetrics()
+			if now.Sub(metricsAt) >= metricsInterval {
+				metricsAt = now
+				l.updateMetrics()
+			}
 		}
 	}
 }
@@ -231,9 +237,10 @@
 	}
 }
 
-// updateMetrics exports the number of reachable and unreachable nodes and the
-// version of the desired state.
+// updateMetrics exports the load of the backend server, the number of reachable and
+// unreachable nodes, the version of the desired state and the memory that clients take.
 func (l *lifecycle) updateMetrics() {
+	l.components.sidecar.updateMetrics()
 	reachable, unreachable := l.components.balancer.countPeers()
 	l.metrics.SetMembers(healthReachable, reachable)
 	l.metrics.SetMembers(healthLost, unreachable)
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -73,6 +73,9 @@
 	lastCallAt atomic.Int64
 	// reportedLevel is the pressure level in the last event. Only tick uses it.
 	reportedLevel float64
+	// capacityMetrics is what the backend server was last expected to handle. Only the
+	// periodic work uses it.
+	capacityMetrics metrics.Capacity
 	// quarantine holds the requests that crash backend servers, and crashes detects when
 	// the server has crashed.
 	quarantine *quarantine.List
@@ -314,7 +317,7 @@
 // tick does the periodic work. services is the number of services that have
 // nodes.
 func (s *sidecar) tick(now time.Time, services int) {
-	s.metrics.SetCapacity(s.settings.Service, s.capacity.tick(now))
+	s.capacityMetrics = s.capacity.tick(now)
 	load := s.slots.Load()
 	level := s.gauge.Tick(now, load)
 	if math.Abs(level-s.reportedLevel) >= reportedLevelStep || level == 0 && s.reportedLevel > 0 {
@@ -323,14 +326,20 @@
 			slog.Int("running", load.Running), slog.Int("waiting", load.Waiting), slog.Int("limit", load.Limit),
 			attrMs("meanRunMs", load.MeanRun))
 	}
-	s.metrics.SetLoad(s.settings.Service, metrics.Load{Running: load.Running, Limit: load.Limit, Queued: load.Waiting})
-	s.metrics.SetPressure(s.settings.Service, level)
 	s.checkSilence(now, load.MeanRun)
 	s.links.Tick(now)
 	s.callers.Tick(now, services)
 	s.backend.current().Sweep(now)
 }
 
+// updateMetrics exports the load of the backend server and what it is expected to handle.
+func (s *sidecar) updateMetrics() {
+	load := s.slots.Load()
+	s.metrics.SetLoad(s.settings.Service, metrics.Load{Running: load.Running, Limit: load.Limit, Queued: load.Waiting})
+	s.metrics.SetPressure(s.settings.Service, s.gauge.Level())
+	s.metrics.SetCapacity(s.settings.Service, s.capacityMetrics)
+}
+
 // checkSilence detects that the backend server has stopped responding, and
 // probes a silent server until it responds again.
 func (s *sidecar) checkSilence(now time.Time, meanRun time.Duration) {
