Select watchers and look for due probes only after changes

Each node selected the watchers of its zone ten times a second and with each message, by collecting and sorting the reachable nodes of the zone, and went through all nodes for those that are due to be probed. Both change only with a node or its reachability, which the balancer counts in its revision. The selection is kept until the revision changes, and nodes are gone through only if one is unreachable.

--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -53,8 +53,14 @@
 	inZone []*peer
 	// services has the services that have nodes.
 	services map[string]struct{}
-	// revision counts the calls of updateTable.
+	// revision counts the calls of updateTable, which follow each change of a node or of its
+	// reachability.
 	revision uint64
+	// watchers has the watchers of this zone as of watchersRevision.
+	watchers         []*peer
+	watchersRevision uint64
+	// hasUnreachable is true if a node is unreachable.
+	hasUnreachable bool
 	// sweptAt is when unused connections were last closed.
 	sweptAt time.Time
 }
@@ -155,6 +161,7 @@
 // mutex must be held.
 func (b *balancer) updateTable(services map[string]struct{}) {
 	b.revision++
+	b.hasUnreachable = false
 	byService := make(map[string][]routing.Upstream, len(services))
 	for service := range services {
 		byService[service] = nil
@@ -163,6 +170,7 @@
 	for _, p := range b.peers {
 		m := &p.member
 		b.services[m.Service] = struct{}{}
+		b.hasUnreachable = b.hasUnreachable || p.unreachable
 		if _, changed := services[m.Service]; !changed || !p.acceptsRequests() {
 			continue
 		}
@@ -312,6 +320,9 @@
 func (b *balancer) dueProbes(now time.Time) (peers []*peer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.hasUnreachable {
+		return nil
+	}
 	for _, p := range b.peers {
 		if p.unreachable && now.After(p.nextProbe) {
 			p.probeInterval = min(2*p.probeInterval, b.scaleInterval(maxProbeInterval))
--- a/mesh/known_peers.go
+++ b/mesh/known_peers.go
@@ -45,6 +45,11 @@
 func (b *balancer) reachableInZone() (peers []*peer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.findReachableInZone()
+}
+
+// findReachableInZone is reachableInZone with the mutex held.
+func (b *balancer) findReachableInZone() (peers []*peer) {
 	for _, p := range b.inZone {
 		if !p.unreachable {
 			peers = append(peers, p)
@@ -53,6 +58,18 @@
 	return peers
 }
 
+// zoneWatchers returns the watchers of this zone, which may include this node. They are
+// selected again only after a change of a node. The caller must not change them.
+func (b *balancer) zoneWatchers() (watchers []*peer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.watchersRevision == b.revision {
+		return b.watchers
+	}
+	b.watchers, b.watchersRevision = firstInOrder(b.findReachableInZone(), watchersPerZone), b.revision
+	return b.watchers
+}
+
 // firstReachable returns the reachable nodes, including this one, that come first in the
 // order of watchers.
 func (b *balancer) firstReachable(number int) (peers []*peer) {
--- a/mesh/watchers.go
+++ b/mesh/watchers.go
@@ -129,7 +129,7 @@
 // watchersToFollow returns the watchers of the zone, or none if this node is
 // one of them.
 func (w *watcherSelection) watchersToFollow() (peers []*peer) {
-	peers = firstInOrder(w.balancer.reachableInZone(), watchersPerZone)
+	peers = w.balancer.zoneWatchers()
 	for _, p := range peers {
 		if p.node == w.balancer.settings.Node {
 			return nil
