Do the periodic work of a node by one timer

The selection of watchers and the renewal of proofs had a goroutine and a timer of their own each, beside that of the other periodic work, all at the same interval of 100 ms. An idle node was woken thirty times a second for them, and each wake-up costs more than what is done after it. They are now steps of the periodic work. The first selection of watchers follows 100 ms after the start and not at the start, when a node does not know any other node.

--- a/mesh/freshness.go
+++ b/mesh/freshness.go
@@ -265,23 +265,18 @@
 	p.recordRenewal(p.tracker.RecordRead(p.topicRead, inForce))
 }
 
-// run renews the proof until the context ends.
-func (p *proofs) run(ctx context.Context) {
+// start must be called before the first tick.
+func (p *proofs) start() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := p.clock()
 	p.situation = freshness.Situation{LastAsk: now - time.Minute, LastRead: now, Jitter: rand.Float64()}
-	p.mu.Unlock()
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if p.inUse() {
-				p.renew(ctx)
-			}
-		}
+}
+
+// tick renews the proof where the deployment needs one.
+func (p *proofs) tick(ctx context.Context) {
+	if p.inUse() {
+		p.renew(ctx)
 	}
 }
 
--- a/mesh/lifecycle.go
+++ b/mesh/lifecycle.go
@@ -91,8 +91,7 @@
 	l.background.Go(func() { l.components.desired.run(ctx) })
 	l.background.Go(func() { l.components.directory.Run(ctx) })
 	l.background.Go(func() { l.components.exchange.pollPeers(ctx) })
-	l.background.Go(func() { l.components.watchers.run(ctx) })
-	l.background.Go(func() { l.components.proofs.run(ctx) })
+	l.components.proofs.start()
 	l.background.Go(func() { l.components.announcements.restoreServerState(ctx) })
 	l.background.Go(func() { l.runPeriodicWork(ctx) })
 	l.events.Record(event.NodeStarted, attrService(l.settings.Service))
@@ -203,12 +202,15 @@
 func (l *lifecycle) runPeriodicWork(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	defer l.components.watchers.following.Wait()
 	var metricsAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			l.components.watchers.tick(ctx, now)
+			l.components.proofs.tick(ctx)
 			l.components.balancer.tick(now)
 			l.components.sidecar.tick(now, l.components.balancer.countServices())
 			l.components.quarantine.tick(now)
--- a/mesh/watchers.go
+++ b/mesh/watchers.go
@@ -27,7 +27,7 @@
 	maxChangeWait = time.Second
 	maxAnswerGap  = maxChangeWait + 400*time.Millisecond
 	// selectionInterval is how often a node selects the watchers that it follows.
-	selectionInterval = 100 * time.Millisecond
+	selectionInterval = tickInterval
 	// changeBatchDelay is how long a watcher collects further changes after the
 	// first one.
 	changeBatchDelay = 100 * time.Millisecond
@@ -62,6 +62,10 @@
 	// could not follow a watcher, in Unix nanoseconds.
 	readsLogUntil atomic.Int64
 	startedAt     time.Time
+	// followed has the watchers that this node follows, with the functions that end it. Only
+	// tick uses it. following counts those that have not ended yet.
+	followed  map[*peer]context.CancelFunc
+	following sync.WaitGroup
 
 	mu sync.Mutex
 	// lastAnswer is when a watcher that reads the log last answered, or when this node
@@ -77,7 +81,7 @@
 type watcherPosition struct{ seenChanges, tableID int64 }
 
 func newWatcherSelection(b *balancer, e *exchange, events eventRecorder) *watcherSelection {
-	w := &watcherSelection{balancer: b, exchange: e, events: events, startedAt: time.Now(), positions: make(map[string]watcherPosition)}
+	w := &watcherSelection{balancer: b, exchange: e, events: events, startedAt: time.Now(), positions: make(map[string]watcherPosition), followed: make(map[*peer]context.CancelFunc)}
 	e.readsLog = w.readsLog
 	return w
 }
@@ -138,35 +142,24 @@
 	return peers
 }
 
-// run follows the watchers while this node is not one itself, until the context
-// ends.
-func (w *watcherSelection) run(ctx context.Context) {
-	ticker := time.NewTicker(selectionInterval)
-	defer ticker.Stop()
-	followed := make(map[*peer]context.CancelFunc)
-	var following sync.WaitGroup
-	defer following.Wait()
-	for ctx.Err() == nil {
-		watchers := w.watchersToFollow()
-		for p, stop := range followed {
-			if !slices.Contains(watchers, p) {
-				stop()
-				delete(followed, p)
-			}
-		}
-		for _, p := range watchers {
-			if _, known := followed[p]; !known {
-				followCtx, stop := context.WithCancel(ctx)
-				followed[p] = stop
-				following.Go(func() { w.follow(followCtx, p) })
-			}
+// tick follows the watchers that the zone has now, until the context ends, unless this node is
+// one of them.
+func (w *watcherSelection) tick(ctx context.Context, now time.Time) {
+	watchers := w.watchersToFollow()
+	for p, stop := range w.followed {
+		if !slices.Contains(watchers, p) {
+			stop()
+			delete(w.followed, p)
 		}
-		w.checkAnswers(time.Now(), len(watchers))
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
+	}
+	for _, p := range watchers {
+		if _, known := w.followed[p]; !known {
+			followCtx, stop := context.WithCancel(ctx)
+			w.followed[p] = stop
+			w.following.Go(func() { w.follow(followCtx, p) })
 		}
 	}
+	w.checkAnswers(now, len(watchers))
 }
 
 // follow requests the changes that a watcher sees, one after the other, until the context
