Allocate less for the headers between nodes

Reading the header of a request or response from another node formatted an annotation for an error that nearly never occurs, and parsed headers that are nearly always missing, for which the parser allocates an error twice for each response. Writing the header of a response went through fmt. The values on the wire are unchanged.

--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"fmt"
 	"hash/fnv"
 	"maps"
 	"math"
@@ -115,7 +114,7 @@
 // readRequest decodes the header of a request from another node, and the
 // version of the desired state at that node. It does not read the body.
 func readRequest(r *http.Request, receivedAt time.Time) (req *request, version int64, err error) {
-	defer func() { err = eris.Wrapf(err, "header %s of a request", headerHop) }()
+	defer func() { err = wrapHop(err, "request") }()
 	fields := strings.Split(r.Header.Get(headerHop), " ")
 	if len(fields) < requestFieldCount {
 		return nil, 0, eris.Errorf("got %d fields, expected at least %d", len(fields), requestFieldCount)
@@ -149,6 +148,15 @@
 	return req, numbers[3], nil
 }
 
+// wrapHop annotates an error in headerHop. eris formats the annotation also if there is no
+// error.
+func wrapHop(err error, message string) error {
+	if err == nil {
+		return nil
+	}
+	return eris.Wrapf(err, "header %s of a %s", headerHop, message)
+}
+
 // optionalField returns the value of the optional field with the name. fields has the fields
 // that follow the fixed ones. Unknown fields are ignored.
 func optionalField(fields []string, name string) (value string, ok bool) {
@@ -184,6 +192,9 @@
 	paced bool
 }
 
+// responseHopBytes is a length that headerHop of a response rarely exceeds.
+const responseHopBytes = 128
+
 // levelScale converts a pressure level to the integer that is sent between
 // nodes, which has two decimal places.
 const levelScale = 100
@@ -205,13 +216,20 @@
 	if reason == "" {
 		reason = emptyReason
 	}
-	value := fmt.Sprintf("%x %s %d %d %d %d %d %d %d %d %s", requestIDHash(id), res.outcome, version,
-		res.report.Running, res.report.Waiting, res.report.Limit, res.report.MeanRun.Milliseconds(),
-		int(res.report.level*levelScale), res.report.origin, boolToInt(res.report.leaf), reason)
+	var buffer [responseHopBytes]byte
+	value := append(strconv.AppendUint(buffer[:0], uint64(requestIDHash(id)), 16), ' ')
+	value = append(value, res.outcome.String()...)
+	for _, n := range [...]int64{
+		version, int64(res.report.Running), int64(res.report.Waiting), int64(res.report.Limit), res.report.MeanRun.Milliseconds(),
+		int64(res.report.level * levelScale), int64(res.report.origin), boolToInt(res.report.leaf),
+	} {
+		value = strconv.AppendInt(append(value, ' '), n, 10)
+	}
+	value = append(append(value, ' '), reason...)
 	if age := res.proofAge.milliseconds(); age != nil {
-		value += fmt.Sprintf(" %s=%d", fieldProofAge, *age)
+		value = strconv.AppendInt(append(value, " "+fieldProofAge+"="...), *age, 10)
 	}
-	h.Set(headerHop, value)
+	h.Set(headerHop, string(value))
 	setEvidence(h, res.evidence)
 	if res.report.paced {
 		h.Set(headerRun, strconv.FormatInt(res.report.run.Microseconds(), 10))
@@ -299,7 +317,7 @@
 
 // parseResponseHop decodes the value of headerHop in a response.
 func parseResponseHop(value string) (res *result, version int64, err error) {
-	defer func() { err = eris.Wrapf(err, "header %s of a response", headerHop) }()
+	defer func() { err = wrapHop(err, "response") }()
 	fields := strings.Split(value, " ")
 	if len(fields) < responseFieldCount {
 		return nil, 0, eris.Errorf("got %d fields, expected at least %d", len(fields), responseFieldCount)
@@ -340,28 +358,26 @@
 )
 
 // expectedRun returns the value of headerRun, or 0 if it is missing or invalid.
-func expectedRun(h http.Header) time.Duration {
-	n, err := strconv.ParseInt(h.Get(headerRun), 10, 64)
-	if err != nil || n < 0 || n > maxRun.Microseconds() {
-		return 0
-	}
-	return time.Duration(n) * time.Microsecond
-}
+func expectedRun(h http.Header) time.Duration { return readDuration(h, headerRun, time.Microsecond) }
 
 // statesPace reports whether headerRun shows that the backend server states its pace.
 func statesPace(h http.Header) bool { return expectedRun(h) > 0 || h.Get(headerRun) == unknownRun }
 
 // expectedWait returns the value of headerWait, or 0 if it is missing or invalid.
-func expectedWait(h http.Header) time.Duration {
-	text := h.Get(headerWait)
+func expectedWait(h http.Header) time.Duration { return readDuration(h, headerWait, time.Millisecond) }
+
+// readDuration returns the value of a header in the unit, or 0 if it is missing or invalid.
+func readDuration(h http.Header, name string, unit time.Duration) time.Duration {
+	text := h.Get(name)
+	// Nearly all messages lack these headers, and the parser would allocate an error.
 	if text == "" {
 		return 0
 	}
 	n, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || n < 0 || n > maxRun.Milliseconds() {
+	if err != nil || n < 0 || n > int64(maxRun/unit) {
 		return 0
 	}
-	return time.Duration(n) * time.Millisecond
+	return time.Duration(n) * unit
 }
 
 func parseNumbers(fields []string) (numbers []int64, err error) {
