Check an idle connection without allocating

Peek read a byte with MSG_PEEK to see whether a connection that is to be reused has unread bytes or was closed. The system call returns the address of the sender, which is allocated each time, on each hop. A poll of the descriptor comes first now. It reports neither on an ordinary idle connection; only if it reports something is the byte read to tell unread bytes from a closed connection.

--- a/hop/peek.go
+++ b/hop/peek.go
@@ -11,13 +11,20 @@
 // false if the other side has closed the connection. Peek does not wait for a concurrent
 // read.
 func Peek(raw syscall.RawConn) (unread, open bool) {
-	n, peekErr := 0, error(nil)
 	// Unlike Control, RawConn.Read would wait for a concurrent read.
 	if err := raw.Control(func(fd uintptr) {
+		// Recvfrom allocates the address of the sender, and nearly always there is nothing.
+		events := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}} //nolint:gosec // Descriptors are below the limit of open files.
+		if n, err := unix.Poll(events[:], 0); err == nil && n == 0 {
+			open = true
+			return
+		}
 		var buf [1]byte
-		n, _, peekErr = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+		open = unread || errors.Is(err, unix.EAGAIN)
 	}); err != nil {
 		return false, false
 	}
-	return peekErr == nil && n > 0, errors.Is(peekErr, unix.EAGAIN) || peekErr == nil && n > 0
+	return unread, open
 }
