--- a/mesh/lifecycle.go
+++ b/mesh/lifecycle.go
@@ -17,6 +17,8 @@
 const (
 	// tickInterval is the interval of the periodic work.
 	tickInterval = 100 * time.Millisecond
+	// metricsInterval is the interval at which gauges are set. Scrapes are further apart.
+	metricsInterval = time.Second
 	// Values of the metrics label that states whether this node can reach a node.
 	healthReachable = "reachable"
 	healthLost      = "lost"
@@ -89,8 +91,7 @@
 	l.background.Go(func() { l.components.desired.run(ctx) })
 	l.background.Go(func() { l.components.directory.Run(ctx) })
 	l.background.Go(func() { l.components.exchange.pollPeers(ctx) })
-	l.background.Go(func() { l.components.watchers.run(ctx) })
-	l.background.Go(func() { l.components.proofs.run(ctx) })
+	l.components.proofs.start()
 	l.background.Go(func() { l.components.announcements.restoreServerState(ctx) })
 	l.background.Go(func() { l.runPeriodicWork(ctx) })
 	l.events.Record(event.NodeStarted, attrService(l.settings.Service))
@@ -201,18 +202,25 @@
 func (l *lifecycle) runPeriodicWork(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	defer l.components.watchers.following.Wait()
+	var metricsAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			l.components.watchers.tick(ctx, now)
+			l.components.proofs.tick(ctx)
 			l.components.balancer.tick(now)
 			l.components.sidecar.tick(now, l.components.balancer.countServices())
 			l.components.quarantine.tick(now)
 			l.components.caps.tick()
 			l.closeIdleConnections(now)
 			l.components.exchange.probeUnreachable(ctx, now)
-			l.updateMetrics()
+			if now.Sub(metricsAt) >= metricsInterval {
+				metricsAt = now
+				l.updateMetrics()
+			}
 		}
 	}
 }
@@ -231,9 +239,10 @@
 	}
 }
 
-// updateMetrics exports the number of reachable and unreachable nodes and the
-// version of the desired state.
+// updateMetrics exports the load of the backend server, the number of reachable and
+// unreachable nodes, the version of the desired state and the memory that clients take.
 func (l *lifecycle) updateMetrics() {
+	l.components.sidecar.updateMetrics()
 	reachable, unreachable := l.components.balancer.countPeers()
 	l.metrics.SetMembers(healthReachable, reachable)
 	l.metrics.SetMembers(healthLost, unreachable)
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"maps"
 	"net/http"
 	"net/url"
 	"strings"
@@ -32,6 +31,7 @@
 	method, host string
 	// target is the request target, unchanged from the caller.
 	target string
+	// header is as it was received and never modified. Each attempt forwards a part of it.
 	header http.Header
 	body   []byte
 	// stream is the rest of a body that exceeds maxBufferedBytes, and nil
@@ -101,6 +101,8 @@
 	stream *hop.Answer
 	// retryAfter is when a refused caller may come again, or 0 for the default.
 	retryAfter time.Duration
+	// wait is the estimate by which the request was refused at once for want of a slot, or 0.
+	wait time.Duration
 	// node is the node that returned the result.
 	node string
 	// report is the load that the node beside the backend server reported.
@@ -141,11 +143,9 @@
 	httpReq := &http.Request{
 		Method: r.method,
 		// net/http writes an opaque URL as it is, so the target stays unchanged.
-		URL:  &url.URL{Opaque: r.target},
-		Host: r.host,
-		// A shallow copy suffices because header values are never modified in
-		// place.
-		Header: maps.Clone(r.header),
+		URL:    &url.URL{Opaque: r.target},
+		Host:   r.host,
+		Header: endToEndHeader(r.header),
 		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		ContentLength: int64(len(r.body)),
 	}
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -75,6 +75,9 @@
 	lastCallAt atomic.Int64
 	// reportedLevel is the pressure level in the last event. Only tick uses it.
 	reportedLevel float64
+	// capacityMetrics is what the backend server was last expected to handle. Only the
+	// periodic work uses it.
+	capacityMetrics metrics.Capacity
 	// quarantine holds the requests that crash backend servers, and crashes detects when
 	// the server has crashed.
 	quarantine *quarantine.List
@@ -189,7 +192,7 @@
 	case err != nil && ctx.Err() != nil:
 		return notRunResult(call.ReasonCanceled, "the caller disconnected while the request was queued")
 	case err != nil:
-		return notRunResult(call.ReasonOverloaded, err.Error())
+		return overloadedResult(err)
 	}
 	started := time.Now()
 	mark := s.capacity.begin(started, req.route, req.deadline)
@@ -224,6 +227,16 @@
 	return s.forward(ctx, req, true)
 }
 
+// overloadedResult returns the result of a request that got no slot.
+func overloadedResult(err error) *result {
+	res := notRunResult(call.ReasonOverloaded, err.Error())
+	var full *slot.FullError
+	if errors.As(err, &full) {
+		res.wait = full.Wait
+	}
+	return res
+}
+
 // quarantinedResult returns the result of a request that is refused for the verdict.
 func quarantinedResult(verdict quarantine.Verdict) *result {
 	res := notRunResult(call.ReasonQuarantined, "such requests have crashed backend servers")
@@ -307,7 +320,7 @@
 // tick does the periodic work. services is the number of services that have
 // nodes.
 func (s *sidecar) tick(now time.Time, services int) {
-	s.metrics.SetCapacity(s.settings.Service, s.capacity.tick(now))
+	s.capacityMetrics = s.capacity.tick(now)
 	load := s.slots.Load()
 	level := s.gauge.Tick(now, load)
 	if math.Abs(level-s.reportedLevel) >= reportedLevelStep || level == 0 && s.reportedLevel > 0 {
@@ -316,8 +329,6 @@
 			slog.Int("running", load.Running), slog.Int("waiting", load.Waiting), slog.Int("limit", load.Limit),
 			attrMs("meanRunMs", load.MeanRun))
 	}
-	s.metrics.SetLoad(s.settings.Service, metrics.Load{Running: load.Running, Limit: load.Limit, Queued: load.Waiting})
-	s.metrics.SetPressure(s.settings.Service, level)
 	s.checkSilence(now, load.MeanRun)
 	s.calls.tick(now)
 	s.links.Tick(now)
@@ -325,6 +336,14 @@
 	s.backend.current().Sweep(now)
 }
 
+// updateMetrics exports the load of the backend server and what it is expected to handle.
+func (s *sidecar) updateMetrics() {
+	load := s.slots.Load()
+	s.metrics.SetLoad(s.settings.Service, metrics.Load{Running: load.Running, Limit: load.Limit, Queued: load.Waiting})
+	s.metrics.SetPressure(s.settings.Service, s.gauge.Level())
+	s.metrics.SetCapacity(s.settings.Service, s.capacityMetrics)
+}
+
 // checkSilence detects that the backend server has stopped responding, and
 // probes a silent server until it responds again.
 func (s *sidecar) checkSilence(now time.Time, meanRun time.Duration) {
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"fmt"
 	"hash/fnv"
 	"maps"
 	"math"
@@ -38,6 +37,11 @@
 	// further fields in headerHop.
 	headerRun = internalPrefix + "Run"
 
+	// headerWait has the estimate in milliseconds by which a request was refused at once for
+	// want of a slot. It is a header of its own because nodes of earlier versions ignore it,
+	// while they reject further fields in headerHop.
+	headerWait = internalPrefix + "Wait"
+
 	// requestFieldCount and responseFieldCount are the numbers of space-separated
 	// fields in headerHop. Optional fields of the form name=value follow them. They are sent
 	// only where a deployment uses the feature that needs them, because nodes of earlier
@@ -62,11 +66,15 @@
 	emptyReason = "-"
 )
 
-// endToEndHeader returns the headers that are forwarded from a request of a caller or node:
-// all except hop-by-hop and internal headers.
+// endToEndHeader returns a copy of the headers that are forwarded from a request of a caller or
+// node: all except hop-by-hop and internal headers, the length of the body, and what the caller
+// states about its identity. The copy is shallow, because header values are never modified in
+// place.
 func endToEndHeader(h http.Header) http.Header {
 	forwarded := maps.Clone(h)
 	keepEndToEnd(forwarded)
+	delete(forwarded, "Content-Length")
+	platform.DropCallerIdentity(forwarded)
 	return forwarded
 }
 
@@ -106,16 +114,15 @@
 // readRequest decodes the header of a request from another node, and the
 // version of the desired state at that node. It does not read the body.
 func readRequest(r *http.Request, receivedAt time.Time) (req *request, version int64, err error) {
-	defer func() { err = eris.Wrapf(err, "header %s of a request", headerHop) }()
+	defer func() { err = wrapHop(err, "request") }()
 	fields := strings.Split(r.Header.Get(headerHop), " ")
 	if len(fields) < requestFieldCount {
 		return nil, 0, eris.Errorf("got %d fields, expected at least %d", len(fields), requestFieldCount)
 	}
 	req = &request{
 		id: platform.RequestID(r.Header), method: r.Method, host: r.Host, target: r.RequestURI,
-		header: endToEndHeader(r.Header), evidence: readEvidence(r.Header),
+		header: r.Header, evidence: readEvidence(r.Header),
 	}
-	platform.DropCallerIdentity(req.header)
 	for n, dest := range []*string{&req.service, &req.caller, &req.route} {
 		if *dest, err = url.QueryUnescape(fields[n]); err != nil {
 			return nil, 0, err
@@ -141,6 +148,15 @@
 	return req, numbers[3], nil
 }
 
+// wrapHop annotates an error in headerHop. eris formats the annotation also if there is no
+// error.
+func wrapHop(err error, message string) error {
+	if err == nil {
+		return nil
+	}
+	return eris.Wrapf(err, "header %s of a %s", headerHop, message)
+}
+
 // optionalField returns the value of the optional field with the name. fields has the fields
 // that follow the fixed ones. Unknown fields are ignored.
 func optionalField(fields []string, name string) (value string, ok bool) {
@@ -176,6 +192,9 @@
 	paced bool
 }
 
+// responseHopBytes is a length that headerHop of a response rarely exceeds.
+const responseHopBytes = 128
+
 // levelScale converts a pressure level to the integer that is sent between
 // nodes, which has two decimal places.
 const levelScale = 100
@@ -197,17 +216,27 @@
 	if reason == "" {
 		reason = emptyReason
 	}
-	value := fmt.Sprintf("%x %s %d %d %d %d %d %d %d %d %s", requestIDHash(id), res.outcome, version,
-		res.report.Running, res.report.Waiting, res.report.Limit, res.report.MeanRun.Milliseconds(),
-		int(res.report.level*levelScale), res.report.origin, boolToInt(res.report.leaf), reason)
+	var buffer [responseHopBytes]byte
+	value := append(strconv.AppendUint(buffer[:0], uint64(requestIDHash(id)), 16), ' ')
+	value = append(value, res.outcome.String()...)
+	for _, n := range [...]int64{
+		version, int64(res.report.Running), int64(res.report.Waiting), int64(res.report.Limit), res.report.MeanRun.Milliseconds(),
+		int64(res.report.level * levelScale), int64(res.report.origin), boolToInt(res.report.leaf),
+	} {
+		value = strconv.AppendInt(append(value, ' '), n, 10)
+	}
+	value = append(append(value, ' '), reason...)
 	if age := res.proofAge.milliseconds(); age != nil {
-		value += fmt.Sprintf(" %s=%d", fieldProofAge, *age)
+		value = strconv.AppendInt(append(value, " "+fieldProofAge+"="...), *age, 10)
 	}
-	h.Set(headerHop, value)
+	h.Set(headerHop, string(value))
 	setEvidence(h, res.evidence)
 	if res.report.paced {
 		h.Set(headerRun, strconv.FormatInt(res.report.run.Microseconds(), 10))
 	}
+	if res.wait > 0 {
+		h.Set(headerWait, strconv.FormatInt(res.wait.Milliseconds(), 10))
+	}
 	status := res.status
 	if status == 0 {
 		status = call.HTTPStatus(res.outcome, res.reason)
@@ -267,6 +296,7 @@
 	if res.outcome != call.Answered {
 		res.detail = "reported by the node beside the backend server"
 		res.retryAfter = platform.RetryAfter(resp.Header)
+		res.wait = expectedWait(resp.Header)
 		res.evidence = readEvidence(resp.Header)
 		// The body is discarded: the other node has logged the details.
 		_, _, _ = resp.ReadAll(maxBufferedBytes)
@@ -287,7 +317,7 @@
 
 // parseResponseHop decodes the value of headerHop in a response.
 func parseResponseHop(value string) (res *result, version int64, err error) {
-	defer func() { err = eris.Wrapf(err, "header %s of a response", headerHop) }()
+	defer func() { err = wrapHop(err, "response") }()
 	fields := strings.Split(value, " ")
 	if len(fields) < responseFieldCount {
 		return nil, 0, eris.Errorf("got %d fields, expected at least %d", len(fields), responseFieldCount)
@@ -321,24 +351,35 @@
 }
 
 const (
-	// maxRun bounds the run time that is read from a header.
+	// maxRun bounds the run time and the wait that are read from a header.
 	maxRun = time.Hour
 	// unknownRun is the value of headerRun if the run time is unknown.
 	unknownRun = "0"
 )
 
 // expectedRun returns the value of headerRun, or 0 if it is missing or invalid.
-func expectedRun(h http.Header) time.Duration {
-	n, err := strconv.ParseInt(h.Get(headerRun), 10, 64)
-	if err != nil || n < 0 || n > maxRun.Microseconds() {
-		return 0
-	}
-	return time.Duration(n) * time.Microsecond
-}
+func expectedRun(h http.Header) time.Duration { return readDuration(h, headerRun, time.Microsecond) }
 
 // statesPace reports whether headerRun shows that the backend server states its pace.
 func statesPace(h http.Header) bool { return expectedRun(h) > 0 || h.Get(headerRun) == unknownRun }
 
+// expectedWait returns the value of headerWait, or 0 if it is missing or invalid.
+func expectedWait(h http.Header) time.Duration { return readDuration(h, headerWait, time.Millisecond) }
+
+// readDuration returns the value of a header in the unit, or 0 if it is missing or invalid.
+func readDuration(h http.Header, name string, unit time.Duration) time.Duration {
+	text := h.Get(name)
+	// Nearly all messages lack these headers, and the parser would allocate an error.
+	if text == "" {
+		return 0
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 || n > int64(maxRun/unit) {
+		return 0
+	}
+	return time.Duration(n) * unit
+}
+
 func parseNumbers(fields []string) (numbers []int64, err error) {
 	numbers = make([]int64, len(fields))
 	for i, field := range fields {
