Measure caps in a deployment with regions

The benchmark of messages has nodes without regions, so it shows neither messages to other regions nor the requests that wait for them, which are most of what caps cost in the users' deployments.

The test network can spread its nodes over regions with two zones each, and finds nodes by name instead of scanning texts.

--- a/quota/network_test.go
+++ b/quota/network_test.go
@@ -16,6 +16,7 @@
 	seedOfNodes  = 7
 	clockOffset  = 1000 * time.Hour
 	sameZone     = time.Millisecond
+	otherZone    = 3 * time.Millisecond
 	otherRegion  = 20 * time.Millisecond
 	nodesPerZone = 12
 )
@@ -32,14 +33,24 @@
 	sequence int
 	nodes    []*testNode
 	names    []string
-	lossPct  int
+	// indexOf has the indexes of the nodes by name.
+	indexOf map[string]int
+	lossPct int
 	// admitted has the times at which requests were admitted, and granted those at which tokens
 	// were granted, in order.
 	admitted, granted []time.Time
 	// offered has the times at which requests were sent, in order.
 	offered []time.Time
-	// messages is the number of asks, and remote that of those to other nodes.
-	messages, remote int
+	// messages is the number of asks, remote that of those to other nodes, and crossRegion that
+	// of those to other regions.
+	messages, remote, crossRegion int
+	// waited has the times that admitted requests have waited for credit.
+	waited []time.Duration
+	// regions is the number of regions with two zones each, over which the nodes are spread in
+	// turn. If it is 0, the nodes have no regions, and zones of nodesPerZone nodes.
+	regions int
+	// workspace is the one that the requests belong to.
+	workspace string
 }
 
 // testNode is a node. Requests and messages that arrive while it is suspended wait.
@@ -82,11 +93,16 @@
 }
 
 func newNetworkWithTerms(nodes int, c quota.Cap, seed uint64, terms quota.Terms) *network {
-	n := &network{random: rand.New(rand.NewPCG(seed, seedOfNodes)), terms: terms, now: start}
+	return newNetworkInRegions(nodes, 0, c, seed, terms)
+}
+
+func newNetworkInRegions(nodes, regions int, c quota.Cap, seed uint64, terms quota.Terms) *network {
+	n := &network{random: rand.New(rand.NewPCG(seed, seedOfNodes)), terms: terms, now: start, regions: regions, workspace: workspace, indexOf: make(map[string]int)}
 	for i := range nodes {
 		n.names = append(n.names, fmt.Sprintf("node-%d", i))
 	}
 	for i, name := range n.names {
+		n.indexOf[name] = i
 		node := &testNode{name: name, index: i, cap: c, offset: time.Duration(n.random.Int64N(int64(clockOffset)))}
 		n.nodes = append(n.nodes, node)
 		n.startProcess(node)
@@ -98,8 +114,8 @@
 func (n *network) startProcess(node *testNode) {
 	node.epoch++
 	node.accounts, node.requester = quota.NewAccounts(node.name, n.terms), quota.NewRequester(n.terms, n.random.Float64)
-	node.accounts.Restore(node.clock(n), quota.NewNodes(n.names))
-	node.requester.SetNodes(quota.NewNodes(n.names))
+	node.accounts.Restore(node.clock(n), n.nodeSet())
+	node.requester.SetNodes(n.nodeSet())
 }
 
 // join adds a node that the others do not know. Each of them learns of it within the time.
@@ -108,7 +124,8 @@
 	n.names = append(n.names, name)
 	node := &testNode{name: name, index: len(n.nodes), cap: n.nodes[0].cap, accounts: quota.NewAccounts(name, n.terms), requester: quota.NewRequester(n.terms, n.random.Float64)}
 	n.nodes = append(n.nodes, node)
-	nodes := quota.NewNodes(n.names)
+	n.indexOf[name] = node.index
+	nodes := n.nodeSet()
 	for _, other := range n.nodes {
 		delay := time.Duration(n.random.Int64N(int64(within)))
 		if other == node {
@@ -133,6 +150,18 @@
 	}
 }
 
+// nodeSet returns the set of all nodes.
+func (n *network) nodeSet() quota.Nodes {
+	regionOf := make(map[string]string, len(n.names))
+	for i, name := range n.names {
+		regionOf[name] = ""
+		if n.regions > 0 {
+			regionOf[name] = fmt.Sprintf("region-%d", i%n.regions)
+		}
+	}
+	return quota.NewNodesInRegions(regionOf)
+}
+
 // kill ends the process of a node, which is started again after the time.
 func (n *network) kill(node *testNode, down time.Duration) {
 	node.epoch++
@@ -172,6 +201,16 @@
 }
 
 func (n *network) delay(a, b *testNode) time.Duration {
+	if n.regions > 0 {
+		switch zones := 2 * n.regions; {
+		case a.index%n.regions != b.index%n.regions:
+			return otherRegion
+		case a.index%zones != b.index%zones:
+			return otherZone
+		default:
+			return sameZone
+		}
+	}
 	if a.index/nodesPerZone == b.index/nodesPerZone {
 		return sameZone
 	}
@@ -180,13 +219,14 @@
 
 func (n *network) distance(from *testNode) quota.Distance {
 	return func(node string) (int, bool) {
-		var index int
-		_, _ = fmt.Sscanf(node, "node-%d", &index)
+		index := n.indexOf[node]
 		switch {
 		case index == from.index:
 			return 0, true
 		case n.delay(from, n.nodes[index]) == sameZone:
 			return 1, true
+		case n.delay(from, n.nodes[index]) == otherZone:
+			return 2, true
 		default:
 			return 3, true
 		}
@@ -207,10 +247,12 @@
 
 func (n *network) request(node *testNode) {
 	n.offered = append(n.offered, n.now)
+	sent := n.now
 	decided := false
-	r := node.requester.Arrive(node.clock(n), workspace, node.cap, func(v quota.Verdict) {
+	r := node.requester.Arrive(node.clock(n), n.workspace, node.cap, func(v quota.Verdict) {
 		if decided = true; v.Admitted {
 			n.admitted = append(n.admitted, n.now)
+			n.waited = append(n.waited, n.now.Sub(sent))
 		}
 	})
 	var check func()
@@ -223,7 +265,7 @@
 }
 
 func (n *network) serve(node *testNode) {
-	for _, ask := range node.requester.Serve(node.clock(n), workspace, n.distance(node)) {
+	for _, ask := range node.requester.Serve(node.clock(n), n.workspace, n.distance(node)) {
 		n.ask(node, ask)
 	}
 }
@@ -231,18 +273,16 @@
 func (n *network) ask(from *testNode, ask quota.Ask) {
 	n.messages++
 	sent := from.clock(n)
-	var to *testNode
-	for _, node := range n.nodes {
-		if node.name == ask.Node {
-			to = node
-		}
-	}
+	to := n.nodes[n.indexOf[ask.Node]]
 	answered := false
 	d := n.delay(from, to)
 	if from == to {
 		d = 0
 	} else {
 		n.remote++
+		if d == otherRegion {
+			n.crossRegion++
+		}
 	}
 	pass := func(receiver *testNode, run func()) {
 		if from.side == to.side && n.random.IntN(100) >= n.lossPct {
@@ -250,21 +290,21 @@
 		}
 	}
 	pass(to, func() {
-		g := to.accounts.Grant(to.clock(n), workspace, to.cap, ask.Tokens)
+		g := to.accounts.Grant(to.clock(n), n.workspace, to.cap, ask.Tokens)
 		n.granted = append(n.granted, slices.Repeat([]time.Time{n.now}, g.Tokens)...)
 		pass(from, func() {
 			if answered {
 				return
 			}
 			answered = true
-			from.requester.Answer(sent, from.clock(n), workspace, ask, g)
+			from.requester.Answer(sent, from.clock(n), n.workspace, ask, g)
 			n.serve(from)
 		})
 	})
 	n.at(from, lossTimeout, func() {
 		if !answered {
 			answered = true
-			from.requester.Fail(from.clock(n), workspace, ask)
+			from.requester.Fail(from.clock(n), n.workspace, ask)
 			n.serve(from)
 		}
 	})
