Give each region the same number of keepers

A cap with five keepers in three regions had one keeper in one of them. Its callers, a third of all, had a fifth of the cap near them, and the others waited 40 ms for credit from other regions.

With more keepers than regions, the number is rounded down to a multiple of the regions. No term is added to the bound: the parts are still equal and still follow from the member table. Caps with the same number of keepers in each region before are divided as before.

TestRegionsHaveEqualParts fails without the change.

--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -201,7 +201,7 @@
 func (a *Accounts) share(workspace string, c Cap) float64 {
 	keepers := 1
 	for _, v := range a.views {
-		number := c.keepers(a.terms, v.nodes.Len())
+		number := c.keepers(a.terms, v.nodes)
 		if rank, ok := v.nodes.rank(workspace, a.self); !ok || rank >= number {
 			return 0
 		}
--- a/quota/nodes.go
+++ b/quota/nodes.go
@@ -17,6 +17,8 @@
 	// hashes has the hashes of the names, and regions the regions of the nodes.
 	hashes  []uint64
 	regions []string
+	// regionCount is the number of different regions.
+	regionCount int
 }
 
 // NewNodes returns the set of the nodes with the names, which may be in any order, in one
@@ -37,6 +39,7 @@
 		n.hashes = append(n.hashes, xxhash.Sum64String(name))
 		n.regions = append(n.regions, regionOf[name])
 	}
+	n.regionCount = len(slices.Compact(slices.Sorted(slices.Values(n.regions))))
 	return n
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -128,11 +128,16 @@
 	return max(c.Burst+c.Rate*t.AddedBurst.Seconds()+t.AddedTokens, 1)
 }
 
-// keepers returns the number of keepers that the cap has among the number of nodes. The added
-// tokens give a small cap further keepers, but are not divided among many: one bucket of their
-// size admits more than several small ones.
-func (c Cap) keepers(t Terms, nodes int) int {
+// keepers returns the number of keepers that the cap has among the nodes. The added tokens give a
+// small cap further keepers, but are not divided among many: one bucket of their size admits more
+// than several small ones. Each region has the same number if there is one for each, because the
+// callers of a region with fewer would wait for credit from the others.
+func (c Cap) keepers(t Terms, nodes Nodes) int {
 	burst := c.burst(t)
 	number := max(int((burst-t.AddedTokens)/minTokensPerKeeper), min(int(burst/minTokensPerKeeper), minKeepers))
-	return max(min(number, MaxKeepers, nodes), 1)
+	number = max(min(number, MaxKeepers, nodes.Len()), 1)
+	if regions := nodes.regionCount; number > regions && regions > 0 {
+		number -= number % regions
+	}
+	return number
 }
--- a/quota/regions_test.go
+++ b/quota/regions_test.go
@@ -133,3 +133,21 @@
 		}
 	}
 }
+
+// Guards against a region whose callers ask other regions for credit all the time, because fewer
+// keepers than elsewhere are in it.
+func TestRegionsHaveEqualParts(t *testing.T) {
+	for capName, c := range regionCaps {
+		t.Run(capName, func(t *testing.T) {
+			n := newRegionNetwork(c.cap, 1)
+			keepers := make([]int, regionCount)
+			for i, node := range n.nodes {
+				if node.accounts.Grant(node.clock(n), n.workspace, c.cap, 1).Keeper {
+					keepers[i%regionCount]++
+				}
+			}
+			must.Positive(t, keepers[0])
+			must.Eq(t, []int{keepers[0], keepers[0], keepers[0]}, keepers)
+		})
+	}
+}
--- a/quota/requester.go
+++ b/quota/requester.go
@@ -175,7 +175,7 @@
 	}
 	if h.cap != c || h.nodesVersion != rq.nodesVersion {
 		h.cap, h.nodesVersion = c, rq.nodesVersion
-		h.setKeepers(rq.nodes.Keepers(workspace, c.keepers(rq.terms, rq.nodes.Len())), rq.terms)
+		h.setKeepers(rq.nodes.Keepers(workspace, c.keepers(rq.terms, rq.nodes)), rq.terms)
 	}
 	h.requests.count(now)
 	r := &Request{holding: h, arrivedAt: now, onVerdict: onVerdict}
