Ask keepers that were empty less often

A workspace that is far over its cap cost three messages per request, two of them to other regions: each node went on to ask each of up to 64 keepers once a second, and held each request meanwhile.

A node now stops asking the keepers at a distance after more than two answers in a row without tokens, for 20 ms to 1 s. A token in one answer ends this. Nothing is granted in a pause, so no term is added to the bound.

--- a/quota/regions_test.go
+++ b/quota/regions_test.go
@@ -151,3 +151,31 @@
 		})
 	}
 }
+
+// Guards against messages that grow with the requests of a workspace that is far over its cap,
+// and against nodes that ask too late again when the excess has ended.
+func TestExcessCostsFewMessages(t *testing.T) {
+	for name, c := range map[string]struct {
+		cap quota.Cap
+		// messages and crossRegion are the most messages per request, to all nodes and to other
+		// regions.
+		messages, crossRegion float64
+	}{
+		"small": {quota.Cap{Rate: 14, Burst: 14}, 1.4, 0.8},
+		"large": {quota.Cap{Rate: 210, Burst: 210}, 1.2, 0.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newRegionNetwork(c.cap, 1)
+			n.all(6*c.cap.Rate, 6*time.Second)
+			n.run(6 * time.Second)
+			requests := float64(len(n.offered))
+			must.LessEq(t, c.messages, float64(n.remote)/requests)
+			must.LessEq(t, c.crossRegion, float64(n.crossRegion)/requests)
+			n.run(time.Second)
+			n.offered, n.admitted = nil, nil
+			n.all(0.7*c.cap.Rate, 3*time.Second)
+			n.run(4 * time.Second)
+			must.GreaterEq(t, 0.9*float64(len(n.offered)), float64(len(n.admitted)))
+		})
+	}
+}
--- a/quota/requester.go
+++ b/quota/requester.go
@@ -12,6 +12,12 @@
 	silentAfter = 50 * time.Millisecond
 	// avoidTime is how long a keeper that failed or did not answer is not asked.
 	avoidTime = time.Second
+	// Keepers at a distance are not asked for a while once more than freeEmptyAnswers of them in
+	// a row had no token: for minPause, then for twice as long each time, up to maxPause. A
+	// workspace that is far over its cap would cost several messages per request otherwise.
+	freeEmptyAnswers   = 2
+	minPause, maxPause = 20 * time.Millisecond, time.Second
+	maxPauseDoublings  = 10
 	// rateTime is the time constant of the measured request rates.
 	rateTime = 500 * time.Millisecond
 	// advanceTime is the time whose requests a node asks credit for in advance, at most. It is
@@ -99,6 +105,16 @@
 	requests, admitted rate
 	nodesVersion       int
 	keepers            []*keeper
+	// pauses has, by distance, when keepers may be asked again after empty answers.
+	pauses map[int]*pause
+}
+
+// pause is how long the keepers at a distance are not asked.
+type pause struct {
+	// emptyAnswers is the number of answers without tokens since the last one with some, and
+	// lastAnswer when the last of them came.
+	emptyAnswers      int
+	lastAnswer, until time.Time
 }
 
 // rate is a measured rate in events per second, which falls while there are none.
@@ -129,6 +145,8 @@
 	// answer is awaited.
 	asked   int
 	askedAt time.Time
+	// away is the distance of the keeper when it was last considered.
+	away int
 	// level is the number of tokens at the time answeredAt, as far as is known.
 	level      float64
 	answeredAt time.Time
@@ -165,7 +183,7 @@
 func (rq *Requester) Arrive(now time.Time, workspace string, c Cap, onVerdict func(v Verdict)) *Request {
 	h := rq.holdings[workspace]
 	if h == nil {
-		h = &holding{workspace: workspace}
+		h = &holding{workspace: workspace, pauses: make(map[int]*pause)}
 		rq.holdings[workspace] = h
 	}
 	if c.Rate < h.cap.Rate || c.Burst < h.cap.Burst {
@@ -345,7 +363,7 @@
 			continue
 		}
 		away, ok := distance(k.node)
-		if !ok {
+		if k.away = away; !ok || h.pauses[away].isActive(now) {
 			continue
 		}
 		score := min(h.expected(now, k, rq.terms)/float64(missing), 1) + rq.random() - 2*float64(away)
@@ -356,6 +374,38 @@
 	return chosen
 }
 
+// recordAnswer begins or ends a pause after an answer of a keeper. The node itself is always
+// asked, since that costs no message. Keepers that were asked before a pause began are no
+// evidence that it was too short.
+func (h *holding) recordAnswer(now time.Time, k *keeper, tokens int) {
+	if k.away == 0 {
+		return
+	}
+	if tokens > 0 {
+		delete(h.pauses, k.away)
+		return
+	}
+	p := h.pauses[k.away]
+	if p == nil {
+		p = &pause{}
+		h.pauses[k.away] = p
+	}
+	if k.askedAt.Before(p.until) {
+		return
+	}
+	if now.Sub(p.lastAnswer) > 2*maxPause {
+		// The answers are too old to tell anything.
+		p.emptyAnswers = 0
+	}
+	p.emptyAnswers++
+	p.lastAnswer = now
+	if excess := p.emptyAnswers - freeEmptyAnswers; excess > 0 {
+		p.until = now.Add(min(minPause<<min(excess-1, maxPauseDoublings), maxPause))
+	}
+}
+
+func (p *pause) isActive(now time.Time) bool { return p != nil && now.Before(p.until) }
+
 // Answer records the answer of a keeper to an ask that was sent at the time sent. Credit
 // expires by the time at which it was asked for, since the keeper has granted it later.
 func (rq *Requester) Answer(sent, now time.Time, workspace string, ask Ask, g Grant) {
@@ -378,7 +428,10 @@
 	switch {
 	case !g.Keeper:
 		k.retryAt = now.Add(avoidTime)
-	case k.empty:
+	case g.Tokens > 0 || k.empty:
+		h.recordAnswer(now, k, g.Tokens)
+	}
+	if k.empty {
 		k.retryAt = now.Add(min(max(g.Retry, minRetry), maxRetry))
 	}
 }
