Do not announce a draining server as ready in the soak

The log of its node has the announcement that the server drains with number 41, and one millisecond later one that it is ready, with number 42, so the nodes sent it requests rightly. The goroutine that announces the server periodically had woken up when it was told to end.

A server that has begun to drain is not announced as ready any more.

--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -25,6 +25,7 @@
 	slots            = 8
 	announceInterval = 400 * time.Millisecond
 	announceTimeout  = time.Second
+	readyState       = "ready"
 	// restartPause is the time from the end of a node's process to its restart.
 	restartPause = 200 * time.Millisecond
 	// stableWindow is how long a VM must be free of faults before time limits are
@@ -205,7 +206,7 @@
 	defer v.mu.Unlock()
 	v.server, v.stopAnnouncing = s, make(chan struct{})
 	v.announcement = operator.Announcement{
-		Instance: instance, Service: v.settings.Service, Address: v.settings.Backend, Zone: v.settings.Zone, State: "ready",
+		Instance: instance, Service: v.settings.Service, Address: v.settings.Backend, Zone: v.settings.Zone, State: readyState,
 		StartMs: time.Now().UnixMilli(), Slots: slots,
 	}
 	go v.announcePeriodically(v.stopAnnouncing)
@@ -262,7 +263,7 @@
 // announcePeriodically announces the backend server as ready until stop is closed.
 func (v *vm) announcePeriodically(stop chan struct{}) {
 	for {
-		v.announce("ready")
+		v.announce(readyState)
 		select {
 		case <-stop:
 			return
@@ -274,9 +275,14 @@
 	}
 }
 
-// announce sends one announcement. ok is true if the node acknowledged it.
+// announce sends one announcement. ok is true if the node acknowledged it. A backend server that
+// has begun to drain is not announced as ready again.
 func (v *vm) announce(state string) (ok bool) {
 	v.mu.Lock()
+	if state == readyState && v.announcement.State != readyState {
+		v.mu.Unlock()
+		return false
+	}
 	v.announcement.Sequence++
 	v.announcement.State = state
 	announcement := v.announcement
