Budget the connections of clients by the limit of descriptors

A process accepted every connection until its descriptors were used up, so clients that connect and send nothing could take all of them. TestSilentConnections read 1,241 open descriptors with Limits.MaxFds=1024, at each of the five ports.

clientlimit.ConnectionBudget now decides which connections may be open: three quarters of MaxFds less 200 for files, with a reserve for each port. If it runs short, a connection ends in favour of the new one: one that has never sent a whole head, then one whose request has been arriving for more than 5 s, then an idle one. Running requests, responses and requests that began to arrive at most 5 s ago are left alone, and if nothing else is left, the new connection is closed. The new connection waits until the descriptor has been returned, so each listener exceeds the budget by one at most. As when a connection expires, the goroutine that reads it decides: an idle connection on which bytes have arrived stays, and another one is chosen. A body that arrives is refused by the mechanism of the body budget.

The time of a phase counts from its start and not from the last byte; a client that sends a byte now and then would otherwise outlive others, or hold a kept connection without end.

The other tests of internal/abuse fill the memory with 512 clients; with MaxFds=1024, the new budget would keep a part of them away and ease these tests, so they run with MaxFds=4096 now. Their crowds and bounds are unchanged: 512 clients within 1,024 descriptors and 64 MB. TestHeadsOverTheLimit, TestHeadsWithoutEnd and TestBodiesThatStop passed, with up to 530 descriptors.

With requests that arrive made evictable at any time, or with idle connections never so, TestSilentClientsDoNotEndRequests and TestOrderOfVictims fail.

--- a/clientlimit/clientlimit.go
+++ b/clientlimit/clientlimit.go
@@ -1,8 +1,10 @@
 // Package clientlimit decides which clients of a process are turned away because of what
-// their requests take. It does no I/O.
+// their requests take, and which connections are closed because there are too many. It does
+// no I/O.
 //
 // It is designed for the clients of one process: up to 8,192 connections, with thousands of
-// heads that arrive at once. A charge takes constant time.
+// heads that arrive at once. A charge takes constant time, and so does the choice of a
+// connection to close.
 //
 // # Usage
 //
@@ -128,6 +130,20 @@
 	return !a.evicted
 }
 
+// Withdraw turns the account away if it is evictable, and reports whether it does.
+func (a *Account) Withdraw() (ok bool) {
+	if a.budget == nil {
+		return false
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.element == nil {
+		return false
+	}
+	a.withdraw()
+	return true
+}
+
 // Release returns what the account holds. It can be charged again afterwards unless it was
 // evicted.
 func (a *Account) Release() {
--- a/internal/abuse/abuse.go
+++ b/internal/abuse/abuse.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	d, err := abuse.Start(binaries, directory)
+//	d, err := abuse.Start(binaries, directory, abuse.Descriptors)
 //	defer d.Close()
 //	crowd := abuse.Open(ctx, 512, d.Address("caller"), attack)
 //	used, err := d.Usage()
@@ -34,7 +34,7 @@
 const (
 	// MemoryBytes is the limit of memory in the settings of the process.
 	MemoryBytes = 64 << 20
-	// Descriptors is the limit of open descriptors in the settings of the process.
+	// Descriptors is the limit of open descriptors of the process.
 	Descriptors = 1024
 	// HeaderBytes is the limit of a request head in the desired state.
 	HeaderBytes = 16 << 10
@@ -69,8 +69,9 @@
 	requests  atomic.Int64
 }
 
-// Start starts a node with low limits. Its files are in the directory.
-func Start(binaries e2e.Binaries, directory string) (d *Deployment, err error) {
+// Start starts a node with low limits, and the limit of descriptors in its settings. Its files
+// are in the directory.
+func Start(binaries e2e.Binaries, directory string, descriptors int) (d *Deployment, err error) {
 	defer func() { err = eris.Wrap(err, "start a node with low limits") }()
 	log := keyedlog.New()
 	log.Put(operator.DesiredStateTopic, operator.DesiredStateKey, operator.EncodeDesiredStateWithLimits(1,
@@ -89,7 +90,7 @@
 	d.settings = nodeconfig.Config{
 		Node: "node-1", Region: "addis", Zone: "addis-a", Service: service, Backend: d.server.Address(),
 		RegionOf: map[string]string{"addis-a": "addis"}, Log: d.logServer.Listener.Addr().String(),
-		MemoryBytes: MemoryBytes, Descriptors: Descriptors,
+		MemoryBytes: MemoryBytes, Descriptors: descriptors,
 		Bounds: nodeconfig.Bounds{
 			Drain: time.Second, Grace: 2 * time.Second, ConfigApply: 2 * time.Second, RetryRatio: 0.1, RetryWindow: 10 * time.Second, RetrySlack: 10,
 		},
--- a/mesh/client_bodies.go
+++ b/mesh/client_bodies.go
@@ -21,11 +21,12 @@
 
 // errBodyRefused ends the reading of a body that was turned away. Its request has not run,
 // because it is passed on only after its body, or the part that is held in memory.
-var errBodyRefused = eris.New("the memory for request bodies is used up")
+var errBodyRefused = eris.New("the budget for request bodies or connections is used up")
 
 // clientBody is the body of a request that is charged to the budget while it is read and held.
 type clientBody struct {
 	io.ReadCloser
+	conn    *serverConn
 	account *clientlimit.Account
 	// stated is the length that is allocated at once, or 0.
 	stated, read int64
@@ -41,13 +42,17 @@
 	if limits == nil || r.ContentLength == 0 {
 		return r, func() {}
 	}
-	b := &clientBody{ReadCloser: r.Body, account: limits.bodies.Open(c.head.port, bodyReader{c}), forwarded: c.head.port == callerPort || r.Header.Get(headerHop) != ""}
+	b := &clientBody{ReadCloser: r.Body, conn: c, account: limits.bodies.Open(c.head.port, bodyReader{c}), forwarded: c.head.port == callerPort || r.Header.Get(headerHop) != ""}
 	if b.forwarded && r.ContentLength > 0 && r.ContentLength <= maxBufferedBytes {
 		b.stated = r.ContentLength
 	}
 	copied := *r
 	copied.Body = b
-	return &copied, b.account.Release
+	c.beginBody(b)
+	return &copied, func() {
+		c.endBody()
+		b.account.Release()
+	}
 }
 
 // Read implements io.Reader.
@@ -71,6 +76,7 @@
 	if !b.account.Keep() {
 		return 0, errBodyRefused
 	}
+	b.conn.endBody()
 	return n, err
 }
 
--- a/mesh/client_limits.go
+++ b/mesh/client_limits.go
@@ -42,13 +42,15 @@
 const (
 	refusalTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	refusalTooSlow  = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	refusalNoMemory = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: 1\r\n\r\n"
+	refusalNoRoom   = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: 1\r\n\r\n"
 )
 
 // clientLimits are the limits of the clients of a node.
 type clientLimits struct {
 	// memory is the budget of heads, and bodies that of bodies.
 	memory, bodies *clientlimit.Budget
+	// connections is the budget of connections, or nil.
+	connections *clientlimit.ConnectionBudget
 	// current returns the limits of the desired state in force, which are zero if there are
 	// none.
 	current func() desired.Limits
@@ -56,8 +58,9 @@
 
 func newClientLimits(settings nodeconfig.Config, d *desiredState) *clientLimits {
 	return &clientLimits{
-		memory: newClientBudget(headBudgetRatio, settings),
-		bodies: newClientBudget(bodyBudgetRatio, settings),
+		memory:      newClientBudget(headBudgetRatio, settings),
+		bodies:      newClientBudget(bodyBudgetRatio, settings),
+		connections: newConnectionBudget(settings),
 		current: func() desired.Limits {
 			if state := d.current(); state != nil {
 				return state.Limits()
@@ -128,7 +131,7 @@
 		ok = h.account.Keep()
 	}
 	if !ok {
-		h.refusal = refusalNoMemory
+		h.refusal = refusalNoRoom
 	}
 	return victims
 }
@@ -173,7 +176,7 @@
 	if !c.idle {
 		return
 	}
-	c.head.refusal = refusalNoMemory
+	c.head.refusal = refusalNoRoom
 	// An error means that the connection has been closed already.
 	_ = c.Conn.SetReadDeadline(longPast)
 }
@@ -215,7 +218,7 @@
 func (c *serverConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.head.refusal != "" && c.idle {
+	if c.idle && (c.head.refusal != "" || c.client.evicted) {
 		return nil
 	}
 	if c.idle && c.head.port == callerPort && !t.IsZero() {
@@ -231,13 +234,20 @@
 	port   clientlimit.Port
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection for which there is room.
 func (l limitedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if conn, ok := c.(*serverConn); ok {
+	for {
+		c, err := l.Listener.Accept()
+		conn, ok := c.(*serverConn)
+		if !ok {
+			return c, err
+		}
 		conn.head.open(l.limits, l.port, conn)
+		if l.limits.admit(l.port, conn) {
+			return c, err
+		}
+		conn.Close()
 	}
-	return c, err
 }
 
 // limitClients makes a server apply the limits of clients at a port.
--- a/mesh/connections.go
+++ b/mesh/connections.go
@@ -58,6 +58,7 @@
 	// refused is true once this node has refused a head in place of net/http.
 	refused bool
 	head    clientHead
+	client  clientConnection
 	// extended is true once the time for the head of the next request was extended.
 	extended bool
 	// progress describes the request in progress, for the event at the end of the
@@ -113,22 +114,29 @@
 // the part of the answer that it has not sent. After an answer, Close therefore reads on
 // until the client has closed the connection.
 func (c *serverConn) Close() error {
+	defer c.closeClient()
 	c.recordUnread()
 	c.releaseHead()
-	if c.hasAnswered() && c.CloseWrite() == nil {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(clientCloseTimeout))
+	if timeout, answered := c.closeTimeout(); answered && c.CloseWrite() == nil {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(timeout))
 		// An error means that the client has reset the connection or does not close it.
 		_, _ = io.Copy(io.Discard, c.Conn)
 	}
 	return c.Conn.Close()
 }
 
-// hasAnswered reports whether the connection ends with a request, and not because it was
-// idle or because this node closes it whatever it is used for.
-func (c *serverConn) hasAnswered() bool {
+// closeTimeout returns how long the client may take to close the connection. answered is true
+// if the connection ends with a request, and not because it was idle or because this node
+// closes it whatever it is used for. A head that is refused in favour of another connection
+// gets no time: its descriptor is needed, and what has arrived of it has been read.
+func (c *serverConn) closeTimeout() (timeout time.Duration, answered bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return (c.refused || !c.idle && !c.ended) && !c.aborted.Load()
+	timeout = clientCloseTimeout
+	if c.client.evicted {
+		timeout = evictedBodyCloseTimeout
+	}
+	return timeout, (c.refused && !c.client.evicted || !c.idle && !c.ended) && !c.aborted.Load()
 }
 
 func (c *serverConn) releaseHead() {
@@ -158,6 +166,7 @@
 	c.clearExpiry()
 	if c.idle {
 		victims = c.head.scan(b)
+		c.recordClientBytes()
 	}
 	if len(bytes.Trim(b, "\r\n")) > 0 {
 		if c.idle && !c.reading {
@@ -188,6 +197,7 @@
 	}
 	if c.hasUnreadData() {
 		c.clearExpiry()
+		c.recordClientBytes()
 		return true
 	}
 	c.ended = true
@@ -217,6 +227,9 @@
 	c.progress = requestProgress{firstRead: c.progress.firstRead, readErr: c.progress.readErr, statusLine: status}
 	c.head.keep()
 	c.clearExpiry()
+	if !c.ended {
+		c.client.enter(clientlimit.Running)
+	}
 }
 
 // endRequest records that a request has been answered.
@@ -226,6 +239,12 @@
 	c.idle, c.reading, c.readAhead, c.idleSince = true, c.readAhead, false, time.Now()
 	c.progress, c.extended = requestProgress{firstRead: c.idleSince}, false
 	c.head.reset()
+	c.client.answered = false
+	if c.reading {
+		c.client.enter(clientlimit.Arriving)
+	} else {
+		c.client.enter(clientlimit.Idle)
+	}
 }
 
 // expire asks the reading goroutine to end the connection if it has been idle for longer
@@ -256,12 +275,18 @@
 	_ = c.Conn.SetReadDeadline(longPast)
 }
 
-// clearExpiry cancels the expiry. The mutex must be held.
+// clearExpiry cancels the expiry. The time for the first head of a connection starts again,
+// because net/http does not set it again. The mutex must be held.
 func (c *serverConn) clearExpiry() {
-	if c.expired {
-		c.expired = false
-		_ = c.Conn.SetReadDeadline(time.Time{})
+	if !c.expired {
+		return
 	}
+	c.expired = false
+	deadline := time.Time{}
+	if c.idle && c.idleSince.IsZero() {
+		deadline = time.Now().Add(c.headTimeout())
+	}
+	_ = c.Conn.SetReadDeadline(deadline)
 }
 
 // expireUnread asks the reading goroutine to end the connection if it is idle and no part
@@ -364,7 +389,7 @@
 		if c.hasEnded() {
 			panic(http.ErrAbortHandler)
 		}
-		started := &startedWriter{ResponseWriter: w}
+		started := &startedWriter{ResponseWriter: w, onStart: c.endBody}
 		defer s.answerCrash(c, started, id)
 		r, release := c.chargeBody(r)
 		defer release()
@@ -401,17 +426,28 @@
 type startedWriter struct {
 	http.ResponseWriter
 	started bool
+	// onStart is called before the answer is started.
+	onStart func()
+}
+
+func (w *startedWriter) start() {
+	if !w.started {
+		w.started = true
+		w.onStart()
+	}
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *startedWriter) WriteHeader(status int) {
-	w.started = w.started || status >= http.StatusOK
+	if status >= http.StatusOK {
+		w.start()
+	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
 func (w *startedWriter) Write(b []byte) (n int, err error) {
-	w.started = true
+	w.start()
 	return w.ResponseWriter.Write(b)
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -41,9 +41,9 @@
 // server, desired_state.go the operator's desired state, and exchange.go and watchers.go
 // other nodes. freshness.go proves that the desired state is the newest, by the clock in
 // clock.go. servers.go serves callers and other nodes, connections.go decides when their
-// connections are closed, client_limits.go refuses heads over the limits and
-// client_bodies.go bodies, and connection_ends.go records connections that end without an
-// answer. lifecycle.go starts and stops everything, and stop_schedule.go
+// connections are closed, client_limits.go refuses heads over the limits, client_bodies.go
+// bodies and client_connections.go connections, and connection_ends.go records connections
+// that end without an answer. lifecycle.go starts and stops everything, and stop_schedule.go
 // decides which requests a stopping node accepts, by the response times in longest_times.go.
 package mesh
 
