Test slow heads, reconnects, unread answers and a repeated request ID

Settle waits until the backend server gets no more requests, for up to 6 s instead of 3 s.

The first form of that crowd repeated one request ID and found another fault, with and without the budget: hop.Pool uses no connection twice for the same ID and keeps the others idle, so each request opened a connection to the backend server. TestRepeatedRequestID holds that with 64 callers that read their answers.

--- a/internal/abuse/abuse.go
+++ b/internal/abuse/abuse.go
@@ -41,6 +41,7 @@
 
 	service          = "orders"
 	route            = "orders"
+	longAnswerPath   = "/orders/long"
 	slots            = 8
 	requestTimeout   = 2 * time.Second
 	headerTimeout    = 5 * time.Second
@@ -50,7 +51,7 @@
 	// settledReads is how often the number of descriptors must be read unchanged before the
 	// node is taken to have accepted all that it accepts.
 	settledReads = 5
-	maxReads     = 60
+	maxReads     = 120
 )
 
 // Ports are the names of the ports of a node.
@@ -67,6 +68,8 @@
 	output    *os.File
 	stop      chan struct{}
 	requests  atomic.Int64
+	// served counts the requests that the backend server has received.
+	served atomic.Int64
 }
 
 // Start starts a node with low limits, and the limit of descriptors in its settings. Its files
@@ -87,6 +90,13 @@
 	if d.server, err = server.Start(ip+":0", "i-1"); err != nil {
 		return nil, err
 	}
+	d.server.SetBehaviour(func(r *http.Request) server.Behaviour {
+		d.served.Add(1)
+		if r.URL.Path == longAnswerPath {
+			return server.AnswerLong
+		}
+		return server.Answer
+	})
 	d.settings = nodeconfig.Config{
 		Node: "node-1", Region: "addis", Zone: "addis-a", Service: service, Backend: d.server.Address(),
 		RegionOf: map[string]string{"addis-a": "addis"}, Log: d.logServer.Listener.Addr().String(),
@@ -178,6 +188,18 @@
 	}
 }
 
+// WaitServed waits until the backend server has received a number of requests.
+func (d *Deployment) WaitServed(ctx context.Context, requests int64) (err error) {
+	for d.served.Load() < requests {
+		select {
+		case <-ctx.Done():
+			return eris.Wrapf(ctx.Err(), "the server received %d requests, expected %d", d.served.Load(), requests)
+		case <-time.After(retryInterval):
+		}
+	}
+	return nil
+}
+
 // Usage is what the process uses.
 type Usage struct {
 	// PeakBytes is the highest resident memory since the process started.
@@ -207,18 +229,18 @@
 	return used, err
 }
 
-// Settle waits until the node has accepted what waits at its ports, and returns the highest
-// usage that it read.
+// Settle waits until the node has accepted what waits at its ports and forwards no more
+// requests, and returns the highest usage that it read.
 func (d *Deployment) Settle() (used Usage, err error) {
-	unchanged, last := 0, -1
+	unchanged, last, lastServed := 0, -1, int64(0)
 	for reads := 0; unchanged < settledReads && reads < maxReads; reads++ {
 		current, err := d.Usage()
 		if err != nil {
 			return Usage{}, err
 		}
 		unchanged++
-		if current.Descriptors != last {
-			unchanged, last = 0, current.Descriptors
+		if served := d.served.Load(); current.Descriptors != last || served != lastServed {
+			unchanged, last, lastServed = 0, current.Descriptors, served
 		}
 		used = Usage{PeakBytes: current.PeakBytes, Descriptors: max(used.Descriptors, current.Descriptors)}
 		time.Sleep(retryInterval)
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -90,8 +90,14 @@
 	// ResetLong runs the request and resets the connection within a long body without
 	// Content-Length.
 	ResetLong
+	// AnswerLong runs the request and answers it with a body of 200 KB.
+	AnswerLong
 )
 
+// longAnswerBytes is the length of the body of a long answer. Nodes hold bodies of this size
+// in memory.
+const longAnswerBytes = 200 << 10
+
 // longBodyBytes is the size up to which a long body is sent before it is cut. Nodes stream
 // bodies of this size.
 const longBodyBytes = 1 << 20
@@ -372,6 +378,8 @@
 		return false
 	case Answer:
 		writeResponse(c, "200 OK", signedHeaders, "answer of "+id)
+	case AnswerLong:
+		writeResponse(c, "200 OK", signedHeaders, strings.Repeat("x", longAnswerBytes))
 	}
 	return true
 }
