Limit the idle connections that one repeated request ID leaves

Clients outside the limits that repeat one X-Request-Id made a node open a connection to its backend server for each request: a connection is not used twice for the same ID, and the others stayed idle. 64 such clients took 3,253 to 5,299 descriptors of 1,024. Cause: hop.Pool kept any number of idle connections. From 16 idle connections on that have all served the ID, the one unused for longest is closed for each new one. A request inside the limits is sent 12 times at most and never gets there. TestRepeatedIDLeavesFewIdleConnections covers the pool alone.

--- a/event/node.go
+++ b/event/node.go
@@ -13,7 +13,7 @@
 	RequestNotRead        ID = 1007
 	ServerError           ID = 1008
 	// CallSuccessChanged is about the calls that the backend server beside this node makes.
-	CallSuccessChanged    ID = 1040
+	CallSuccessChanged ID = 1040
 	// ShareExceeded is about workspaces beyond their share of the admitted requests.
 	ShareExceeded         ID = 1050
 	BackendAnnounced      ID = 1101
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -186,6 +186,11 @@
 	dropAt int
 }
 
+// maxServedIdle is the number of idle connections from which on one is closed for each request
+// that can use none of them, because all have served its ID. A request is sent 12 times at most,
+// but a caller may repeat an ID for ever, and each repetition opens a connection.
+const maxServedIdle = 16
+
 // minSentRequests is the number of requests of a connection up to which none are dropped.
 const minSentRequests = 8
 
@@ -382,6 +387,10 @@
 			return c
 		}
 	}
+	if len(p.idle) >= maxServedIdle {
+		p.idle[0].Close()
+		p.idle = slices.Delete(p.idle, 0, 1)
+	}
 	return nil
 }
 
--- a/hop/sent_test.go
+++ b/hop/sent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strconv"
 	"testing"
 	"time"
@@ -27,3 +28,19 @@
 	must.True(t, c.hasServed("no deadline"))
 	must.Less(t, requests/1000, len(c.sent))
 }
+
+// Guards against idle connections without a limit at a server whose callers repeat one request
+// ID: none of them can be used for it again, so each request opens another one.
+func TestRepeatedIDLeavesFewIdleConnections(t *testing.T) {
+	p := New("")
+	for range 10 * maxServedIdle {
+		must.Nil(t, p.popIdle("repeated"))
+		client, server := net.Pipe()
+		defer server.Close()
+		c := &conn{Conn: client}
+		c.recordSent(t.Context(), "repeated")
+		p.idle = append(p.idle, c)
+	}
+	must.Len(t, maxServedIdle, p.idle)
+	must.NotNil(t, p.popIdle("another"))
+}
