Check keys and caps in the fault soak

The soak had neither keys nor workspaces, so no run with separate processes and faults checked the cap of a workspace or withdrawn keys.

The desired state of the soak has a workspace with a cap of 20 a second, whose callers send several times that, and one without cap whose key changes with each version of the routes. Two further routes need a key; all others are anonymous, as calls of backend servers carry none. The soak checks the bound of the cap in any window over the requests that ran, that none runs with a key that was withdrawn longer ago than the revocation time, that none passes its key on, and that backend servers are told the right workspace.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -68,6 +68,8 @@
 	// sent is true once the latest request has been written completely on a connection
 	// that the node had not closed before.
 	sent bool
+	// identity is what the next request is sent with.
+	identity identity
 }
 
 // run sends requests to random customer routes until the run ends.
@@ -204,6 +206,10 @@
 		return 0
 	}
 	l.recordSent(id, r.service, v.settings.Service, r.atMostOnce)
+	if c.identity != (identity{}) {
+		operator.AddKey(request, c.identity.key())
+		l.recordIdentity(id, c.identity)
+	}
 	start := time.Now()
 	connection := c.describeConn()
 	resp, err := c.roundTrip(request, start, timeout+deadlineSlack)
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -32,6 +32,9 @@
 	// unanswered states how the node ended the connection of the request without a
 	// complete answer, if it did.
 	unanswered string
+	// identity is what the request was sent with, and sentAt when.
+	identity identity
+	sentAt   time.Time
 }
 
 // window counts the requests of a service that were sent in one second, and the runs
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -91,6 +91,7 @@
 	r.copies = r.copies[:chosen+1]
 	r.log.Restore(r.copies[chosen].content, opts...)
 	r.written, r.logAway = r.copies[chosen].written, false
+	r.forgetWithdrawn(r.written.routesVersion)
 	r.addCopy()
 }
 
@@ -112,6 +113,7 @@
 	r.log.Put(operator.DesiredStateTopic, operator.DesiredStateKey, r.desiredState)
 	r.written.records++
 	if r.written.routesVersion < r.routesVersion {
+		r.recordWithdrawn(r.written.routesVersion, r.routesVersion)
 		r.written.routesVersion, r.publishedAt = r.routesVersion, time.Now()
 	}
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -75,7 +75,15 @@
 		s.degradeLink(random, []linkMode{cutForward, cutBackward, cutBoth}[random.IntN(3)])
 	}},
 	{"delay a link", func(s *schedule, random *rand.Rand) { s.degradeLink(random, delayed) }},
-	{"log down", func(s *schedule, random *rand.Rand) { s.degradeLog(random, keyedlog.Faults{Down: true}) }},
+	{"log down", func(s *schedule, random *rand.Rand) {
+		defer s.run.beginLogFault()()
+		defer s.addLogFaults(keyedlog.Faults{Down: true})()
+		// Nodes can't read that a key is withdrawn.
+		if !s.isQuiet() {
+			s.run.publish()
+		}
+		time.Sleep(faultDuration(random))
+	}},
 	{"log loses responses", func(s *schedule, random *rand.Rand) { s.degradeLog(random, keyedlog.Faults{LoseAnswers: true}) }},
 	{"log trimmed", func(s *schedule, _ *rand.Rand) {
 		defer s.run.beginLogFault()()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -28,6 +28,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -41,10 +42,12 @@
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 )
 
-// bounds are the limits in the users' first deployments.
+// bounds are the limits in the users' first deployments, except for Revoke: it is shorter than the
+// longest fault, so that nodes have to refuse requests with keys that may have been withdrawn.
 var bounds = nodeconfig.Bounds{
 	Drain: 2500 * time.Millisecond, Grace: 6 * time.Second, ConfigApply: 2500 * time.Millisecond,
 	RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 49,
+	FailClosed: true, Revoke: 2 * time.Second, CapWindow: 5 * time.Second, CapOver: 0.1, CapSlack: 20,
 }
 
 const (
@@ -64,6 +67,8 @@
 	callersPerVM  = 3
 	// keptConnSeed keeps the random numbers of the kept connections apart from the others.
 	keptConnSeed = 1 << 32
+	// keyedSeed does so for the callers with keys.
+	keyedSeed = 1 << 33
 
 	// leafService is the service that the other services call. It calls none itself.
 	leafService        = "dispatch"
@@ -99,6 +104,9 @@
 	// Recovery is the time from the last fault until enough requests were served
 	// again.
 	Recovery time.Duration
+	// Capped is the largest number of requests of the workspace with a cap that were sent within
+	// the window of caps and have run.
+	Capped int
 	// LongestDelay is the longest time for which this process could not run.
 	LongestDelay time.Duration
 }
@@ -156,9 +164,12 @@
 	// desiredState is the newest document of the operator, and written what the log has.
 	// While logAway is true, nothing is written.
 	desiredState []byte
-	written      written
-	logAway      bool
-	copies       []logCopy
+	// withdrawnAt has, for each version of the routes whose key is withdrawn, when the log
+	// acknowledged that.
+	withdrawnAt map[int]time.Time
+	written     written
+	logAway     bool
+	copies      []logCopy
 	// loggedEpochs has the highest epoch of each node's records that the log had before
 	// it was restored.
 	loggedEpochs map[string]int64
@@ -219,6 +230,7 @@
 		}
 	}
 	b := retryBudget{seconds: int(bounds.RetryWindow / time.Second), ratio: bounds.RetryRatio, slack: bounds.RetrySlack}
+	report.Capped = r.ledger.checkCap()
 	report.Requests, report.Violations = r.ledger.result(b)
 	report.LongestDelay = r.delays.longest()
 	report.Served, report.Faults = int(r.servedRequests.Load()), int(r.faultCount.Load())
@@ -257,13 +269,14 @@
 // lock.
 func (r *run) putDesiredState() {
 	r.stateVersion++
-	routes := []operator.Route{{Name: leafRoute, Service: leafService, Timeout: routeTimeout, Attempts: 2}}
-	for n, c := range append(customerRoutes[:len(customerRoutes):len(customerRoutes)], versionRoute(r.routesVersion)) {
+	routes := []operator.Route{{Name: leafRoute, Service: leafService, Timeout: routeTimeout, Attempts: 2, Anonymous: true}}
+	for n, c := range slices.Concat(customerRoutes, []route{versionRoute(r.routesVersion)}, keyedRoutes) {
 		routes = append(routes, operator.Route{
 			Name: c.name, Service: c.service, AtMostOnce: c.atMostOnce, Timeout: routeTimeout, Attempts: 2, Priority: n,
+			Anonymous: !slices.Contains(keyedRoutes, c),
 		})
 	}
-	r.desiredState = operator.EncodeDesiredStateWithLimits(r.stateVersion, operator.Limits{IdleTimeout: r.idleLimit}, routes, services...)
+	r.desiredState = operator.EncodeDesiredStateWith(r.stateVersion, operator.Limits{IdleTimeout: r.idleLimit}, routes, services, keyedWorkspaces(r.routesVersion))
 	r.writeDesiredState()
 }
 
@@ -344,7 +357,8 @@
 	return nil
 }
 
-// startCallers starts the callers, the kept connections and the version probe on each VM.
+// startCallers starts the callers, the kept connections, the callers with keys and the version
+// probe on each VM.
 func (r *run) startCallers() {
 	for number, v := range r.vms {
 		for n := range callersPerVM {
@@ -357,6 +371,11 @@
 			random := rand.New(rand.NewPCG(r.seed^keptConnSeed, uint64(number*keptConnsPerVM+n)))
 			r.callers.Go(func() { (&caller{vm: v}).keepConn(name, random) })
 		}
+		for _, workspace := range []string{cappedWorkspace, rotatingWorkspace} {
+			name := fmt.Sprintf("%s-%s", v.settings.Node, workspace)
+			random := rand.New(rand.NewPCG(r.seed^keyedSeed, uint64(len(workspace)*1000+number)))
+			r.callers.Go(func() { (&caller{vm: v}).callWithKeys(name, random, workspace) })
+		}
 		r.callers.Go(func() { (&caller{vm: v}).probeVersions(v.settings.Node + "-p") })
 	}
 }
--- a/internal/soak/soakrun/main.go
+++ b/internal/soak/soakrun/main.go
@@ -68,8 +68,8 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("seed %d: %d faults, %d requests, %d of customers served, back after %v, process delayed by up to %v, %d promises broken\n",
-			seed, report.Faults, report.Requests, report.Served, report.Recovery.Round(time.Millisecond), report.LongestDelay.Round(time.Millisecond), len(report.Violations))
+		fmt.Printf("seed %d: %d faults, %d requests, %d of customers served, %d with a cap in a window, back after %v, process delayed by up to %v, %d promises broken\n",
+			seed, report.Faults, report.Requests, report.Served, report.Capped, report.Recovery.Round(time.Millisecond), report.LongestDelay.Round(time.Millisecond), len(report.Violations))
 		for _, violation := range report.Violations {
 			fmt.Println("  " + violation)
 		}
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -230,6 +230,7 @@
 		}
 		if !behaviour.Refuses() {
 			v.run.ledger.recordRun(received.ID, v.settings.Service, received.Caller)
+			v.run.checkIdentity(received.ID, r.Header)
 			v.checkDrained(instance, received.ID)
 		}
 		return behaviour
