Test one cap over separate processes

No test of caps ran nodes as separate processes.

TestCapOverProcesses starts five nodes in two regions with 20 callers of one workspace, waits until each node has admitted requests, kills one and waits again, and checks the bound over all of them. One of the nodes keeps no part of the cap, so it admits only with credit of others. The start of a VM in kept_test.go is split for several of them.

--- a/internal/soak/kept_test.go
+++ b/internal/soak/kept_test.go
@@ -53,6 +53,14 @@
 
 // startVM starts a deployment of one VM, whose node runs on a single core.
 func startVM(t *testing.T, binaries e2e.Binaries) (v *vm) {
+	t.Helper()
+	v = startVMs(t, binaries, leafService)[0]
+	v.server.SetServiceTime(time.Millisecond)
+	return v
+}
+
+// startVMs starts a VM for each of the services, from number 2 on. They end with the test.
+func startVMs(t *testing.T, binaries e2e.Binaries, services ...string) []*vm {
 	t.Helper()
 	r := &run{
 		binaries: binaries, directory: t.TempDir(), log: keyedlog.New(), ledger: newLedger(time.Now()), stop: make(chan struct{}), idleLimit: burstLimit,
@@ -61,18 +69,19 @@
 	t.Cleanup(logServer.Close)
 	r.logAddress = logServer.Listener.Addr().String()
 	r.publish()
-	v, err := newVM(r, 2, leafService)
-	must.NoError(t, err)
-	t.Cleanup(v.close)
+	for n, service := range services {
+		v, err := newVM(r, n+2, service)
+		must.NoError(t, err)
+		t.Cleanup(v.close)
+		r.vms = append(r.vms, v)
+	}
 	r.callers.Go(func() { r.delays.measure(r.stopped) })
 	t.Cleanup(func() {
 		close(r.stop)
 		r.callers.Wait()
 	})
-	r.vms = []*vm{v}
 	must.NoError(t, r.waitReady(t.Context()))
-	v.server.SetServiceTime(time.Millisecond)
-	return v
+	return r.vms
 }
 
 // sendBurst sends one request on each connection within burstSpread and waits for the
--- a/internal/soak/keyed_test.go
+++ b/internal/soak/keyed_test.go
@@ -2,15 +2,75 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
+	"github.com/lacewingslip/lacewingslip/internal/e2e"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 )
 
+const (
+	// admittedPerNode is the number of requests of the capped workspace that each node has to
+	// admit before and after a keeper is killed.
+	admittedPerNode = 10
+	// callersPerNode send several times the cap together, even if each node grants all of it.
+	callersPerNode = 4
+	// admissionTimeout does not expire in a test unless a node admits none.
+	admissionTimeout = time.Minute
+)
+
+// Guards against a cap that processes apply each for itself, also after one of them has lost its
+// part of it, and against nodes that admit nothing because they keep no part, or a keeper is down.
+func TestCapOverProcesses(t *testing.T) {
+	binaries, err := e2e.Build(t.TempDir())
+	must.NoError(t, err)
+	// In two regions, four of five nodes are keepers.
+	vms := startVMs(t, binaries, "orders", "catalogue", leafService, "catalogue", leafService)
+	r := vms[0].run
+	r.thinkTime.Store(int64(meanThinkTime))
+	for n := range callersPerNode * len(vms) {
+		v, random := vms[n%len(vms)], rand.New(rand.NewPCG(keyedSeed, uint64(n)))
+		name := fmt.Sprintf("%s-%d", v.settings.Node, n)
+		r.callers.Go(func() { (&caller{vm: v}).callWithKeys(name, random, cappedWorkspace) })
+	}
+	for _, killed := range []*vm{nil, vms[1]} {
+		if killed != nil {
+			end := killed.beginFault()
+			killed.kill()
+			end()
+		}
+		before := r.ledger.admittedByNode()
+		must.Wait(t, wait.InitialSuccess(wait.Timeout(admissionTimeout), wait.Gap(50*time.Millisecond), wait.BoolFunc(func() bool {
+			admitted := r.ledger.admittedByNode()
+			return !slices.ContainsFunc(vms, func(v *vm) bool { return admitted[v.settings.Node]-before[v.settings.Node] < admittedPerNode })
+		})))
+		time.Sleep(bounds.CapWindow)
+	}
+	must.LessEq(t, capAllowed(), r.ledger.checkCap())
+}
+
+// admittedByNode returns how many requests of the capped workspace have run, by the node that
+// admitted them.
+func (l *ledger) admittedByNode() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	admitted := make(map[string]int)
+	for id, e := range l.requests {
+		if e.identity.workspace == cappedWorkspace && e.runs > 0 {
+			parts := strings.Split(id, "-")
+			admitted[strings.Join(parts[:2], "-")]++
+		}
+	}
+	return admitted
+}
+
 // Guards against requests beyond a cap that the ledger does not notice, and against reports of
 // requests that may run: those of other windows, and those that have not run.
 func TestCheckCap(t *testing.T) {
