Plan returns for times before the first request

Concurrent requests get their times before they wait for the mutex of the planner. If a goroutine was not run for 25 ms or more around the first refusals, its slot had a negative number, and each refusal of its route panicked from then on.

--- a/backoff/backoff.go
+++ b/backoff/backoff.go
@@ -160,12 +160,13 @@
 	return begin.Sub(now) + scale(p.random(), slotLength)
 }
 
-// slotOf returns the number of the slot that has the time.
+// slotOf returns the number of the slot that has the time. Concurrent requests get their times
+// before they wait for the mutex, so a time may be before the first one; it is in slot 0.
 func (p *Planner) slotOf(t time.Time) int64 {
 	if p.startedAt.IsZero() {
 		p.startedAt = t
 	}
-	return int64(t.Sub(p.startedAt) / slotLength)
+	return max(int64(t.Sub(p.startedAt)/slotLength), 0)
 }
 
 // Pending returns the number of returns that are planned for later times.
--- a/backoff/backoff_test.go
+++ b/backoff/backoff_test.go
@@ -166,6 +166,19 @@
 	must.LessEq(t, 4096, planner.Targets())
 }
 
+// Guards against a crash by a request that was decided on before the first one, but recorded
+// later, because its goroutine was not run in between.
+func TestTimeBeforeTheFirstRequest(t *testing.T) {
+	planner := backoff.New(rand.New(rand.NewPCG(1, 2)).Float64)
+	planner.Record(start, target, 0.5, false)
+	other, earlier := backoff.Target{Route: "other"}, start.Add(-time.Second)
+	planner.Record(earlier, other, 0.5, false)
+	for _, now := range []time.Time{earlier, start, start.Add(time.Second)} {
+		must.Between(t, 100*time.Millisecond, planner.Plan(now, other, usable), backoff.MaxDelay)
+	}
+	must.Eq(t, 0, planner.Pending(start.Add(3*time.Second)))
+}
+
 // BenchmarkPlan measures a refusal while many returns are planned.
 func BenchmarkPlan(b *testing.B) {
 	planner, now := backoff.New(rand.New(rand.NewPCG(1, 2)).Float64), start
