Keep the reserve of a port while its connections end

Listeners choose connections to end at the same time. Those of a port that were about to end still counted as its use, so that several listeners could take connections within its reserve.

--- a/clientlimit/connections.go
+++ b/clientlimit/connections.go
@@ -66,6 +66,8 @@
 
 type portConnections struct {
 	reserve, used int
+	// leaving counts the open connections that were chosen to end.
+	leaving int
 	// evictable has the connections that may be chosen to end, by phase, in the order in which
 	// they entered it.
 	evictable [Running]list.List
@@ -142,6 +144,7 @@
 	if victim != nil {
 		victim.unlist()
 		victim.leaving = true
+		victim.port.leaving++
 		b.leaving++
 	}
 	if b.changed == nil {
@@ -194,6 +197,7 @@
 func (c *Connection) stay() {
 	if c.leaving {
 		c.leaving = false
+		c.port.leaving--
 		c.budget.leaving--
 		c.budget.notify()
 	}
@@ -226,13 +230,14 @@
 	return port.used <= port.reserve || used+reserved <= b.limit
 }
 
-// oldest returns the connection to end in favour of one to the port, or nil. The mutex must be
-// held.
+// oldest returns the connection to end in favour of one to the port, or nil. The connections of
+// another port that are about to end already do not count as use of its reserve. The mutex must
+// be held.
 func (b *ConnectionBudget) oldest(port *portConnections, now time.Time) (victim *Connection) {
 	for phase := Waiting; phase < Running; phase++ {
 		for _, p := range b.ports {
 			first := p.evictable[phase].Front()
-			if first == nil || p != port && p.used <= p.reserve {
+			if first == nil || p != port && p.used-p.leaving <= p.reserve {
 				continue
 			}
 			c := first.Value.(*Connection)
--- a/clientlimit/connections_test.go
+++ b/clientlimit/connections_test.go
@@ -101,6 +101,24 @@
 	}
 }
 
+// Guards against taking the reserve of a port in favour of several connections to other ports,
+// because those of the port that are about to end are still open.
+func TestReserveIsKeptWhileConnectionsEnd(t *testing.T) {
+	budget := newConnections()
+	for range connectionReserve + 1 {
+		_, _, ok := budget.open("peer", "idle", clientlimit.Idle)
+		must.True(t, ok)
+	}
+	for range connectionLimit - connectionReserve - 1 {
+		_, _, ok := budget.open("caller", "running", clientlimit.Running)
+		must.True(t, ok)
+	}
+	first := budget.Open("operator", "new").Admit(budget.now)
+	must.NotNil(t, first.Victim)
+	second := budget.Open("caller", "new").Admit(budget.now)
+	must.Nil(t, second.Victim, must.Sprint("a connection within the reserve of its port would end"))
+}
+
 // Guards against accepting a connection before the one that ends in its favour has been closed,
 // and against losing the wait if that one stays because its next request has arrived.
 func TestVictimThatStays(t *testing.T) {
