Bound the refusal of a connection that ends for another

A client that does not read its answers blocked the write of the refusal for a second, while the new connection waits for the descriptor for 100 ms only.

--- a/mesh/client_connections.go
+++ b/mesh/client_connections.go
@@ -19,9 +19,9 @@
 	forwardingReserveRatio, controlPortReserveRatio = 1.0 / 4, 1.0 / 32
 	// admissionTimeout bounds how long a new connection waits for another one to end.
 	admissionTimeout = 100 * time.Millisecond
-	// evictedBodyCloseTimeout replaces clientCloseTimeout for a connection that ends in favour
-	// of another. It is less than admissionTimeout.
-	evictedBodyCloseTimeout = 50 * time.Millisecond
+	// evictedCloseTimeout replaces clientCloseTimeout and refusalTimeout for a connection that
+	// ends in favour of another. It is less than admissionTimeout.
+	evictedCloseTimeout = 50 * time.Millisecond
 )
 
 // newConnectionBudget returns the budget of connections of clients, or nil if the settings
--- a/mesh/client_connections_test.go
+++ b/mesh/client_connections_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -138,6 +140,38 @@
 	must.Zero(t, v.server.Runs("refused"))
 }
 
+// unreadConn is a connection whose client reads nothing, so that a write ends at its deadline.
+type unreadConn struct {
+	net.Conn
+	writeDeadline time.Time
+}
+
+func (c *unreadConn) SetWriteDeadline(t time.Time) error {
+	c.writeDeadline = t
+	return nil
+}
+
+func (c *unreadConn) Write([]byte) (n int, err error) { return 0, os.ErrDeadlineExceeded }
+
+// Guards against a client that reads no answers and keeps its descriptor for longer than the
+// connection waits that is to get it.
+func TestUnreadRefusalDoesNotDelayNewConnection(t *testing.T) {
+	budget := clientlimit.NewConnectionBudget(1, nil, 0)
+	conn, other := net.Pipe()
+	defer other.Close()
+	unread := &unreadConn{Conn: conn}
+	c := &serverConn{Conn: unread, idle: true}
+	c.client.account = budget.Open(callerPort, c)
+	c.endRequest()
+	c.recordRead([]byte("G"), false)
+	victim := budget.Open(callerPort, nil).Admit(time.Now().Add(time.Second)).Victim
+	must.EqOp(t, c.client.account, victim)
+	c.endForAnother()
+	must.True(t, c.refuse())
+	must.False(t, unread.writeDeadline.IsZero())
+	must.LessEq(t, admissionTimeout, time.Until(unread.writeDeadline))
+}
+
 // Guards against a budget that leaves no descriptors for files and for the connections of the
 // node itself, or nothing to clients.
 func TestConnectionBudgetOfSettings(t *testing.T) {
--- a/mesh/client_limits.go
+++ b/mesh/client_limits.go
@@ -184,25 +184,32 @@
 // refuse answers a head that is not read on and ends the connection. The request has not
 // run, because net/http has not read it.
 func (c *serverConn) refuse() (refused bool) {
-	refusal := c.beginRefusal()
+	refusal, timeout := c.beginRefusal()
 	if refusal == "" {
 		return false
 	}
-	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_ = c.SetWriteDeadline(time.Now().Add(timeout))
 	// An error means that the client has disconnected.
 	_, _ = io.WriteString(c.Conn, refusal)
 	return true
 }
 
-func (c *serverConn) beginRefusal() (refusal string) {
+// beginRefusal returns the refusal, or "" if there is none, and how long it may take to write. One
+// in favour of another connection gets less: its client may not read earlier answers, and the
+// descriptor is needed.
+func (c *serverConn) beginRefusal() (refusal string, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.head.refusal == "" || !c.idle || c.ended {
-		return ""
+		return "", 0
 	}
 	c.ended, c.refused = true, true
 	c.progress.statusLine, _, _ = strings.Cut(c.head.refusal, "\r\n")
-	return c.head.refusal
+	timeout = refusalTimeout
+	if c.client.evicted {
+		timeout = evictedCloseTimeout
+	}
+	return c.head.refusal, timeout
 }
 
 // headTimeout returns the limit of the time for a head.
--- a/mesh/connections.go
+++ b/mesh/connections.go
@@ -134,7 +134,7 @@
 	defer c.mu.Unlock()
 	timeout = clientCloseTimeout
 	if c.client.evicted {
-		timeout = evictedBodyCloseTimeout
+		timeout = evictedCloseTimeout
 	}
 	return timeout, (c.refused && !c.client.evicted || !c.idle && !c.ended) && !c.aborted.Load()
 }
