Admit one of two new connections if there is room for one

Two listeners that wait for room count each other's new connection. If both asked before either was closed, both were refused, and the connection that had ended in favour of one of them was lost.

--- a/clientlimit/connections.go
+++ b/clientlimit/connections.go
@@ -29,7 +29,8 @@
 	Admitted Verdict = iota
 	// Pending means that the connection has to wait until others have ended.
 	Pending
-	// Refused means that no connection may be ended in favour of the new one.
+	// Refused means that no connection may be ended in favour of the new one, which is not
+	// counted any more.
 	Refused
 )
 
@@ -139,6 +140,8 @@
 		victim = b.oldest(c.port, now)
 	}
 	if victim == nil && b.leaving == 0 {
+		// Its owner closes it at once. Counted until then, it would keep out another new one.
+		c.close()
 		return Admission{Verdict: Refused}
 	}
 	if victim != nil {
@@ -179,18 +182,22 @@
 
 // Close records that the connection has been closed.
 func (c *Connection) Close() {
-	b := c.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.close()
+}
+
+// close is Close with the mutex held.
+func (c *Connection) close() {
 	if c.closed {
 		return
 	}
 	c.closed = true
 	c.unlist()
 	c.stay()
-	b.used--
+	c.budget.used--
 	c.port.used--
-	b.notify()
+	c.budget.notify()
 }
 
 // stay cancels the choice of the connection. The mutex must be held.
--- a/clientlimit/connections_test.go
+++ b/clientlimit/connections_test.go
@@ -145,6 +145,21 @@
 	must.Eq(t, clientlimit.Admitted, accepted.Admit(budget.now).Verdict)
 }
 
+// Guards against refusing two new connections although there is room for one of them, because
+// each counts the other.
+func TestOneOfTwoNewConnectionsIsAdmitted(t *testing.T) {
+	budget := newConnections()
+	for range connectionLimit - connectionReserve - 1 {
+		_, _, ok := budget.open("caller", "running", clientlimit.Running)
+		must.True(t, ok)
+	}
+	first, second := budget.Open("caller", "new"), budget.Open("operator", "new")
+	must.Eq(t, clientlimit.Refused, first.Admit(budget.now).Verdict)
+	must.Eq(t, clientlimit.Admitted, second.Admit(budget.now).Verdict)
+	first.Close()
+	must.Eq(t, connectionLimit-connectionReserve, budget.Used())
+}
+
 // Guards against a budget that shrinks, grows or ends a running request after an order of
 // steps that was not thought of.
 func TestConnectionsAreCounted(t *testing.T) {
