--- a/clientlimit/connections.go
+++ b/clientlimit/connections.go
@@ -29,7 +29,8 @@
 	Admitted Verdict = iota
 	// Pending means that the connection has to wait until others have ended.
 	Pending
-	// Refused means that no connection may be ended in favour of the new one.
+	// Refused means that no connection may be ended in favour of the new one, which is not
+	// counted any more.
 	Refused
 )
 
@@ -66,6 +67,8 @@
 
 type portConnections struct {
 	reserve, used int
+	// leaving counts the open connections that were chosen to end.
+	leaving int
 	// evictable has the connections that may be chosen to end, by phase, in the order in which
 	// they entered it.
 	evictable [Running]list.List
@@ -137,11 +140,14 @@
 		victim = b.oldest(c.port, now)
 	}
 	if victim == nil && b.leaving == 0 {
+		// Its owner closes it at once. Counted until then, it would keep out another new one.
+		c.close()
 		return Admission{Verdict: Refused}
 	}
 	if victim != nil {
 		victim.unlist()
 		victim.leaving = true
+		victim.port.leaving++
 		b.leaving++
 	}
 	if b.changed == nil {
@@ -176,24 +182,29 @@
 
 // Close records that the connection has been closed.
 func (c *Connection) Close() {
-	b := c.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.close()
+}
+
+// close is Close with the mutex held.
+func (c *Connection) close() {
 	if c.closed {
 		return
 	}
 	c.closed = true
 	c.unlist()
 	c.stay()
-	b.used--
+	c.budget.used--
 	c.port.used--
-	b.notify()
+	c.budget.notify()
 }
 
 // stay cancels the choice of the connection. The mutex must be held.
 func (c *Connection) stay() {
 	if c.leaving {
 		c.leaving = false
+		c.port.leaving--
 		c.budget.leaving--
 		c.budget.notify()
 	}
@@ -226,13 +237,14 @@
 	return port.used <= port.reserve || used+reserved <= b.limit
 }
 
-// oldest returns the connection to end in favour of one to the port, or nil. The mutex must be
-// held.
+// oldest returns the connection to end in favour of one to the port, or nil. The connections of
+// another port that are about to end already do not count as use of its reserve. The mutex must
+// be held.
 func (b *ConnectionBudget) oldest(port *portConnections, now time.Time) (victim *Connection) {
 	for phase := Waiting; phase < Running; phase++ {
 		for _, p := range b.ports {
 			first := p.evictable[phase].Front()
-			if first == nil || p != port && p.used <= p.reserve {
+			if first == nil || p != port && p.used-p.leaving <= p.reserve {
 				continue
 			}
 			c := first.Value.(*Connection)
--- a/clientlimit/connections_test.go
+++ b/clientlimit/connections_test.go
@@ -101,6 +101,24 @@
 	}
 }
 
+// Guards against taking the reserve of a port in favour of several connections to other ports,
+// because those of the port that are about to end are still open.
+func TestReserveIsKeptWhileConnectionsEnd(t *testing.T) {
+	budget := newConnections()
+	for range connectionReserve + 1 {
+		_, _, ok := budget.open("peer", "idle", clientlimit.Idle)
+		must.True(t, ok)
+	}
+	for range connectionLimit - connectionReserve - 1 {
+		_, _, ok := budget.open("caller", "running", clientlimit.Running)
+		must.True(t, ok)
+	}
+	first := budget.Open("operator", "new").Admit(budget.now)
+	must.NotNil(t, first.Victim)
+	second := budget.Open("caller", "new").Admit(budget.now)
+	must.Nil(t, second.Victim, must.Sprint("a connection within the reserve of its port would end"))
+}
+
 // Guards against accepting a connection before the one that ends in its favour has been closed,
 // and against losing the wait if that one stays because its next request has arrived.
 func TestVictimThatStays(t *testing.T) {
@@ -127,6 +145,21 @@
 	must.Eq(t, clientlimit.Admitted, accepted.Admit(budget.now).Verdict)
 }
 
+// Guards against refusing two new connections although there is room for one of them, because
+// each counts the other.
+func TestOneOfTwoNewConnectionsIsAdmitted(t *testing.T) {
+	budget := newConnections()
+	for range connectionLimit - connectionReserve - 1 {
+		_, _, ok := budget.open("caller", "running", clientlimit.Running)
+		must.True(t, ok)
+	}
+	first, second := budget.Open("caller", "new"), budget.Open("operator", "new")
+	must.Eq(t, clientlimit.Refused, first.Admit(budget.now).Verdict)
+	must.Eq(t, clientlimit.Admitted, second.Admit(budget.now).Verdict)
+	first.Close()
+	must.Eq(t, connectionLimit-connectionReserve, budget.Used())
+}
+
 // Guards against a budget that shrinks, grows or ends a running request after an order of
 // steps that was not thought of.
 func TestConnectionsAreCounted(t *testing.T) {
