Try the other servers that rejected a request after one node refuses it

A request that backend servers had rejected without running it was given up when the node whose turn it was had refused it at any time. The other servers may accept it, and so may a server whose node had refused the request for want of a slot before it passed it on.

--- a/mesh/node_selector.go
+++ b/mesh/node_selector.go
@@ -48,8 +48,8 @@
 	// full has the refusals for want of a slot that state the expected wait.
 	full []fullNode
 	// shedBy lists the nodes whose backend servers received the request and stated that they
-	// did not run it, and chosenAgain counts how often one of them was selected again.
-	// mayHaveRun is true after an attempt that may have run.
+	// did not run it, except those that have refused it since. chosenAgain counts how often one
+	// of them was selected again. mayHaveRun is true after an attempt that may have run.
 	shedBy      []*peer
 	chosenAgain int
 	mayHaveRun  bool
@@ -145,9 +145,6 @@
 		return nil, false
 	}
 	p = s.shedBy[s.chosenAgain%len(s.shedBy)]
-	if slices.Contains(s.refused, p.node) {
-		return nil, false
-	}
 	s.chosenAgain++
 	s.request.queueTimeout = s.lastQueueTimeout()
 	return p, true
@@ -157,6 +154,7 @@
 // server.
 func (s *nodeSelector) recordRefusal(p *peer, res *result) {
 	s.refused = append(s.refused, p.node)
+	s.shedBy = slices.DeleteFunc(s.shedBy, func(other *peer) bool { return other == p })
 	if res.wait > 0 {
 		s.full = append(s.full, fullNode{p.node, time.Now(), res.wait})
 	}
