Divide caps anew when the region of a known node changes

The set of nodes was compared by names only. A node that kept the earlier region of another one chose other keepers, and with the number of keepers rounded to the regions other parts, than nodes that started later, until the next node joined or left.

--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -250,8 +250,8 @@
 	changed := false
 	if nodes != nil {
 		changed = len(nodes) != len(c.nodes)
-		for node := range nodes {
-			if _, known := c.nodes[node]; !known {
+		for name, node := range nodes {
+			if earlier, known := c.nodes[name]; !known || earlier.region != node.region {
 				changed = true
 			}
 		}
--- a/mesh/quota_test.go
+++ b/mesh/quota_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lacewingslip/lacewingslip/calltree"
+	"github.com/lacewingslip/lacewingslip/fleet"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 	"github.com/lacewingslip/lacewingslip/platform"
@@ -76,6 +77,41 @@
 	must.Eq(t, 2, admitted)
 }
 
+// Guards against a node that divides caps by the earlier region of another one until the next
+// change of the nodes, while nodes that start later divide them by the new one.
+func TestChangedRegionChangesKeepers(t *testing.T) {
+	const burst = 300
+	clock, err := newBootClock()
+	must.NoError(t, err)
+	settings := nodeconfig.Config{Node: "node-0", Region: "region-0"}
+	members := []fleet.Member{
+		{Node: "node-0", Address: "127.0.0.1:1", Region: "region-0"},
+		{Node: "node-1", Address: "127.0.0.2:1", Region: "region-1"},
+		{Node: "node-2", Address: "127.0.0.3:1", Region: "region-1"},
+		{Node: "node-3", Address: "127.0.0.4:1", Region: "region-1"},
+	}
+	b := newBalancer(settings, nil)
+	setMembers := func() { b.setMembers(func() []fleet.Member { return members }) }
+	setMembers()
+	c := newCaps(settings, clock, &desiredState{}, b, fleet.NewDirectory(members[0], fleet.NewTable(), nil, nil, nil), nil, nil)
+	now := time.Now()
+	c.now = func() time.Time { return now }
+	c.tick()
+	c.accounts.Learn(now, c.nodeSet(), true, true)
+	// granted returns what a bucket that has filled up grants.
+	granted := func() int {
+		now = now.Add(time.Minute)
+		return c.accounts.Grant(now, cappedWorkspace, quota.Cap{Rate: burst, Burst: burst}, burst).Tokens
+	}
+	part := granted()
+	members[3].Region = "region-2"
+	setMembers()
+	c.tick()
+	// The four nodes are keepers in two regions, and one of each region in three.
+	must.Greater(t, part, granted())
+	must.Between(t, burst/4, part, burst/3)
+}
+
 // Guards against a cap that each node applies alone, whole or in part, and against refusals
 // without a time to retry, of requests that run, or of requests without workspace.
 func TestCapHoldsOverAllNodes(t *testing.T) {
