Queue a request at another node if the chosen one is leaving

The node of the home region that is to queue a request was selected once. If it refused because it was stopping or could not be reached, a customer request got 503 at once, with most of its time left, although another node could queue it. Seen in TestPlannedStop with a process that was stopped for 200 ms at a time.

--- a/mesh/node_selector.go
+++ b/mesh/node_selector.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lacewingslip/lacewingslip/call"
 )
 
 const (
@@ -45,8 +47,10 @@
 	// refused lists the nodes that refused the request. reachedBackend lists those
 	// whose backend server received the request or may have received it.
 	refused, reachedBackend []string
-	// full has the refusals for want of a slot that state the expected wait.
+	// full has the refusals for want of a slot that state the expected wait, and gone lists the
+	// nodes that can't be reached or take no requests.
 	full []fullNode
+	gone []string
 	// shedBy lists the nodes whose backend servers received the request and stated that they
 	// did not run it, except those that have refused it since. chosenAgain counts how often one
 	// of them was selected again. mayHaveRun is true after an attempt that may have run.
@@ -158,6 +162,14 @@
 	if res.wait > 0 {
 		s.full = append(s.full, fullNode{p.node, time.Now(), res.wait})
 	}
+	if res.reason != call.ReasonDraining && res.reason != call.ReasonUnreachable {
+		return
+	}
+	s.gone = append(s.gone, p.node)
+	if s.stage == stageAnyRegion {
+		// The node was selected in the stage before this one, and others may queue the request.
+		s.stage = stageHomeRegionQueue
+	}
 }
 
 // recordBackend records that the backend server beside a node received the request.
@@ -237,7 +249,7 @@
 // excludedFromQueue returns the nodes that are not asked to queue the request: those whose
 // backend server has received it, and those that would refuse it again.
 func (s *nodeSelector) excludedFromQueue() (nodes []string) {
-	nodes = s.reachedBackend[:len(s.reachedBackend):len(s.reachedBackend)]
+	nodes = append(s.gone[:len(s.gone):len(s.gone)], s.reachedBackend...)
 	now := time.Now()
 	for _, n := range s.full {
 		if n.refuses(now, s.request.queueTimeout) {
--- a/mesh/node_selector_test.go
+++ b/mesh/node_selector_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingslip/lacewingslip/call"
 	"github.com/lacewingslip/lacewingslip/fleet"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 	"github.com/lacewingslip/lacewingslip/slot"
@@ -113,6 +114,51 @@
 	}
 }
 
+// Guards against giving up a request because the node that was to queue it is leaving or can't be
+// reached, while another one would queue it, and against asking more nodes to queue it than that.
+func TestRequestIsQueuedAtAnotherNode(t *testing.T) {
+	for name, c := range map[string]struct {
+		reasons []call.Reason
+		// want is the number of nodes that are asked to queue the request.
+		want int
+	}{
+		"leaving":              {[]call.Reason{call.ReasonDraining, call.ReasonOverloaded}, 2},
+		"unreachable":          {[]call.Reason{call.ReasonUnreachable, call.ReasonOverloaded}, 2},
+		"both are leaving":     {[]call.Reason{call.ReasonDraining, call.ReasonDraining}, 2},
+		"no slot becomes free": {[]call.Reason{call.ReasonOverloaded}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBalancer(nodeconfig.Config{Region: "here"}, nil)
+			b.setMembers(func() []fleet.Member {
+				return []fleet.Member{
+					{Node: "first", Address: "127.0.0.2:1", Region: "here", Service: "orders", Slots: 10, TakesWork: true, Epoch: 1},
+					{Node: "second", Address: "127.0.0.3:1", Region: "here", Service: "orders", Slots: 10, TakesWork: true, Epoch: 1},
+				}
+			})
+			s := &nodeSelector{
+				balancer: b, admission: newCustomerAdmission(nodeconfig.Config{}), maxBackends: 2,
+				request: &request{service: "orders", deadline: time.Now().Add(time.Minute), fromCustomer: true},
+			}
+			for range homeRegionAttempts {
+				p, ok := s.next()
+				must.True(t, ok)
+				s.recordRefusal(p, &result{outcome: call.NotRun, reason: call.ReasonOverloaded})
+			}
+			asked := make(map[*peer]bool)
+			for _, reason := range c.reasons {
+				p, ok := s.next()
+				must.True(t, ok)
+				must.Greater(t, regionQueueTimeout, s.request.queueTimeout)
+				asked[p] = true
+				s.recordRefusal(p, &result{outcome: call.NotRun, reason: reason})
+			}
+			must.MapLen(t, c.want, asked)
+			_, ok := s.next()
+			must.False(t, ok)
+		})
+	}
+}
+
 // Guards against a wait that is lost or changed between nodes, and against invalid ones.
 func TestExpectedWait(t *testing.T) {
 	w := httptest.NewRecorder()
