--- a/mesh/node_selector.go
+++ b/mesh/node_selector.go
@@ -90,7 +90,7 @@
 	// have spare capacity.
 	stageRegionWithCapacity
 	// stageHomeRegionQueue selects a node of the home region again, where the
-	// request may wait longer.
+	// request may wait longer, and another one if that node is leaving or can't be reached.
 	stageHomeRegionQueue
 	// stageAnyRegion selects a node of any region. Customer requests skip this
 	// stage after a refusal: no work has been done for them yet, so giving up loses
