--- a/mesh/node_selector_test.go
+++ b/mesh/node_selector_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingslip/lacewingslip/call"
 	"github.com/lacewingslip/lacewingslip/fleet"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 	"github.com/lacewingslip/lacewingslip/slot"
@@ -15,35 +16,43 @@
 
 // Replays a request that as many backend servers as its route allows have refused.
 // Guards against giving up while a server may still accept it, against sending it to
-// further servers, and against trying a node again that has become unreachable.
+// further servers, and against trying a node again that has become unreachable. A node that
+// refused the request before its server got it is not unreachable.
 func TestRequestIsSentAgainToServerThatRefusedIt(t *testing.T) {
-	first, second := &peer{node: "first"}, &peer{node: "second"}
+	first, second, third := &peer{node: "first"}, &peer{node: "second"}, &peer{node: "third"}
 	for name, c := range map[string]struct {
 		secondMayHaveRun bool
-		refused          []string
+		refusedBefore    []*peer
+		refused          []*peer
 		maxBackends      int
-		want             bool
+		want             *peer
 	}{
-		"both refused it":            {maxBackends: 2, want: true},
-		"the second may run it":      {maxBackends: 2, secondMayHaveRun: true},
-		"the first node refuses":     {maxBackends: 2, refused: []string{"first"}},
-		"another node refused it":    {maxBackends: 2, refused: []string{"third"}, want: true},
-		"there are no other servers": {maxBackends: 3, want: true},
+		"both refused it":              {maxBackends: 2, want: first},
+		"the second may run it":        {maxBackends: 2, secondMayHaveRun: true},
+		"the first node refuses":       {maxBackends: 2, refused: []*peer{first}, want: second},
+		"the second node refuses":      {maxBackends: 2, refused: []*peer{second}, want: first},
+		"both nodes refuse":            {maxBackends: 2, refused: []*peer{first, second}},
+		"the first node refused first": {maxBackends: 2, refusedBefore: []*peer{first}, want: first},
+		"another node refused it":      {maxBackends: 2, refused: []*peer{third}, want: first},
+		"there are no other servers":   {maxBackends: 3, want: first},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &nodeSelector{
 				balancer: newBalancer(nodeconfig.Config{}, nil), admission: newCustomerAdmission(nodeconfig.Config{}),
 				request: &request{deadline: time.Now().Add(time.Second)}, maxBackends: c.maxBackends, attempts: 2,
 			}
+			for _, p := range c.refusedBefore {
+				s.recordRefusal(p, &result{})
+			}
 			s.recordBackend(first, true)
 			s.recordBackend(second, !c.secondMayHaveRun)
 			must.Eq(t, !c.secondMayHaveRun, s.hasNext())
-			s.refused = c.refused
-			p, ok := s.next()
-			must.Eq(t, c.want, ok)
-			if ok {
-				must.Eq(t, first, p)
+			for _, p := range c.refused {
+				s.recordRefusal(p, &result{})
 			}
+			p, ok := s.next()
+			must.Eq(t, c.want != nil, ok)
+			must.Eq(t, c.want, p)
 		})
 	}
 }
@@ -105,6 +114,51 @@
 	}
 }
 
+// Guards against giving up a request because the node that was to queue it is leaving or can't be
+// reached, while another one would queue it, and against asking more nodes to queue it than that.
+func TestRequestIsQueuedAtAnotherNode(t *testing.T) {
+	for name, c := range map[string]struct {
+		reasons []call.Reason
+		// want is the number of nodes that are asked to queue the request.
+		want int
+	}{
+		"leaving":              {[]call.Reason{call.ReasonDraining, call.ReasonOverloaded}, 2},
+		"unreachable":          {[]call.Reason{call.ReasonUnreachable, call.ReasonOverloaded}, 2},
+		"both are leaving":     {[]call.Reason{call.ReasonDraining, call.ReasonDraining}, 2},
+		"no slot becomes free": {[]call.Reason{call.ReasonOverloaded}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBalancer(nodeconfig.Config{Region: "here"}, nil)
+			b.setMembers(func() []fleet.Member {
+				return []fleet.Member{
+					{Node: "first", Address: "127.0.0.2:1", Region: "here", Service: "orders", Slots: 10, TakesWork: true, Epoch: 1},
+					{Node: "second", Address: "127.0.0.3:1", Region: "here", Service: "orders", Slots: 10, TakesWork: true, Epoch: 1},
+				}
+			})
+			s := &nodeSelector{
+				balancer: b, admission: newCustomerAdmission(nodeconfig.Config{}), maxBackends: 2,
+				request: &request{service: "orders", deadline: time.Now().Add(time.Minute), fromCustomer: true},
+			}
+			for range homeRegionAttempts {
+				p, ok := s.next()
+				must.True(t, ok)
+				s.recordRefusal(p, &result{outcome: call.NotRun, reason: call.ReasonOverloaded})
+			}
+			asked := make(map[*peer]bool)
+			for _, reason := range c.reasons {
+				p, ok := s.next()
+				must.True(t, ok)
+				must.Greater(t, regionQueueTimeout, s.request.queueTimeout)
+				asked[p] = true
+				s.recordRefusal(p, &result{outcome: call.NotRun, reason: reason})
+			}
+			must.MapLen(t, c.want, asked)
+			_, ok := s.next()
+			must.False(t, ok)
+		})
+	}
+}
+
 // Guards against a wait that is lost or changed between nodes, and against invalid ones.
 func TestExpectedWait(t *testing.T) {
 	w := httptest.NewRecorder()
