Count only the calls that runs make on average

A run counted as at least one call of each service that its route calls. Where only some runs call it, as after a cache miss, or a route is split between services, the calls were overestimated up to the number of runs, and requests were refused whose retries the budget carries.

--- a/throughput/throughput.go
+++ b/throughput/throughput.go
@@ -335,12 +335,13 @@
 // callsNeeded returns the calls per second that the runs make if none of them fails.
 func (c *Controller) callsNeeded() (perS float64) { return max(c.callRate, c.runRate*c.callsPerRun()) }
 
-// callsPerRun returns the number of calls that a run makes.
+// callsPerRun returns the number of calls that a run makes on average. It is below 1 if only some
+// of the runs call the service.
 func (c *Controller) callsPerRun() float64 {
 	if c.learned.runs == 0 {
 		return 1
 	}
-	return max(c.learned.calls/c.learned.runs, 1)
+	return c.learned.calls / c.learned.runs
 }
 
 // rejectedShare returns the share of recent attempts that were rejected.
--- a/throughput/throughput_test.go
+++ b/throughput/throughput_test.go
@@ -449,6 +449,22 @@
 	must.Greater(t, 0.8, highest)
 }
 
+// Guards against runs that do not call the service and count as if they did: only one of ten
+// does, and the budget carries the retries of their calls.
+func TestRunsWithoutCalls(t *testing.T) {
+	random, runs := rand.New(rand.NewPCG(1, 1)), 0
+	highest, _ := tickMany(time.Minute, throughput.Retries{RatePerS: 0.3 * 100 / tick.Seconds(), Available: 1000, Ratio: 0.3}, func(c *throughput.Controller) {
+		for range 1000 {
+			c.RecordRun()
+			if runs++; runs%10 == 0 {
+				must.True(t, c.RecordCall(throughput.Call{}))
+				c.RecordAttempt(random.Float64() < 0.2)
+			}
+		}
+	})
+	must.Eq(t, 0, highest)
+}
+
 // Guards against refusals at nodes that make few calls, where many of them are rejected by
 // chance, in deployments whose budget allows hardly any retry, for calls that are the only one
 // of their run, of which each retry is of equal use, and for a small share if the budget has been
