Retry at the other server if the node of one refuses a rejected request

Rejected requests go by turns to the servers that have rejected them. A refusal by the node of the next one ended the request, although the other server could accept it. The case 'the first node refuses' of the test expected that, from when only the first server was tried again; it now expects the second one, and a new case that both are left out.

--- a/mesh/node_selector.go
+++ b/mesh/node_selector.go
@@ -139,18 +139,21 @@
 // chooseAgain returns, by turns, one of the nodes whose backend servers refused the request
 // without running it, unless the request may have run elsewhere. A server that refuses a share
 // of its requests is as likely to accept the next one as any other, and the route limits the
-// number of servers and not that of refusals. One of them may refuse everything.
+// number of servers and not that of refusals. One of them may refuse everything. Nodes that
+// have refused the request themselves are left out.
 func (s *nodeSelector) chooseAgain() (p *peer, ok bool) {
-	if s.mayHaveRun || len(s.shedBy) == 0 {
+	if s.mayHaveRun {
 		return nil, false
 	}
-	p = s.shedBy[s.chosenAgain%len(s.shedBy)]
-	if slices.Contains(s.refused, p.node) {
-		return nil, false
+	for range s.shedBy {
+		p = s.shedBy[s.chosenAgain%len(s.shedBy)]
+		s.chosenAgain++
+		if !slices.Contains(s.refused, p.node) {
+			s.request.queueTimeout = s.lastQueueTimeout()
+			return p, true
+		}
 	}
-	s.chosenAgain++
-	s.request.queueTimeout = s.lastQueueTimeout()
-	return p, true
+	return nil, false
 }
 
 // recordRefusal records that a node refused the request without sending it to its backend
--- a/mesh/node_selector_test.go
+++ b/mesh/node_selector_test.go
@@ -14,21 +14,23 @@
 )
 
 // Replays a request that as many backend servers as its route allows have refused.
-// Guards against giving up while a server may still accept it, against sending it to
-// further servers, and against trying a node again that has become unreachable.
+// Guards against giving up while a server may still accept it, also if the node of the other one
+// refuses it, against sending it to further servers, and against trying a node again that has
+// become unreachable.
 func TestRequestIsSentAgainToServerThatRefusedIt(t *testing.T) {
 	first, second := &peer{node: "first"}, &peer{node: "second"}
 	for name, c := range map[string]struct {
 		secondMayHaveRun bool
 		refused          []string
 		maxBackends      int
-		want             bool
+		want             *peer
 	}{
-		"both refused it":            {maxBackends: 2, want: true},
+		"both refused it":            {maxBackends: 2, want: first},
 		"the second may run it":      {maxBackends: 2, secondMayHaveRun: true},
-		"the first node refuses":     {maxBackends: 2, refused: []string{"first"}},
-		"another node refused it":    {maxBackends: 2, refused: []string{"third"}, want: true},
-		"there are no other servers": {maxBackends: 3, want: true},
+		"the first node refuses":     {maxBackends: 2, refused: []string{"first"}, want: second},
+		"both nodes refuse":          {maxBackends: 2, refused: []string{"second", "first"}},
+		"another node refused it":    {maxBackends: 2, refused: []string{"third"}, want: first},
+		"there are no other servers": {maxBackends: 3, want: first},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &nodeSelector{
@@ -40,10 +42,8 @@
 			must.Eq(t, !c.secondMayHaveRun, s.hasNext())
 			s.refused = c.refused
 			p, ok := s.next()
-			must.Eq(t, c.want, ok)
-			if ok {
-				must.Eq(t, first, p)
-			}
+			must.Eq(t, c.want != nil, ok)
+			must.Eq(t, c.want, p)
 		})
 	}
 }
