Grant retries once the level has taken effect

Retries were granted only if the budget lasted 2 s, also after the feedback delay. With 80 to 85% rejected, the calls that are always admitted need more than that, so the budget stayed unused for seconds or for the whole overload.

--- a/throughput/throughput.go
+++ b/throughput/throughput.go
@@ -68,8 +68,8 @@
 	// largeExcess is the ratio of needed to sustainable retries above which no retries are granted
 	// until the level takes effect.
 	largeExcess = 2
-	// sliceTime takes the place of carryTime once the budget has run out. It is several times as
-	// long as a run whose calls belong together takes.
+	// sliceTime takes the place of carryTime once the budget has run out or the level has taken
+	// effect. It is several times as long as a run whose calls belong together takes.
 	sliceTime = 500 * time.Millisecond
 	// firstTimeConstant is the time constant of the level in the first pressure.FeedbackDelay: the
 	// calls are then those of all requests, so there is no feedback that could oscillate.
@@ -310,8 +310,8 @@
 
 // updateGranting decides whether the calls that begin are granted retries.
 func (c *Controller) updateGranting(retryRate, available float64) {
-	enough := carryTime
-	if c.ranOut {
+	enough, effective := carryTime, c.lastTick.Sub(c.limitingSince) >= pressure.FeedbackDelay
+	if c.ranOut || effective {
 		enough = sliceTime
 	}
 	switch {
@@ -321,8 +321,7 @@
 		c.granting, c.ranOut = false, true
 	case available >= c.retriesNeeded()*enough.Seconds():
 		c.granting = true
-	case c.lastTick.Sub(c.limitingSince) < pressure.FeedbackDelay && c.retriesNeeded() > largeExcess*retryRate:
-		// The level has not taken effect yet.
+	case !effective && c.retriesNeeded() > largeExcess*retryRate:
 		c.granting = false
 	}
 }
--- a/throughput/throughput_test.go
+++ b/throughput/throughput_test.go
@@ -449,6 +449,32 @@
 	must.Greater(t, 0.8, highest)
 }
 
+// Guards against a budget that stays unused during an overload, because it would last for less
+// than two seconds even when the level has taken effect.
+func TestRetriesAreGrantedOnceTheLevelIsEffective(t *testing.T) {
+	c, now := throughput.New(), time.Now()
+	play := func(d time.Duration, rejected int) (granted int) {
+		for end := now.Add(d); now.Before(end); now = now.Add(tick) {
+			for n := range 100 {
+				if n%4 == 0 {
+					c.RecordRun()
+				}
+				if c.RecordCall(throughput.Call{}) {
+					granted++
+				}
+				c.RecordAttempt(n < rejected)
+			}
+			c.Tick(now, throughput.Retries{RatePerS: 180, Available: 6000, Ratio: 0.18})
+		}
+		return granted
+	}
+	must.Eq(t, 2000, play(2*time.Second, 0))
+	// The calls need 4,000 retries a second.
+	must.LessEq(t, 200, play(700*time.Millisecond, 80))
+	must.Eq(t, 0, play(100*time.Millisecond, 80))
+	must.GreaterEq(t, 2800, play(3*time.Second, 80))
+}
+
 // Guards against runs that do not call the service and count as if they did: only one of ten
 // does, and the budget carries the retries of their calls.
 func TestRunsWithoutCalls(t *testing.T) {
