Learn the calls of a run only once runs are known

A node that has started sees calls before it knows which routes make them. These calls counted for the later runs, so for some ten seconds the calls were overestimated, and requests were refused whose retries the budget carries.

--- a/throughput/throughput.go
+++ b/throughput/throughput.go
@@ -249,7 +249,9 @@
 	}
 	c.recentAttempts = decay*c.recentAttempts + c.attempts
 	c.recentRejected = decay*c.recentRejected + c.rejected
-	if c.learned.runs < minRunsToLearn || c.rejectedShare() < minRejectedShare {
+	// Calls from before the first run say nothing about the calls of a run.
+	seenRuns := c.learned.runs+c.runs > 0
+	if seenRuns && (c.learned.runs < minRunsToLearn || c.rejectedShare() < minRejectedShare) {
 		decay = math.Exp(-float64(elapsed) / float64(callsPerRunTimeConstant))
 		c.learned.runs = decay*c.learned.runs + c.runs
 		c.learned.calls = decay*c.learned.calls + c.calls
--- a/throughput/throughput_test.go
+++ b/throughput/throughput_test.go
@@ -475,6 +475,23 @@
 	must.GreaterEq(t, 2800, play(3*time.Second, 80))
 }
 
+// Guards against calls that count as made by later runs: a node that has started sees calls before
+// it knows which runs make them. The budget carries the retries of all calls.
+func TestCallsBeforeTheirRunsAreKnown(t *testing.T) {
+	random, ticks := rand.New(rand.NewPCG(1, 1)), 0
+	highest, _ := tickMany(20*time.Second, throughput.Retries{RatePerS: 0.25 * 400 / tick.Seconds(), Available: 1000, Ratio: 0.25}, func(c *throughput.Controller) {
+		ticks++
+		for n := range 400 {
+			if n%4 == 0 && ticks > 10 {
+				c.RecordRun()
+			}
+			must.True(t, c.RecordCall(throughput.Call{}))
+			c.RecordAttempt(ticks > 20 && random.Float64() < 0.15)
+		}
+	})
+	must.Eq(t, 0, highest)
+}
+
 // Guards against runs that do not call the service and count as if they did: only one of ten
 // does, and the budget carries the retries of their calls.
 func TestRunsWithoutCalls(t *testing.T) {
