Do not count requests that the backend server rejects as runs

A request that the server rejects without running it makes no calls, but counted as a run that does. While a server rejected many, the calls of the services below were overestimated, and requests were refused whose retries the budget carries.

--- a/mesh/call_success.go
+++ b/mesh/call_success.go
@@ -31,7 +31,7 @@
 
 	mu       sync.Mutex
 	services map[string]*calledService
-	// runs is the number of runs recorded.
+	// runs is the number of runs recorded, and of corrections.
 	runs uint64
 	// routes has the services to which the requests of a route were sent, by name, with the time
 	// of the last one: a split route has several.
@@ -42,7 +42,7 @@
 type calledService struct {
 	controller *throughput.Controller
 	lastCallAt time.Time
-	// lastRun is the number of the last run that calls the service.
+	// lastRun is the number of the last run that calls the service, or of its correction.
 	lastRun uint64
 	level   float64
 	// reportedLevel is the level in the last event.
@@ -100,6 +100,17 @@
 
 // recordRun records that the backend server starts to run a request that calls the routes.
 func (c *callSuccess) recordRun(routes []string) {
+	c.forCalled(routes, (*throughput.Controller).RecordRun)
+}
+
+// recordNoRun records that it has rejected such a request, which has been recorded as a run,
+// without running it.
+func (c *callSuccess) recordNoRun(routes []string) {
+	c.forCalled(routes, (*throughput.Controller).RecordNoRun)
+}
+
+// forCalled calls the function once for each service to which requests of the routes are sent.
+func (c *callSuccess) forCalled(routes []string, record func(*throughput.Controller)) {
 	if len(routes) == 0 {
 		return
 	}
@@ -111,7 +122,7 @@
 			// Several of the routes may be of the same service.
 			if service := c.services[name]; service != nil && service.lastRun != c.runs {
 				service.lastRun = c.runs
-				service.controller.RecordRun()
+				record(service.controller)
 			}
 		}
 	}
--- a/mesh/call_success_test.go
+++ b/mesh/call_success_test.go
@@ -177,6 +177,41 @@
 	must.Eq(t, 2, c.services["sessions"].lastRun)
 }
 
+// Replays a backend server that rejects two of three requests itself. Guards against requests that
+// count as runs with calls although the server has not run them.
+func TestRejectedRequestsAreNoRuns(t *testing.T) {
+	d := newDeployment(t, "orders", "catalogue")
+	d.publish(once("once"), operator.Route{Name: "lists", Service: "catalogue", Timeout: time.Second, Attempts: 1})
+	d.awaitConvergence()
+	caller := d.vms[1]
+	var run, rejected atomic.Int64
+	caller.server.SetBehaviour(func(*http.Request) server.Behaviour {
+		if (run.Load()+rejected.Load())%3 == 0 {
+			run.Add(1)
+			return server.Answer
+		}
+		rejected.Add(1)
+		return server.Shed
+	})
+	sidecar := caller.node.lifecycle.components.sidecar
+	for n := range 20 {
+		deadline := time.Now().Add(time.Duration(n) * time.Hour)
+		run := sidecar.links.Start("lists", deadline)
+		sidecar.links.RecordCall("once", deadline)
+		sidecar.links.End(run)
+	}
+	eventually(t, func() bool { return slices.Contains(sidecar.links.Children("lists"), "once") })
+	for n := range 9 {
+		d.callWithin(caller, "/lists/", fmt.Sprintf("list-%d", n), time.Second)
+	}
+	must.Positive(t, run.Load())
+	must.Positive(t, rejected.Load())
+	sidecar.calls.mu.Lock()
+	defer sidecar.calls.mu.Unlock()
+	// Each rejected request is recorded and corrected.
+	must.Eq(t, uint64(run.Load()+2*rejected.Load()), sidecar.calls.runs)
+}
+
 // Guards against retries of calls that are not granted any, for which the budget would last.
 func TestOnlyGrantedCallsAreRetried(t *testing.T) {
 	for name, granted := range map[string]bool{"granted": true, "not granted": false} {
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -264,7 +264,8 @@
 	})
 	run := s.links.Start(req.route, req.deadline)
 	defer s.links.End(run)
-	s.calls.recordRun(s.links.Children(req.route))
+	calledRoutes := s.links.Children(req.route)
+	s.calls.recordRun(calledRoutes)
 	s.repeats.start(req.repeatShare)
 	defer s.repeats.end(req.repeatShare)
 	s.silence.requestSent(time.Now())
@@ -273,6 +274,9 @@
 	// A time-out or the end of the context does not show that the server responds.
 	// Any other error does, such as a connection that the server has reset.
 	s.silence.requestEnded(time.Now(), err == nil || !isTimeout(err) && ctx.Err() == nil)
+	if res.outcome == call.NotRun {
+		s.calls.recordNoRun(calledRoutes)
+	}
 	switch {
 	case res.outcome == call.Answered:
 		s.crashes.complete(execution)
--- a/throughput/throughput.go
+++ b/throughput/throughput.go
@@ -158,6 +158,10 @@
 // RecordRun counts the start of a run that calls the service.
 func (c *Controller) RecordRun() { c.runs++ }
 
+// RecordNoRun corrects the count of a start that turned out not to be one, because the backend
+// server has rejected the request without running it.
+func (c *Controller) RecordNoRun() { c.runs-- }
+
 // RecordCall counts a call that begins, and reports whether it may be retried. Requests of
 // customers use the same budget, but each of them succeeds or fails by itself, so a retry is of
 // equal use to any of them and they may always be retried.
@@ -339,7 +343,7 @@
 // callsPerRun returns the number of calls that a run makes on average. It is below 1 if only some
 // of the runs call the service.
 func (c *Controller) callsPerRun() float64 {
-	if c.learned.runs == 0 {
+	if c.learned.runs <= 0 {
 		return 1
 	}
 	return c.learned.calls / c.learned.runs
--- a/throughput/throughput_test.go
+++ b/throughput/throughput_test.go
@@ -492,6 +492,28 @@
 	must.Eq(t, 0, highest)
 }
 
+// Replays a backend server that starts to reject three of four requests itself. Guards against
+// requests that count as runs although it has not run them: the budget carries all retries.
+func TestRejectedRequestsAreNoRuns(t *testing.T) {
+	random, ticks := rand.New(rand.NewPCG(1, 1)), 0
+	highest, _ := tickMany(20*time.Second, throughput.Retries{RatePerS: 0.25 * 400 / tick.Seconds(), Available: 1000, Ratio: 0.25}, func(c *throughput.Controller) {
+		ticks++
+		for n := range 400 {
+			if ticks > 100 {
+				c.RecordRun()
+				if n%4 != 0 {
+					c.RecordNoRun()
+				}
+			} else if n%4 == 0 {
+				c.RecordRun()
+			}
+			must.True(t, c.RecordCall(throughput.Call{}))
+			c.RecordAttempt(ticks > 100 && random.Float64() < 0.15)
+		}
+	})
+	must.Eq(t, 0, highest)
+}
+
 // Guards against runs that do not call the service and count as if they did: only one of ten
 // does, and the budget carries the retries of their calls.
 func TestRunsWithoutCalls(t *testing.T) {
