--- a/throughput/throughput.go
+++ b/throughput/throughput.go
@@ -68,8 +68,8 @@
 	// largeExcess is the ratio of needed to sustainable retries above which no retries are granted
 	// until the level takes effect.
 	largeExcess = 2
-	// sliceTime takes the place of carryTime once the budget has run out. It is several times as
-	// long as a run whose calls belong together takes.
+	// sliceTime takes the place of carryTime once the budget has run out or the level has taken
+	// effect. It is several times as long as a run whose calls belong together takes.
 	sliceTime = 500 * time.Millisecond
 	// firstTimeConstant is the time constant of the level in the first pressure.FeedbackDelay: the
 	// calls are then those of all requests, so there is no feedback that could oscillate.
@@ -158,6 +158,10 @@
 // RecordRun counts the start of a run that calls the service.
 func (c *Controller) RecordRun() { c.runs++ }
 
+// RecordNoRun corrects the count of a start that turned out not to be one, because the backend
+// server has rejected the request without running it.
+func (c *Controller) RecordNoRun() { c.runs-- }
+
 // RecordCall counts a call that begins, and reports whether it may be retried. Requests of
 // customers use the same budget, but each of them succeeds or fails by itself, so a retry is of
 // equal use to any of them and they may always be retried.
@@ -249,7 +253,9 @@
 	}
 	c.recentAttempts = decay*c.recentAttempts + c.attempts
 	c.recentRejected = decay*c.recentRejected + c.rejected
-	if c.learned.runs < minRunsToLearn || c.rejectedShare() < minRejectedShare {
+	// Calls from before the first run say nothing about the calls of a run.
+	seenRuns := c.learned.runs+c.runs > 0
+	if seenRuns && (c.learned.runs < minRunsToLearn || c.rejectedShare() < minRejectedShare) {
 		decay = math.Exp(-float64(elapsed) / float64(callsPerRunTimeConstant))
 		c.learned.runs = decay*c.learned.runs + c.runs
 		c.learned.calls = decay*c.learned.calls + c.calls
@@ -310,8 +316,8 @@
 
 // updateGranting decides whether the calls that begin are granted retries.
 func (c *Controller) updateGranting(retryRate, available float64) {
-	enough := carryTime
-	if c.ranOut {
+	enough, effective := carryTime, c.lastTick.Sub(c.limitingSince) >= pressure.FeedbackDelay
+	if c.ranOut || effective {
 		enough = sliceTime
 	}
 	switch {
@@ -321,8 +327,7 @@
 		c.granting, c.ranOut = false, true
 	case available >= c.retriesNeeded()*enough.Seconds():
 		c.granting = true
-	case c.lastTick.Sub(c.limitingSince) < pressure.FeedbackDelay && c.retriesNeeded() > largeExcess*retryRate:
-		// The level has not taken effect yet.
+	case !effective && c.retriesNeeded() > largeExcess*retryRate:
 		c.granting = false
 	}
 }
@@ -335,12 +340,13 @@
 // callsNeeded returns the calls per second that the runs make if none of them fails.
 func (c *Controller) callsNeeded() (perS float64) { return max(c.callRate, c.runRate*c.callsPerRun()) }
 
-// callsPerRun returns the number of calls that a run makes.
+// callsPerRun returns the number of calls that a run makes on average. It is below 1 if only some
+// of the runs call the service.
 func (c *Controller) callsPerRun() float64 {
-	if c.learned.runs == 0 {
+	if c.learned.runs <= 0 {
 		return 1
 	}
-	return max(c.learned.calls/c.learned.runs, 1)
+	return c.learned.calls / c.learned.runs
 }
 
 // rejectedShare returns the share of recent attempts that were rejected.
--- a/throughput/throughput_test.go
+++ b/throughput/throughput_test.go
@@ -449,6 +449,87 @@
 	must.Greater(t, 0.8, highest)
 }
 
+// Guards against a budget that stays unused during an overload, because it would last for less
+// than two seconds even when the level has taken effect.
+func TestRetriesAreGrantedOnceTheLevelIsEffective(t *testing.T) {
+	c, now := throughput.New(), time.Now()
+	play := func(d time.Duration, rejected int) (granted int) {
+		for end := now.Add(d); now.Before(end); now = now.Add(tick) {
+			for n := range 100 {
+				if n%4 == 0 {
+					c.RecordRun()
+				}
+				if c.RecordCall(throughput.Call{}) {
+					granted++
+				}
+				c.RecordAttempt(n < rejected)
+			}
+			c.Tick(now, throughput.Retries{RatePerS: 180, Available: 6000, Ratio: 0.18})
+		}
+		return granted
+	}
+	must.Eq(t, 2000, play(2*time.Second, 0))
+	// The calls need 4,000 retries a second.
+	must.LessEq(t, 200, play(700*time.Millisecond, 80))
+	must.Eq(t, 0, play(100*time.Millisecond, 80))
+	must.GreaterEq(t, 2800, play(3*time.Second, 80))
+}
+
+// Guards against calls that count as made by later runs: a node that has started sees calls before
+// it knows which runs make them. The budget carries the retries of all calls.
+func TestCallsBeforeTheirRunsAreKnown(t *testing.T) {
+	random, ticks := rand.New(rand.NewPCG(1, 1)), 0
+	highest, _ := tickMany(20*time.Second, throughput.Retries{RatePerS: 0.25 * 400 / tick.Seconds(), Available: 1000, Ratio: 0.25}, func(c *throughput.Controller) {
+		ticks++
+		for n := range 400 {
+			if n%4 == 0 && ticks > 10 {
+				c.RecordRun()
+			}
+			must.True(t, c.RecordCall(throughput.Call{}))
+			c.RecordAttempt(ticks > 20 && random.Float64() < 0.15)
+		}
+	})
+	must.Eq(t, 0, highest)
+}
+
+// Replays a backend server that starts to reject three of four requests itself. Guards against
+// requests that count as runs although it has not run them: the budget carries all retries.
+func TestRejectedRequestsAreNoRuns(t *testing.T) {
+	random, ticks := rand.New(rand.NewPCG(1, 1)), 0
+	highest, _ := tickMany(20*time.Second, throughput.Retries{RatePerS: 0.25 * 400 / tick.Seconds(), Available: 1000, Ratio: 0.25}, func(c *throughput.Controller) {
+		ticks++
+		for n := range 400 {
+			if ticks > 100 {
+				c.RecordRun()
+				if n%4 != 0 {
+					c.RecordNoRun()
+				}
+			} else if n%4 == 0 {
+				c.RecordRun()
+			}
+			must.True(t, c.RecordCall(throughput.Call{}))
+			c.RecordAttempt(ticks > 100 && random.Float64() < 0.15)
+		}
+	})
+	must.Eq(t, 0, highest)
+}
+
+// Guards against runs that do not call the service and count as if they did: only one of ten
+// does, and the budget carries the retries of their calls.
+func TestRunsWithoutCalls(t *testing.T) {
+	random, runs := rand.New(rand.NewPCG(1, 1)), 0
+	highest, _ := tickMany(time.Minute, throughput.Retries{RatePerS: 0.3 * 100 / tick.Seconds(), Available: 1000, Ratio: 0.3}, func(c *throughput.Controller) {
+		for range 1000 {
+			c.RecordRun()
+			if runs++; runs%10 == 0 {
+				must.True(t, c.RecordCall(throughput.Call{}))
+				c.RecordAttempt(random.Float64() < 0.2)
+			}
+		}
+	})
+	must.Eq(t, 0, highest)
+}
+
 // Guards against refusals at nodes that make few calls, where many of them are rejected by
 // chance, in deployments whose budget allows hardly any retry, for calls that are the only one
 // of their run, of which each retry is of equal use, and for a small share if the budget has been
