Do not send a request before the timer of its deadline has run

When a process goes on after a pause, a goroutine that could run before goes on first: it sends a request whose deadline has passed, and the timer then resets the connection before the server can answer. The caller gets 504 for a request that need not have been sent.

hop compares the deadline with the clock before a request uses a connection, and again before its first byte is sent. The result is not run (tooLate). It does not mark the receiver as unreachable, and the request is not sent to another node.

--- a/hop/hop.go
+++ b/hop/hop.go
@@ -17,6 +17,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"hash/maphash"
@@ -170,6 +171,7 @@
 type conn struct {
 	net.Conn
 	head     *headReader
+	request  *requestWriter
 	raw      syscall.RawConn
 	reader   *bufio.Reader
 	writer   *bufio.Writer
@@ -238,16 +240,18 @@
 	if err != nil {
 		return nil, &RequestError{cause: eris.Wrapf(err, "connect to %s", p.address)}
 	}
-	if ctx.Err() != nil {
+	if Expired(ctx) {
 		c.abort()
-		return nil, &RequestError{cause: eris.Wrapf(ctx.Err(), "before the request was sent to %s", p.address)}
+		return nil, &RequestError{cause: eris.Wrapf(cmp.Or(ctx.Err(), context.DeadlineExceeded), "before the request was sent to %s", p.address)}
 	}
+	deadline, _ := ctx.Deadline()
+	c.request.reset(deadline)
 	c.recordSent(ctx, id)
 	answer = &Answer{pool: p, conn: c, stopAbort: context.AfterFunc(ctx, func() { c.expire(ctx) })}
 	started := time.Now()
 	defer func() {
 		if err != nil {
-			if c.reused && ctx.Err() == nil && time.Since(started) < staleResetWindow {
+			if c.reused && !Expired(ctx) && time.Since(started) < staleResetWindow {
 				p.recordStale(started, c.idleTime)
 			}
 			answer.stopAbort()
@@ -255,7 +259,8 @@
 			if ctx.Err() != nil {
 				err = ctx.Err()
 			}
-			answer, err = nil, &RequestError{cause: eris.Wrapf(err, "exchange with %s", p.address), mayHaveRun: true}
+			// A goroutine that writes the request may just begin.
+			answer, err = nil, &RequestError{cause: eris.Wrapf(err, "exchange with %s", p.address), mayHaveRun: answer.writeResult != nil || c.request.begun}
 		}
 	}()
 	if request.ContentLength < 0 || request.ContentLength > backgroundWriteBytes {
@@ -404,11 +409,11 @@
 		netConn.Close()
 		return nil, err
 	}
-	head := &headReader{Conn: netConn}
+	head, request := &headReader{Conn: netConn}, &requestWriter{Conn: netConn}
 	return &conn{
-		Conn: netConn, raw: raw, head: head,
+		Conn: netConn, raw: raw, head: head, request: request,
 		reader: bufio.NewReaderSize(head, bufferBytes),
-		writer: bufio.NewWriterSize(netConn, bufferBytes),
+		writer: bufio.NewWriterSize(request, bufferBytes),
 	}, nil
 }
 
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/lacewingslip/lacewingslip/calltree"
 	"github.com/lacewingslip/lacewingslip/desired"
 	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/metrics"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 	"github.com/lacewingslip/lacewingslip/platform"
@@ -299,7 +300,7 @@
 		case res.outcome == call.Answered:
 			i.exchange.quarantine.suspectAnswered(req)
 			return res
-		case ctx.Err() != nil, req.stream != nil:
+		case hop.Expired(ctx), req.stream != nil:
 			return res
 		case res.reason == call.ReasonQuarantined:
 			return res
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -403,7 +403,12 @@
 
 // resultOfError returns the result of an attempt that ended without a response.
 func resultOfError(ctx context.Context, err error) *result {
-	if !hop.MayHaveRun(err) {
+	switch {
+	case hop.MayHaveRun(err):
+	case hop.Expired(ctx):
+		// This says nothing about the receiver.
+		return notRunResult(call.ReasonTooLate, err.Error())
+	default:
 		return notRunResult(call.ReasonUnreachable, err.Error())
 	}
 	switch {
