Wait for a served request in TestPausedNodeDeliversArrivedAnswers

A started node reports that it is ready before it takes the announcement of its backend server, and refuses requests until then.

The test now sends single requests until one is answered, then the 8, and waits until one of these runs. What it checks is unchanged. The count of concurrent requests no longer shows that one of the 8 runs, because the first request raises it, so it asks for them by name.

--- a/internal/soak/paused_test.go
+++ b/internal/soak/paused_test.go
@@ -183,20 +183,44 @@
 	binaries, err := e2e.Build(t.TempDir())
 	must.NoError(t, err)
 	v := startVM(t, binaries)
+	newRequest := func(id string) (request *http.Request) {
+		request, err := operator.Request(v.settings.Listen.Caller, http.MethodPost, "/load/x", id, callerTimeout)
+		must.NoError(t, err)
+		return request
+	}
+	// The status is 0 if there was no response.
+	send := func(request *http.Request) (status int) {
+		response, err := http.DefaultTransport.RoundTrip(request)
+		if err != nil {
+			return 0
+		}
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	// A started node reports that it is ready before it takes the announcement of its backend
+	// server, and refuses requests until then.
+	attempts := 0
+	isServed := func() bool {
+		attempts++
+		return send(newRequest(fmt.Sprintf("first-%d", attempts))) == http.StatusOK
+	}
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(isServed), wait.Timeout(callerTimeout), wait.Gap(time.Millisecond)))
 	v.server.SetServiceTime(serviceTime)
 	statuses := make([]int, conns)
 	var requests sync.WaitGroup
 	for n := range conns {
-		request, err := operator.Request(v.settings.Listen.Caller, http.MethodPost, "/load/x", fmt.Sprintf("running-%d", n), callerTimeout)
-		must.NoError(t, err)
-		requests.Go(func() {
-			if response, err := http.DefaultTransport.RoundTrip(request); err == nil {
-				statuses[n] = response.StatusCode
-				_ = response.Body.Close()
+		request := newRequest(fmt.Sprintf("running-%d", n))
+		requests.Go(func() { statuses[n] = send(request) })
+	}
+	isRunning := func() bool {
+		for n := range conns {
+			if v.server.Runs(fmt.Sprintf("running-%d", n)) > 0 {
+				return true
 			}
-		})
+		}
+		return false
 	}
-	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return v.server.MaxConcurrent() > 0 }), wait.Timeout(callerTimeout), wait.Gap(time.Millisecond)))
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(isRunning), wait.Timeout(callerTimeout), wait.Gap(time.Millisecond)))
 	time.Sleep(serviceTime / 3)
 	v.signal(syscall.SIGSTOP, false)
 	time.Sleep(pause)
