Await the watchers at the time when tests choose them

TestNodeStartedAfterRestoreHasVersionInForce failed once under load with an index out of range: no node followed a watcher. The test waited until only the two watchers read the log, then 2 s more, and then chose a node of those that did not read it. A node that cannot reach the watchers takes itself for one, as it should, and returns to following them when they answer again. A stall in the 2 s thus leaves fewer followers, or none, at the moment of the choice.

awaitWatchers now returns the nodes that it has seen, and the tests that chose after it, or without it, use these. The checks are unchanged. They are stricter for the role "is a watcher", where the node could be one that reads the log only for a while.

--- a/mesh/restart_in_window_test.go
+++ b/mesh/restart_in_window_test.go
@@ -53,7 +53,7 @@
 func TestMessageWithoutEraWaits(t *testing.T) {
 	d := newDeployment(t, "orders", "orders", "orders", "catalogue")
 	time.Sleep(settleTime)
-	readers, others := d.splitByLogReading()
+	readers, others := d.awaitWatchers()
 	e := others[0].node.lifecycle.components.exchange
 	watcher := e.balancer.peers[readers[0].settings.Node]
 	var seenChanges, tableID int64
@@ -73,9 +73,8 @@
 // writes the later one.
 func TestStartedWatcherKnowsThatNodeHasLeft(t *testing.T) {
 	d := newDeployment(t, "orders", "orders", "orders", "orders", "catalogue")
-	d.awaitWatchers()
 	time.Sleep(settleTime)
-	readers, others := d.splitByLogReading()
+	readers, others := d.awaitWatchers()
 	watcher, left := readers[0], others[len(others)-1]
 	saved := d.log.Copy()
 	d.announce(left, "draining")
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -98,9 +98,9 @@
 func newDeploymentWith(t *testing.T, role nodeRole) (d *deployment, v *vm) {
 	t.Helper()
 	d = newDeployment(t, role.services...)
-	d.awaitWatchers()
 	time.Sleep(settleTime)
-	readers, others := d.splitByLogReading()
+	// Nodes that could not reach a watcher for a while read the log too.
+	readers, others := d.awaitWatchers()
 	if role.watcher {
 		return d, readers[0]
 	}
--- a/mesh/watchers_test.go
+++ b/mesh/watchers_test.go
@@ -26,13 +26,15 @@
 	return readers, others
 }
 
-// awaitWatchers waits until only the watchers read the log.
-func (d *deployment) awaitWatchers() {
+// awaitWatchers waits until only the watchers read the log, and returns the nodes as
+// splitByLogReading does.
+func (d *deployment) awaitWatchers() (readers, others []*vm) {
 	d.t.Helper()
 	eventually(d.t, func() bool {
-		readers, _ := d.splitByLogReading()
+		readers, others = d.splitByLogReading()
 		return len(readers) == watchersPerZone
 	})
+	return readers, others
 }
 
 // If every node of a large deployment read each record, the reads would exceed
@@ -84,8 +86,7 @@
 // When all watchers fail, the other nodes must still receive changes.
 func TestLostWatchersAreReplaced(t *testing.T) {
 	d := newDeployment(t, "orders", "orders", "orders", "orders", "catalogue")
-	d.awaitWatchers()
-	watchers, others := d.splitByLogReading()
+	watchers, others := d.awaitWatchers()
 	for _, v := range watchers {
 		kill(v.node)
 	}
@@ -119,9 +120,8 @@
 // other nodes, and two versions in quick succession must both be passed on.
 func TestDesiredStateWithoutWatchers(t *testing.T) {
 	d := newDeployment(t, "orders", "orders", "orders", "orders", "catalogue")
-	d.awaitWatchers()
 	time.Sleep(settleTime)
-	watchers, others := d.splitByLogReading()
+	watchers, others := d.awaitWatchers()
 	for _, v := range watchers {
 		kill(v.node)
 	}
