Allocate less for the header between nodes and forwarded requests

The header Lacewingslip-Hop was split into a slice and its numbers into another one at each end, and put together from a slice of strings. A forwarded request took four allocations for parts that always come together. The target of errors.As, the evidence in a header and the time of a decision on shares escaped to the heap although nearly no request needs them there.

The format of the messages is the same.

--- a/mesh/evidence.go
+++ b/mesh/evidence.go
@@ -60,9 +60,14 @@
 }
 
 // readEvidence returns the evidence in a header, or none if it can't be decoded.
-func readEvidence(h http.Header) (evidence []suspectRequest) {
+func readEvidence(h http.Header) []suspectRequest {
 	encoded := h.Get(headerEvidence)
-	if encoded == "" || json.Unmarshal([]byte(encoded), &evidence) != nil {
+	// Nearly all messages have none, and the decoder makes its target escape to the heap.
+	if encoded == "" {
+		return nil
+	}
+	var evidence []suspectRequest
+	if json.Unmarshal([]byte(encoded), &evidence) != nil {
 		return nil
 	}
 	return evidence
--- a/mesh/fair_shares.go
+++ b/mesh/fair_shares.go
@@ -70,7 +70,12 @@
 		return
 	}
 	last := i.shareEventAt.Load()
-	if last != nil && now.Sub(*last) < shareEventInterval || !i.shareEventAt.CompareAndSwap(last, &now) {
+	if last != nil && now.Sub(*last) < shareEventInterval {
+		return
+	}
+	// A copy, so that the argument of requests without an event stays on the stack.
+	at := now
+	if !i.shareEventAt.CompareAndSwap(last, &at) {
 		return
 	}
 	i.events.Record(event.ShareExceeded, slog.String("workspace", req.workspace), attrRoute(req.route), slog.Float64("level", decision.level),
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -140,10 +140,19 @@
 // httpRequest returns the HTTP request for the next attempt. Its body can be
 // read once.
 func (r *request) httpRequest(setHeaders func(h http.Header)) *http.Request {
-	httpReq := &http.Request{
+	// One allocation for what every request has.
+	var parts struct {
+		request http.Request
+		url     url.URL
+		body    bytes.Reader
+	}
+	httpReq := &parts.request
+	// net/http writes an opaque URL as it is, so the target stays unchanged.
+	parts.url.Opaque = r.target
+	parts.body.Reset(r.body)
+	*httpReq = http.Request{
 		Method: r.method,
-		// net/http writes an opaque URL as it is, so the target stays unchanged.
-		URL:    &url.URL{Opaque: r.target},
+		URL:    &parts.url,
 		Host:   r.host,
 		Header: endToEndHeader(r.header),
 		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -155,10 +164,10 @@
 	}
 	switch {
 	case r.stream != nil:
-		httpReq.Body = io.NopCloser(io.MultiReader(bytes.NewReader(r.body), r.stream))
+		httpReq.Body = io.NopCloser(io.MultiReader(&parts.body, r.stream))
 		httpReq.ContentLength = -1
 	case len(r.body) > 0:
-		httpReq.Body = io.NopCloser(bytes.NewReader(r.body))
+		httpReq.Body = io.NopCloser(&parts.body)
 	}
 	setHeaders(httpReq.Header)
 	return httpReq
@@ -190,6 +199,10 @@
 }
 
 func isTooLarge(err error) bool {
+	// Without this check, the target of errors.As is allocated for each request.
+	if err == nil {
+		return false
+	}
 	var tooLarge *http.MaxBytesError
 	return errors.As(err, &tooLarge)
 }
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -96,18 +96,22 @@
 		kind = kindIdempotent
 	}
 	platform.DropTimeLeft(h)
-	fields := []string{
-		url.QueryEscape(req.service), url.QueryEscape(req.caller), url.QueryEscape(req.route), kind,
-		strconv.Itoa(req.rank),
-		strconv.FormatInt(req.queueTimeout.Milliseconds(), 10),
-		strconv.FormatInt(time.Until(req.deadline).Milliseconds(), 10),
-		strconv.FormatInt(version, 10),
-		strconv.FormatInt(boolToInt(req.sentBefore)+repeatScale*int64(math.Round(100*req.repeatShare)), 10),
+	var buffer [hopBytes]byte
+	value := buffer[:0]
+	for _, text := range [...]string{req.service, req.caller, req.route} {
+		value = append(append(value, url.QueryEscape(text)...), ' ')
+	}
+	value = append(value, kind...)
+	for _, n := range [...]int64{
+		int64(req.rank), req.queueTimeout.Milliseconds(), time.Until(req.deadline).Milliseconds(), version,
+		boolToInt(req.sentBefore) + repeatScale*int64(math.Round(100*req.repeatShare)),
+	} {
+		value = strconv.AppendInt(append(value, ' '), n, 10)
 	}
 	if req.workspace != "" {
-		fields = append(fields, fieldWorkspace+"="+url.QueryEscape(req.workspace))
+		value = append(append(value, " "+fieldWorkspace+"="...), url.QueryEscape(req.workspace)...)
 	}
-	h.Set(headerHop, strings.Join(fields, " "))
+	h.Set(headerHop, string(value))
 	setEvidence(h, req.evidence)
 }
 
@@ -115,7 +119,8 @@
 // version of the desired state at that node. It does not read the body.
 func readRequest(r *http.Request, receivedAt time.Time) (req *request, version int64, err error) {
 	defer func() { err = wrapHop(err, "request") }()
-	fields := strings.Split(r.Header.Get(headerHop), " ")
+	var buffer [hopFields]string
+	fields := splitHop(buffer[:0], r.Header.Get(headerHop))
 	if len(fields) < requestFieldCount {
 		return nil, 0, eris.Errorf("got %d fields, expected at least %d", len(fields), requestFieldCount)
 	}
@@ -136,8 +141,8 @@
 	if fields[3] == kindIdempotent {
 		req.kind = desired.Idempotent
 	}
-	numbers, err := parseNumbers(fields[4:requestFieldCount])
-	if err != nil {
+	var numbers [requestFieldCount - 4]int64
+	if err = parseNumbers(numbers[:], fields[4:]); err != nil {
 		return nil, 0, err
 	}
 	req.rank = int(numbers[0])
@@ -192,8 +197,11 @@
 	paced bool
 }
 
-// responseHopBytes is a length that headerHop of a response rarely exceeds.
-const responseHopBytes = 128
+// hopBytes and hopFields are a length and a number of fields that headerHop rarely exceeds.
+const (
+	hopBytes  = 128
+	hopFields = 14
+)
 
 // levelScale converts a pressure level to the integer that is sent between
 // nodes, which has two decimal places.
@@ -216,7 +224,7 @@
 	if reason == "" {
 		reason = emptyReason
 	}
-	var buffer [responseHopBytes]byte
+	var buffer [hopBytes]byte
 	value := append(strconv.AppendUint(buffer[:0], uint64(requestIDHash(id)), 16), ' ')
 	value = append(value, res.outcome.String()...)
 	for _, n := range [...]int64{
@@ -318,7 +326,8 @@
 // parseResponseHop decodes the value of headerHop in a response.
 func parseResponseHop(value string) (res *result, version int64, err error) {
 	defer func() { err = wrapHop(err, "response") }()
-	fields := strings.Split(value, " ")
+	var buffer [hopFields]string
+	fields := splitHop(buffer[:0], value)
 	if len(fields) < responseFieldCount {
 		return nil, 0, eris.Errorf("got %d fields, expected at least %d", len(fields), responseFieldCount)
 	}
@@ -329,8 +338,8 @@
 	if res.outcome, err = call.ParseOutcome(fields[1]); err != nil {
 		return nil, 0, err
 	}
-	numbers, err := parseNumbers(fields[2 : responseFieldCount-1])
-	if err != nil {
+	var numbers [responseFieldCount - 3]int64
+	if err = parseNumbers(numbers[:], fields[2:]); err != nil {
 		return nil, 0, err
 	}
 	res.report = loadReport{
@@ -380,12 +389,20 @@
 	return time.Duration(n) * unit
 }
 
-func parseNumbers(fields []string) (numbers []int64, err error) {
-	numbers = make([]int64, len(fields))
-	for i, field := range fields {
-		if numbers[i], err = strconv.ParseInt(field, 10, 64); err != nil {
-			return nil, err
+// splitHop appends the fields of a value of headerHop.
+func splitHop(fields []string, value string) []string {
+	for field := range strings.SplitSeq(value, " ") {
+		fields = append(fields, field)
+	}
+	return fields
+}
+
+// parseNumbers decodes as many fields as numbers has elements. There must be as many.
+func parseNumbers(numbers []int64, fields []string) (err error) {
+	for i := range numbers {
+		if numbers[i], err = strconv.ParseInt(fields[i], 10, 64); err != nil {
+			return err
 		}
 	}
-	return numbers, nil
+	return nil
 }
