Ask other nodes for pressure levels when few responses state them

Responses state the level of their route, so a node that refuses most requests learns late that an overload has ended, and a tenth of each rank was always admitted for it. A node with a level above 0 now asks a node that serves the route, which holds the question until the level falls and asks its own callees meanwhile. While it is answered, 0.02 of each rank is admitted instead of 0.1.

--- a/calltree/calltree.go
+++ b/calltree/calltree.go
@@ -45,6 +45,9 @@
 	// minDeviations is the number of standard deviations by which the matches must
 	// exceed those expected by chance.
 	minDeviations = 3.0
+	// minRunsToKnow is the number of runs of a route after which its calls are known. Of a route
+	// that makes calls, nearly all of ten runs have made one.
+	minRunsToKnow = 10
 	// evaluationInterval is the time between two evaluations. Each of them
 	// multiplies the counts by decayFactor, which gives them a mean age of 20 s, so
 	// that links follow changes of the services.
@@ -70,17 +73,19 @@
 // Links infers which routes are called by the requests that one backend server
 // runs. It is safe for concurrent use.
 type Links struct {
-	mu          sync.Mutex
-	running     []*Run
-	runs        map[string]float64
-	counts      map[routePair]*matchCounts
-	children    map[string][]string
+	mu       sync.Mutex
+	running  []*Run
+	runs     map[string]float64
+	counts   map[routePair]*matchCounts
+	children map[string][]string
+	// known has the routes of which enough requests have run since the start.
+	known       map[string]struct{}
 	evaluatedAt time.Time
 }
 
 // NewLinks returns a table without links.
 func NewLinks() *Links {
-	return &Links{runs: make(map[string]float64), counts: make(map[routePair]*matchCounts), children: make(map[string][]string)}
+	return &Links{runs: make(map[string]float64), counts: make(map[routePair]*matchCounts), children: make(map[string][]string), known: make(map[string]struct{})}
 }
 
 // Start records that a request starts to run.
@@ -149,6 +154,15 @@
 	return l.children[route]
 }
 
+// Knows reports whether enough requests of the route have run since the start for its calls to be
+// known.
+func (l *Links) Knows(route string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.known[route]
+	return ok
+}
+
 // Tick evaluates the links again and decays the counts, once per evaluation
 // interval.
 func (l *Links) Tick(now time.Time) {
@@ -170,6 +184,9 @@
 		}
 	}
 	for route, n := range l.runs {
+		if n >= minRunsToKnow && len(l.known) < maxRoutes {
+			l.known[route] = struct{}{}
+		}
 		if n *= decayFactor; n < 0.01 {
 			delete(l.runs, route)
 			continue
--- a/mesh/customer_admission.go
+++ b/mesh/customer_admission.go
@@ -26,6 +26,8 @@
 	// of refused requests come again.
 	shares  *fairshare.Divider
 	returns *backoff.Planner
+	// sources tracks how recently the levels have been stated.
+	sources *levelSources
 	// ownRegion is the region of this node, and regions lists all regions.
 	ownRegion string
 	regions   []string
@@ -68,6 +70,7 @@
 	a := &customerAdmission{
 		regionPressure: pressure.NewShedder(), routePressure: pressure.NewShedder(), ownRegion: settings.Region, origins: make(map[string]routeOrigin),
 		workspacePriorities: make(map[int]time.Time),
+		sources:             newLevelSources(),
 		shares:              fairshare.New(rand.Float64), returns: backoff.New(rand.Float64),
 	}
 	for _, region := range settings.RegionOf {
@@ -87,6 +90,7 @@
 	now := time.Now()
 	a.regionPressure.RecordLevel(now, pressure.Target{Route: req.route, Region: region}, res.report.level)
 	a.routePressure.RecordLevel(now, pressure.Target{Route: req.route}, res.report.level)
+	a.sources.recordResponse(now, req.route, req.service, region)
 	origin := res.report.origin
 	if req.workspace != "" {
 		origin = calltree.Customers
@@ -218,7 +222,7 @@
 		decision.admitted = true
 		return decision
 	}
-	share := pressure.Share(decision.level, priorityIndex, priorityCount)
+	share := a.regionPressure.Share(now, key, priorityIndex, priorityCount)
 	if req.workspace == "" {
 		decision.admitted = a.regionPressure.Admit(now, key, priorityIndex, priorityCount)
 	} else {
--- a/mesh/lifecycle.go
+++ b/mesh/lifecycle.go
@@ -73,6 +73,7 @@
 	quarantine    *quarantineSync
 	proofs        *proofs
 	caps          *caps
+	levels        *levelQuestions
 }
 
 func newLifecycle(settings nodeconfig.Config, m *metrics.Metrics, events eventRecorder) *lifecycle {
@@ -215,6 +216,7 @@
 			l.components.sidecar.tick(now, l.components.balancer.countServices())
 			l.components.quarantine.tick(now)
 			l.components.caps.tick()
+			l.components.levels.tick(ctx, now)
 			l.closeIdleConnections(now)
 			l.components.exchange.probeUnreachable(ctx, now)
 			if now.Sub(metricsAt) >= metricsInterval {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -29,7 +29,8 @@
 // The path of a request is ingress.go (accepts requests and decides on attempts),
 // workspaces.go (admits requests by their key), customer_admission.go and
 // fair_shares.go (refuse customer requests under pressure, by the shares of workspaces, and
-// tell their callers when to return), node_selector.go and
+// tell their callers when to return), level_sources.go and level_messages.go (ask other nodes
+// for the pressure when few responses state it), node_selector.go and
 // balancer.go (choose the next node), known_peers.go (selects known nodes by where they are
 // and whether they can be reached), retry_budget.go (decides whether a failed request
 // is sent again), quota.go and quota_messages.go (apply the caps of workspaces), and
@@ -143,10 +144,10 @@
 			func() *upstream.Tracker { return upstream.New(settings.Service, settings.Backend) },
 			func(dir *fleet.Directory) *retryBudget { return newRetryBudget(settings.Bounds, dir.Table().Len) },
 			metrics.New, newListeners, newDesiredState, newCallSuccess, newBalancer, newSidecar, newDirectory, newExchange, newWatcherSelection, newLifecycle,
-			newAnnouncementHandler, newCustomerAdmission, newAccessControl, newBootClock, newProofs, newCaps, quarantine.New, newQuarantineSync, newIngress, newPeerHandler, newClientLimits, newServers,
+			newAnnouncementHandler, newCustomerAdmission, newAccessControl, newBootClock, newProofs, newCaps, newLevelQuestions, quarantine.New, newQuarantineSync, newIngress, newPeerHandler, newClientLimits, newServers,
 		),
-		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle, s *servers, b *balancer, e *exchange, w *watcherSelection, a *announcementHandler, sc *sidecar, d *desiredState, dir *fleet.Directory, q *quarantineSync, p *proofs, cp *caps) {
-			l.components = components{servers: s, balancer: b, exchange: e, watchers: w, announcements: a, sidecar: sc, desired: d, directory: dir, quarantine: q, proofs: p, caps: cp}
+		fx.Invoke(func(lc fx.Lifecycle, l *lifecycle, s *servers, b *balancer, e *exchange, w *watcherSelection, a *announcementHandler, sc *sidecar, d *desiredState, dir *fleet.Directory, q *quarantineSync, p *proofs, cp *caps, lq *levelQuestions) {
+			l.components = components{servers: s, balancer: b, exchange: e, watchers: w, announcements: a, sidecar: sc, desired: d, directory: dir, quarantine: q, proofs: p, caps: cp, levels: lq}
 			sc.crashes.onSuspects, sc.crashes.onReleased, sc.crashes.awaitTold = q.serverCrashed, q.requestReleased, q.awaitTold
 			s.caller.Handler = l.trackActive(s.caller.Handler)
 			p.watchers = w
--- a/mesh/servers.go
+++ b/mesh/servers.go
@@ -197,10 +197,11 @@
 	active *atomic.Int64
 }
 
-func newPeerHandler(s *sidecar, e *exchange, c *caps, d *desiredState, proofs *proofs, events *timeline.Recorder, l *lifecycle) *peerHandler {
+func newPeerHandler(s *sidecar, e *exchange, c *caps, q *levelQuestions, d *desiredState, proofs *proofs, events *timeline.Recorder, l *lifecycle) *peerHandler {
 	p := &peerHandler{sidecar: s, exchange: e, desired: d, proofs: proofs, events: events, router: mux.NewRouter(), active: &l.active}
 	p.router.Handle(exchangePath, e).Methods(http.MethodPost)
 	p.router.Handle(quotaPath, c).Methods(http.MethodPost)
+	p.router.Handle(levelsPath, q).Methods(http.MethodPost)
 	return p
 }
 
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -66,6 +66,8 @@
 	// routePressure holds the pressure levels of the routes that the backend server
 	// calls.
 	routePressure *pressure.Shedder
+	// levelSources has how recently these levels have been stated.
+	levelSources *levelSources
 	// calls decides how many calls of the backend server can succeed.
 	calls *callSuccess
 	// repeats estimates which calls of the backend server belong to repeated runs.
@@ -99,7 +101,7 @@
 			return ""
 		},
 		metrics: m, runTimes: newRunTimes(), longestRuns: newLongestTimes(),
-		gauge: &pressure.Gauge{}, links: calltree.NewLinks(), callers: calltree.NewCallers(), routePressure: admission.routePressure,
+		gauge: &pressure.Gauge{}, links: calltree.NewLinks(), callers: calltree.NewCallers(), routePressure: admission.routePressure, levelSources: admission.sources,
 		settings: settings, tracker: tracker, slots: slot.New(), events: events,
 		backend: newInstancePool(settings.Backend), quarantine: list, calls: calls,
 	}
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -149,6 +149,11 @@
 		Labels:  []string{labelResult},
 		Meaning: "Messages by which this node has asked keepers of caps for credit, by result: answered or failed.",
 	}
+	levelQuestions = Instrument{
+		Name: "lacewingslip.level.questions", Exported: "lacewingslip_level_questions_total", Kind: Counter, Unit: "{message}",
+		Labels:  []string{labelResult},
+		Meaning: "Questions by which this node has asked other nodes for the pressure level of a route, by result: known, unknown or failed. There are none while all levels are 0.",
+	}
 	capAccounts = Instrument{
 		Name: "lacewingslip.cap.accounts", Exported: "lacewingslip_cap_accounts", Kind: Gauge, Unit: "{workspace}",
 		Meaning: "Workspaces for which this node is a keeper of the cap and has been asked for credit.",
@@ -200,7 +205,7 @@
 	return []Instrument{
 		calls, callDuration, retries, queueLength, running, limit,
 		bookings, crossRegionBytes, members, settingsOffset, pressure, desiredVersion, proofAge, blockedRequests,
-		capRequests, capMessages, capAccounts, shareRequests, retryAfter, clientMemory,
+		capRequests, capMessages, levelQuestions, capAccounts, shareRequests, retryAfter, clientMemory,
 		pace, expectedRun, elasticity, abandoned,
 		callsSucceeding, callsSustainable, callsRejected, callPressure,
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -105,6 +105,7 @@
 	blockedRequests  metric.Int64Gauge
 	capRequests      metric.Int64Counter
 	capMessages      metric.Int64Counter
+	levelQuestions   metric.Int64Counter
 	shareRequests    metric.Int64Counter
 	retryAfter       metric.Float64Histogram
 	clientMemory     metric.Int64Gauge
@@ -287,6 +288,23 @@
 	m.capMessages.Add(context.Background(), 1, m.pair(labelResult, result, "", "").add...)
 }
 
+// LevelResult is the result of a question for a pressure level.
+type LevelResult string
+
+const (
+	// LevelKnown means that the answer states a level.
+	LevelKnown LevelResult = "known"
+	// LevelUnknown means that the node that was asked does not know it.
+	LevelUnknown LevelResult = "unknown"
+	// LevelFailed means that there is no answer, as from a node of an earlier version.
+	LevelFailed LevelResult = "failed"
+)
+
+// LevelAsked counts a question for a pressure level.
+func (m *Metrics) LevelAsked(result LevelResult) {
+	m.levelQuestions.Add(context.Background(), 1, m.pair(labelResult, string(result), "", "").add...)
+}
+
 // SetCapAccounts records the number of workspaces whose cap this node keeps.
 func (m *Metrics) SetCapAccounts(workspaces int) {
 	m.capAccounts.Record(context.Background(), int64(workspaces))
@@ -320,6 +338,7 @@
 	m.blockedRequests = c.gauge(blockedRequests)
 	m.capRequests = c.counter(capRequests)
 	m.capMessages = c.counter(capMessages)
+	m.levelQuestions = c.counter(levelQuestions)
 	m.shareRequests = c.counter(shareRequests)
 	m.retryAfter = c.histogram(retryAfter)
 	m.clientMemory = c.gauge(clientMemory)
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -104,6 +104,7 @@
 	m.SetProofAge(time.Second)
 	m.CapDecided(metrics.CapExceeded)
 	m.CapMessageSent(true)
+	m.LevelAsked(metrics.LevelKnown)
 	m.ShareDecided("refused")
 	m.ReturnPlanned(500 * time.Millisecond)
 	m.SetClientMemory(metrics.ClientHeads, 1)
--- a/pressure/pressure_test.go
+++ b/pressure/pressure_test.go
@@ -143,3 +143,29 @@
 	must.Greater(t, 1.9, shedder.Level(now, target))
 	must.Less(t, 0.2, shedder.Level(now.Add(8*time.Second), target))
 }
+
+// Guards against a smaller share that stays when nobody answers any more, a level that decays while
+// answers state it, and targets that are asked for without end.
+func TestAnswers(t *testing.T) {
+	s, now, target := pressure.NewShedder(), time.Now(), pressure.Target{Route: "lists"}
+	s.RecordAnswer(now, target, 1, now.Add(time.Second))
+	level := s.Level(now, target)
+	must.Eq(t, []pressure.Target{target}, s.Targets(now))
+	must.Eq(t, level, s.Level(now.Add(time.Second), target))
+	for range 20 {
+		s.RecordAnswer(now, target, 1, now.Add(time.Second))
+		now = now.Add(200 * time.Millisecond)
+	}
+	now = now.Add(-200 * time.Millisecond)
+	must.InDelta(t, 0.02, s.Share(now, target, 0, 1), 1e-3)
+	admitted := 0
+	for range 200 {
+		if s.Admit(now, target, 0, 1) {
+			admitted++
+		}
+	}
+	must.Between(t, 3, admitted, 5)
+	must.GreaterEq(t, 0.1, s.Share(now.Add(time.Second), target, 0, 1))
+	must.SliceEmpty(t, s.Targets(now.Add(20*time.Second)))
+	must.Eq(t, 1, s.Share(now, target, 0, 1))
+}
--- a/pressure/shedder.go
+++ b/pressure/shedder.go
@@ -21,6 +21,10 @@
 	// minAdmittedShare is the share of the requests of each rank that the local
 	// region always admits, so that answers report when the overload is over.
 	minAdmittedShare = 0.1
+	// informedShare takes its place while other nodes answer questions about the level.
+	informedShare = 0.02
+	// minLevel is the level below which a target is forgotten.
+	minLevel = 0.001
 	// initialCredit is the credit of a rank before its first request.
 	initialCredit = 0.5
 
@@ -47,6 +51,8 @@
 	// credits accumulate the admitted share of each request, by its rank. A request is
 	// admitted when that of its rank reaches 1, and uses up 1.
 	credits map[int]float64
+	// informedUntil is until when the level is known without admitted requests.
+	informedUntil time.Time
 }
 
 // NewShedder returns a shedder that admits all requests until levels are reported.
@@ -71,11 +77,36 @@
 	state.level = state.levelAt(now)
 	state.level += max(sampleWeight(elapsed, levelTimeConstant), minReportWeight) * (level - state.level)
 	state.updatedAt = now
-	if state.level < 0.001 {
+	if state.level < minLevel {
 		delete(s.targets, target)
 	}
 }
 
+// RecordAnswer records the level that a node has stated in answer to a question. Until the given
+// time, fewer requests have to be admitted in order to notice the end of an overload.
+func (s *Shedder) RecordAnswer(now time.Time, target Target, level float64, informedUntil time.Time) {
+	s.RecordLevel(now, target, level)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state := s.targets[target]; state != nil {
+		state.informedUntil = informedUntil
+	}
+}
+
+// Targets returns the targets with a level above 0, and forgets the others.
+func (s *Shedder) Targets(now time.Time) (targets []Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for target, state := range s.targets {
+		if state.levelAt(now) < minLevel {
+			delete(s.targets, target)
+			continue
+		}
+		targets = append(targets, target)
+	}
+	return targets
+}
+
 // Level returns the present level of a target, or 0 if none is recorded.
 func (s *Shedder) Level(now time.Time, target Target) float64 {
 	s.mu.Lock()
@@ -90,23 +121,23 @@
 // requests are divided into ranks by importance. rank is the rank of the request,
 // with 0 for the most important one, and ranks is the number of ranks.
 func (s *Shedder) Admit(now time.Time, target Target, rank, ranks int) (ok bool) {
-	return s.admit(now, target, rank, func(level float64) float64 { return Share(level, rank, ranks) })
+	return s.admit(now, target, rank, func(level, least float64) float64 { return share(level, rank, ranks, least) })
 }
 
 // AdmitRemote reports whether a request that the local region refuses may be
 // sent to the target, which is in another region.
 func (s *Shedder) AdmitRemote(now time.Time, target Target) (ok bool) {
-	return s.admit(now, target, 0, func(level float64) float64 { return max(1-level/maxRemoteLevel, 0) })
+	return s.admit(now, target, 0, func(level, _ float64) float64 { return max(1-level/maxRemoteLevel, 0) })
 }
 
-func (s *Shedder) admit(now time.Time, target Target, rank int, shareAt func(level float64) float64) (ok bool) {
+func (s *Shedder) admit(now time.Time, target Target, rank int, shareAt func(level, least float64) float64) (ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.targets[target]
 	if state == nil {
 		return true
 	}
-	share := shareAt(state.levelAt(now))
+	share := shareAt(state.levelAt(now), state.leastShare(now))
 	// Evenly spaced refusals keep the rate of admitted requests steadier than
 	// random ones.
 	credit, ok := state.credits[rank]
@@ -125,14 +156,36 @@
 // Share returns the share of the requests of a rank that is admitted at a level,
 // with rank 0 for the most important of the given number of ranks.
 func Share(level float64, rank, ranks int) float64 {
+	return share(level, rank, ranks, minAdmittedShare)
+}
+
+func share(level float64, rank, ranks int, least float64) float64 {
 	lessImportantRanks := float64(ranks - 1 - rank)
-	return min(max(1-(level-lessImportantRanks), minAdmittedShare), 1)
+	return min(max(1-(level-lessImportantRanks), least), 1)
+}
+
+// Share returns the share of the requests of a rank that is admitted at present.
+func (s *Shedder) Share(now time.Time, target Target, rank, ranks int) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state := s.targets[target]; state != nil {
+		return share(state.levelAt(now), rank, ranks, state.leastShare(now))
+	}
+	return 1
+}
+
+// leastShare returns the share of each rank that is always admitted.
+func (s *targetState) leastShare(now time.Time) float64 {
+	if now.Before(s.informedUntil) {
+		return informedShare
+	}
+	return minAdmittedShare
 }
 
 // levelAt returns the level at the given time. It decays exponentially while no
-// new level is reported.
+// new level is reported and none is known from an answer.
 func (s *targetState) levelAt(now time.Time) float64 {
-	staleness := now.Sub(s.updatedAt) - staleTimeConstant/4
+	staleness := min(now.Sub(s.updatedAt)-staleTimeConstant/4, now.Sub(s.informedUntil))
 	if staleness <= 0 {
 		return s.level
 	}
--- a/throughput/simulation_test.go
+++ b/throughput/simulation_test.go
@@ -65,6 +65,8 @@
 	window     *budget.Window
 	controller *throughput.Controller
 	state      throughput.State
+	// slots is nil if they are not limited.
+	slots *slots
 }
 
 // simulation plays the deployment in virtual time. The trees are quiz-view -> 2 esito-check ->
@@ -83,6 +85,10 @@
 	// parallel is true if a run makes its calls at once, and false if it makes one after the
 	// other and ends with the first that fails.
 	parallel bool
+	// rate is the factor of the rates of all routes.
+	rate float64
+	// questions is nil if nodes do not ask for levels.
+	questions *questions
 
 	ingress []*pressure.Shedder
 	// direct has the budgets of the ingress nodes, and callers the nodes beside doc-info.
@@ -93,12 +99,14 @@
 
 	// offered, admitted and succeeded are counted by route and second.
 	offered, admitted, succeeded map[string][]int
+	// offeredAt and succeededAt are counted by tick from the end of the warm-up.
+	offeredAt, succeededAt map[int]int
 }
 
 func newSimulation(seed uint64, rejected func(time.Duration, int) float64, controlled, parallel bool) *simulation {
 	s := &simulation{
-		random: rand.New(rand.NewPCG(seed, 1)), start: time.Now(), rejected: rejected, controlled: controlled, parallel: parallel,
-		arrivals: make(map[string]*rand.Rand), offered: make(map[string][]int), admitted: make(map[string][]int), succeeded: make(map[string][]int),
+		random: rand.New(rand.NewPCG(seed, 1)), start: time.Now(), rejected: rejected, controlled: controlled, parallel: parallel, rate: 1,
+		arrivals: make(map[string]*rand.Rand), offered: make(map[string][]int), admitted: make(map[string][]int), succeeded: make(map[string][]int), offeredAt: make(map[int]int), succeededAt: make(map[int]int),
 	}
 	for n, r := range routes {
 		s.arrivals[r.name] = rand.New(rand.NewPCG(seed, uint64(n+2)))
@@ -134,6 +142,7 @@
 func (s *simulation) tick() {
 	s.after(tick, s.tick)
 	for _, c := range s.callers {
+		s.tickSlots(c)
 		c.state = c.controller.Tick(s.time(), throughput.Retries{
 			RetriesPerS: c.window.SustainableRate(s.time(), limit, c.controller.Rates(), c.controller.Duration(s.time(), window)),
 			Available:   c.window.Available(s.time(), limit), Ratio: limit.RetryRatio,
@@ -154,21 +163,23 @@
 // arrive lets a customer request arrive, and the next one follow.
 func (s *simulation) arrive(r route) {
 	random := s.arrivals[r.name]
-	s.after(time.Duration(random.ExpFloat64()*float64(time.Second)/float64(r.perS)), func() { s.arrive(r) })
+	s.after(time.Duration(random.ExpFloat64()*float64(time.Second)/(s.rate*float64(r.perS))), func() { s.arrive(r) })
 	node := random.IntN(nodes)
 	shedder, target := s.ingress[node], pressure.Target{Route: r.name}
 	s.count(s.offered, r)
+	s.offeredAt[int((s.now-warmUp)/tick)]++
 	if !shedder.Admit(s.time(), target, r.rank, ranks) {
 		return
 	}
 	s.count(s.admitted, r)
 	begun := s.now
 	done := func(ok bool, level float64) {
-		shedder.RecordLevel(s.time(), target, level)
+		s.recordLevel(shedder, target, level)
 		if ok {
 			now := s.now
 			s.now = begun
 			s.count(s.succeeded, r)
+			s.succeededAt[int((s.now-warmUp)/tick)]++
 			s.now = now
 		}
 	}
@@ -193,7 +204,7 @@
 	s.after(work, func() {
 		s.makeCalls(calls, func(ended func(bool)) {
 			child2(func(ok bool, level float64) {
-				shedder.RecordLevel(s.time(), target, level)
+				s.recordLevel(shedder, target, level)
 				ended(ok)
 			})
 		}, func(ok bool) { done(ok, shedder.Level(s.time(), target)) })
@@ -230,15 +241,9 @@
 func (s *simulation) info(done func(bool, float64)) {
 	c := s.callers[s.random.IntN(nodesPerTier)]
 	c.controller.RecordRun()
-	s.after(30*time.Millisecond, func() {
-		s.makeCalls(4, func(ended func(bool)) { s.call(c, false, ended) }, func(ok bool) {
-			level := 0.0
-			if s.controlled {
-				level = c.state.Level
-			}
-			done(ok, level)
-		})
-	})
+	s.inSlot(c, func() {
+		s.makeCalls(4, func(ended func(bool)) { s.call(c, false, ended) }, func(ok bool) { done(ok, s.levelOf(c)) })
+	}, func() { done(false, s.levelOf(c)) })
 }
 
 // call makes a call to the failing service.
