Test questions for levels in the replay of package throughput

The replay plays the questions and answers with their delays, at 1.0, 1.7 and 0.1 times the rate, with 30% of the questions lost, and with slots as the only limit.

--- a/levelquery/levelquery.go
+++ b/levelquery/levelquery.go
@@ -31,9 +31,11 @@
 )
 
 const (
-	// MinHold and MaxHold bound the time for which a node holds a question while the level does
-	// not fall.
-	MinHold, MaxHold = 800 * time.Millisecond, 3 * time.Second
+	// MinHold is the least time for which a node holds a question while the level does not fall.
+	MinHold = 800 * time.Millisecond
+	// MaxHold is the longest such time. Levels that answers state do not decay while a question is
+	// held, so lost messages are noticed later by that time.
+	MaxHold = 3 * time.Second
 	// holdPerNode is the hold for each node that asks a node: each of these then sends and
 	// receives some twelve messages a second for a route, or 4 KB.
 	holdPerNode = 80 * time.Millisecond
--- a/throughput/questions_test.go
+++ b/throughput/questions_test.go
@@ -121,6 +121,9 @@
 
 // levelOf returns the level that a node beside doc-info reports.
 func (s *simulation) levelOf(c *caller) (level float64) {
+	if s.forcedLevel != nil {
+		return s.forcedLevel(s.now - warmUp)
+	}
 	if s.controlled {
 		level = c.state.Level
 	}
@@ -241,6 +244,14 @@
 	return s
 }
 
+// playRejecting replays the load with questions and another rejected share.
+func (l load) playRejecting(share float64) *simulation {
+	s := newSimulation(1, rejecting(share, l.fault), true, true)
+	s.ask(l.lost)
+	s.run(l.fault + recoveryTime)
+	return s
+}
+
 // worthOf returns the worth of the requests that succeed in the first seconds.
 func (s *simulation) worthOf(seconds int) (worth int) {
 	for _, r := range routes {
--- a/throughput/simulation_test.go
+++ b/throughput/simulation_test.go
@@ -89,6 +89,8 @@
 	rate float64
 	// questions is nil if nodes do not ask for levels.
 	questions *questions
+	// forcedLevel takes the place of the level of the nodes beside doc-info unless it is nil.
+	forcedLevel func(now time.Duration) float64
 
 	ingress []*pressure.Shedder
 	// direct has the budgets of the ingress nodes, and callers the nodes beside doc-info.
