--- a/levelquery/levelquery.go
+++ b/levelquery/levelquery.go
@@ -25,6 +25,8 @@
 package levelquery
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/pressure"
@@ -158,6 +160,10 @@
 			delete(t.targets, at)
 		}
 	}
+	// The order in which maps are read must not matter.
+	slices.SortFunc(overloaded, func(a, b pressure.Target) int {
+		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Region, b.Region))
+	})
 	for range overloaded {
 		if t.tokens < 1 {
 			break
--- a/pressure/shedder.go
+++ b/pressure/shedder.go
@@ -21,7 +21,8 @@
 	// minAdmittedShare is the share of the requests of each rank that the local
 	// region always admits, so that answers report when the overload is over.
 	minAdmittedShare = 0.1
-	// informedShare takes its place while other nodes answer questions about the level.
+	// informedShare takes its place while other nodes answer questions for the level, which then
+	// report the end.
 	informedShare = 0.02
 	// minLevel is the level below which a target is forgotten.
 	minLevel = 0.001
