Start pipelined requests of safe routes before earlier responses

net/http runs the requests of a connection one after the other. A request that was sent behind another waited for it and exceeded its time limit before it had started.

The connections of the caller port now give net/http one head at a time and hold what follows. While a handler runs, the read by which net/http notices that a client disconnects reads on. Requests without a body, on routes that may be repeated, start from there. net/http comes to each of them in order, and their handler there writes the response that is held. Package pipeline decides what may start; clientlimit.Account.Reserve charges what is held without turning other clients away.

FuzzPipelinedRequests compares requests and responses with those of the same bytes sent one at a time.

--- a/clientlimit/clientlimit.go
+++ b/clientlimit/clientlimit.go
@@ -194,13 +194,7 @@
 // isShort reports whether the clients of a port use more than is left for them beside the
 // unused reserves of the other ports. The mutex must be held.
 func (b *Budget) isShort(port *portUse) bool {
-	reserved := int64(0)
-	for _, other := range b.ports {
-		if other != port {
-			reserved += max(other.reserve-other.used, 0)
-		}
-	}
-	return port.used > port.reserve && b.used-b.leaving+reserved > b.limit
+	return port.used > port.reserve && b.used-b.leaving+b.reservedBeside(port) > b.limit
 }
 
 // largest returns the evictable account that holds the most among those of the port and of
--- a/mesh/connections.go
+++ b/mesh/connections.go
@@ -62,6 +62,7 @@
 	// progress describes the request in progress, for the event at the end of the
 	// connection.
 	progress requestProgress
+	ahead    readAhead
 }
 
 // Read implements net.Conn. After it has returned an error because the connection
@@ -69,9 +70,9 @@
 // an error as a whole line.
 func (c *serverConn) Read(b []byte) (n int, err error) {
 	for !c.hasEnded() {
-		n, err = c.Conn.Read(b)
+		n, err = c.readBytes(b)
 		if n > 0 {
-			c.recordRead(b[:n], len(b) == 1)
+			n = c.recordRead(b[:n], len(b) == 1)
 		}
 		if c.refuse() {
 			break
@@ -113,6 +114,7 @@
 // until the client has closed the connection.
 func (c *serverConn) Close() error {
 	defer c.closeClient()
+	c.endPipelining()
 	c.recordUnread()
 	c.releaseHead()
 	if timeout, answered := c.closeTimeout(); answered && c.CloseWrite() == nil {
@@ -151,20 +153,26 @@
 
 // recordRead records that bytes have been read. While a handler runs, net/http reads a
 // single byte to notice that the client disconnects, which may be the first one of the next
-// request. Line breaks may follow a request, and begin none.
-func (c *serverConn) recordRead(b []byte, single bool) {
-	evict(c.recordArrived(b, single))
+// request. Line breaks may follow a request, and begin none. It returns how many of the bytes
+// are passed on.
+func (c *serverConn) recordRead(b []byte, single bool) (n int) {
+	n, victims := c.recordArrived(b, single)
+	evict(victims)
+	return n
 }
 
-// recordArrived is recordRead. It returns the connections that have to be ended, whose
+// recordArrived is recordRead. It also returns the connections that have to be ended, whose
 // mutexes can't be locked together with this one.
-func (c *serverConn) recordArrived(b []byte, single bool) (victims []*clientlimit.Account) {
+func (c *serverConn) recordArrived(b []byte, single bool) (n int, victims []*clientlimit.Account) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.clearExpiry()
 	if c.idle {
-		victims = c.head.scan(b)
-		c.recordClientBytes()
+		n, victims = c.scanHead(b)
+		b = b[:n]
+	} else {
+		n = len(b)
+		c.ahead.past += int64(n)
 	}
 	if len(bytes.Trim(b, "\r\n")) > 0 {
 		if c.idle && !c.reading {
@@ -176,7 +184,7 @@
 	if !c.idleSince.IsZero() {
 		c.idleSince = time.Now()
 	}
-	return victims
+	return n, victims
 }
 
 // mayReadOn decides after a read deadline has passed whether the read is repeated,
@@ -225,6 +233,7 @@
 	c.progress = requestProgress{firstRead: c.progress.firstRead, readErr: c.progress.readErr, statusLine: status}
 	c.head.keep()
 	c.clearExpiry()
+	c.beginPipelined()
 	if !c.ended {
 		c.client.enter(clientlimit.Running)
 	}
@@ -234,13 +243,17 @@
 func (c *serverConn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle, c.reading, c.readAhead, c.idleSince = true, c.readAhead, false, time.Now()
+	c.endPipelined()
+	c.idle, c.reading, c.readAhead, c.idleSince = true, c.readAhead || c.ahead.hasRequest(), false, time.Now()
 	c.progress, c.extended = requestProgress{firstRead: c.idleSince}, false
 	c.head.reset()
 	c.client.answered = false
-	if c.reading {
+	switch {
+	case len(c.ahead.queue) > 0:
+		c.client.enter(clientlimit.Running)
+	case c.reading:
 		c.client.enter(clientlimit.Arriving)
-	} else {
+	default:
 		c.client.enter(clientlimit.Idle)
 	}
 }
@@ -295,7 +308,7 @@
 	if c.idle && !c.reading {
 		c.setExpired()
 	}
-	return !c.idle
+	return !c.idle || len(c.ahead.queue) > 0
 }
 
 // hasUnreadData reports whether bytes have arrived that were not read yet.
@@ -331,6 +344,8 @@
 	// limits and port are set if the limits of clients apply.
 	limits *clientLimits
 	port   clientlimit.Port
+	// pipelining is set if requests may start ahead.
+	pipelining *pipelining
 
 	mu   sync.Mutex
 	open map[*serverConn]struct{}
@@ -362,9 +377,10 @@
 	server.ConnState = s.onStateChange
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if conn, ok := c.(*serverConn); ok {
-			ctx = hop.ConnContext(ctx, conn.Conn)
+			ctx = context.WithValue(hop.ConnContext(ctx, conn.Conn), serverConnKey{}, c)
+			s.setPipelining(conn, ctx)
 		}
-		return context.WithValue(ctx, serverConnKey{}, c)
+		return ctx
 	}
 	server.Handler = s.trackRequests(hop.ResetIncomplete(server.Handler))
 	listener = serverListener{listener}
@@ -387,8 +403,17 @@
 		if c.hasEnded() {
 			panic(http.ErrAbortHandler)
 		}
-		started := &startedWriter{ResponseWriter: w, onStart: c.endBody}
+		ahead, ok := c.beginHandler(r)
+		if !ok {
+			panic(http.ErrAbortHandler)
+		}
+		started := &startedWriter{ResponseWriter: w, onStart: c.startResponse}
 		defer s.answerCrash(c, started, id)
+		if ahead != nil {
+			ahead.respond(started)
+			c.endHandler()
+			return
+		}
 		r, release := c.chargeBody(r)
 		defer release()
 		next.ServeHTTP(started, r)
--- a/mesh/crashed_handler.go
+++ b/mesh/crashed_handler.go
@@ -20,7 +20,12 @@
 	if cause == http.ErrAbortHandler { //nolint:errorlint // The value is compared as net/http does.
 		panic(http.ErrAbortHandler)
 	}
-	s.record(event.CallCrashed, attrRequest(id), attrDetail(fmt.Sprint(cause)), slog.String("stack", string(debug.Stack())))
+	stack := debug.Stack()
+	if crash, ok := cause.(*startedCrash); ok {
+		stack = crash.stack
+	}
+	s.record(event.CallCrashed, attrRequest(id), attrDetail(fmt.Sprint(cause)), slog.String("stack", string(stack)))
+	c.dropStarted()
 	if w.started {
 		panic(http.ErrAbortHandler)
 	}
@@ -38,14 +43,14 @@
 type startedWriter struct {
 	http.ResponseWriter
 	started bool
-	// onStart is called before the answer is started.
-	onStart func()
+	// onStart is called with the header of the answer before that is started.
+	onStart func(h http.Header)
 }
 
 func (w *startedWriter) start() {
 	if !w.started {
 		w.started = true
-		w.onStart()
+		w.onStart(w.Header())
 	}
 }
 
--- a/mesh/servers.go
+++ b/mesh/servers.go
@@ -104,7 +104,8 @@
 func newServers(l *listeners, i *ingress, peer *peerHandler, a *announcementHandler, lc *lifecycle, m *metrics.Metrics, events *timeline.Recorder, limits *clientLimits) *servers {
 	s := &servers{listeners: l, caller: newServer(i), limits: limits}
 	version := peer.desired.version
-	s.callerConnections, l.caller = trackConnections(s.caller, l.caller, withConnectionEvents(events, metrics.Ingress, version), limitClients(limits, callerPort))
+	s.callerConnections, l.caller = trackConnections(s.caller, l.caller, withConnectionEvents(events, metrics.Ingress, version), limitClients(limits, callerPort),
+		startAhead(&pipelining{repeatable: i.isRepeatable, handler: lc.trackActive(i)}))
 	peers := newServer(peer)
 	peers.IdleTimeout = peerServerIdleTimeout
 	s.peerConnections, l.peer = trackConnections(peers, l.peer, withConnectionEvents(events, metrics.Sidecar, version), limitClients(limits, peerPort))
