--- a/mesh/pipelining.go
+++ b/mesh/pipelining.go
@@ -36,7 +36,7 @@
 
 // setPipelining makes a connection that is accepted start requests ahead. The context has the
 // values of those of its requests.
-func (s *connections) setPipelining(c *serverConn, ctx context.Context) { //nolint:revive // The context is stored, not used.
+func (s *connections) setPipelining(c *serverConn, ctx context.Context) {
 	if s.pipelining != nil && c.head.limits != nil {
 		c.ahead.pipelining, c.ahead.ctx = s.pipelining, ctx
 	}
--- a/mesh/started_request.go
+++ b/mesh/started_request.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"net/http"
-	"os"
 	"runtime/debug"
 	"time"
 
@@ -191,7 +190,12 @@
 		return len(p), nil
 	case s.w == nil:
 		close(s.full)
-		if s.w, s.writeErr = s.awaitTurn(); s.writeErr != nil {
+		// The rest of the response holds a slot of its backend server until the time limit of
+		// the request, as for a slow reader.
+		select {
+		case s.w = <-s.turn:
+		case <-s.r.Context().Done():
+			s.writeErr = s.r.Context().Err()
 			return 0, s.writeErr
 		}
 	}
@@ -199,18 +203,3 @@
 	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	return s.w.Write(p)
 }
-
-// awaitTurn waits until net/http has come to the request, for as long as a receiver may take to
-// read a part of a long response: the rest of this one holds a slot of its backend server.
-func (s *startedRequest) awaitTurn() (w http.ResponseWriter, err error) {
-	timeout := time.NewTimer(writeTimeout)
-	defer timeout.Stop()
-	select {
-	case w = <-s.turn:
-		return w, nil
-	case <-s.r.Context().Done():
-		return nil, s.r.Context().Err()
-	case <-timeout.C:
-		return nil, os.ErrDeadlineExceeded
-	}
-}
