--- a/mesh/connections.go
+++ b/mesh/connections.go
@@ -378,7 +378,7 @@
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if conn, ok := c.(*serverConn); ok {
 			ctx = context.WithValue(hop.ConnContext(ctx, conn.Conn), serverConnKey{}, c)
-			s.setPipelining(conn, ctx)
+			s.setPipelining(ctx, conn)
 		}
 		return ctx
 	}
--- a/mesh/pipelining.go
+++ b/mesh/pipelining.go
@@ -36,7 +36,7 @@
 
 // setPipelining makes a connection that is accepted start requests ahead. The context has the
 // values of those of its requests.
-func (s *connections) setPipelining(c *serverConn, ctx context.Context) {
+func (s *connections) setPipelining(ctx context.Context, c *serverConn) {
 	if s.pipelining != nil && c.head.limits != nil {
 		c.ahead.pipelining, c.ahead.ctx = s.pipelining, ctx
 	}
--- a/mesh/pipelining_test.go
+++ b/mesh/pipelining_test.go
@@ -22,9 +22,9 @@
 	"github.com/lacewingslip/lacewingslip/pipeline"
 )
 
-// pipelinedHead returns the head of a request that states its time limit.
-func pipelinedHead(method, path, id string) string {
-	return method + " " + path + " HTTP/1.1\r\n" + operator.HeadLines(id, 5*time.Second) + "\r\n"
+// lookupHead returns the head of a request of a route that may be repeated, with a time limit.
+func lookupHead(id string) string {
+	return "GET /safe/ HTTP/1.1\r\n" + operator.HeadLines(id, 5*time.Second) + "\r\n"
 }
 
 // pipelinedClient connects to the caller port of a VM's node.
@@ -74,7 +74,7 @@
 	client := pipelinedClient(t, d.vms[0])
 	var sent strings.Builder
 	for n := range requests {
-		sent.WriteString(pipelinedHead(http.MethodGet, "/safe/", fmt.Sprint(n)))
+		sent.WriteString(lookupHead(fmt.Sprint(n)))
 	}
 	client.write(sent.String())
 	for n := range requests {
@@ -104,8 +104,8 @@
 }
 
 // awaitResponses reads as many responses as there are paths, compares the path that each
-// states, and returns the last one.
-func awaitResponses(t *testing.T, client net.Conn, paths ...string) (last *http.Response, body []byte) {
+// states. It returns the last body, and whether that response closes the connection.
+func awaitResponses(t *testing.T, client net.Conn, paths ...string) (body []byte, closes bool) {
 	t.Helper()
 	reader := bufio.NewReader(client)
 	for _, path := range paths {
@@ -115,9 +115,9 @@
 		must.NoError(t, err)
 		must.NoError(t, response.Body.Close())
 		must.Eq(t, path, response.Header.Get("X-Path"))
-		last = response
+		closes = response.Close
 	}
-	return last, body
+	return body, closes
 }
 
 // Guards against a request that starts too early, because it may not be repeated or is not
@@ -263,8 +263,8 @@
 		})
 		open, client, stop := s.start(true)
 		send(client, lookups(3), 1<<20)
-		last, _ := awaitResponses(t, client, "/safe/0", "/safe/1", "/safe/2")
-		must.True(t, last.Close)
+		_, closes := awaitResponses(t, client, "/safe/0", "/safe/1", "/safe/2")
+		must.True(t, closes)
 		synctest.Wait()
 		must.EqOp(t, 0, open.count())
 		stop()
@@ -295,6 +295,7 @@
 				reader := bufio.NewReader(client)
 				response, err := http.ReadResponse(reader, nil)
 				must.NoError(t, err)
+				must.NoError(t, response.Body.Close())
 				must.Eq(t, "/safe/0", response.Header.Get("X-Path"))
 				rest, err := io.ReadAll(reader)
 				must.NoError(t, err)
@@ -328,7 +329,7 @@
 		})
 		_, client, stop := s.start(true)
 		send(client, lookups(2), 1<<20)
-		_, body := awaitResponses(t, client, "/safe/0", "/safe/1")
+		body, _ := awaitResponses(t, client, "/safe/0", "/safe/1")
 		must.EqOp(t, maxHeldResponse, writtenEarly.Load())
 		must.Eq(t, 100*streamBuffer, len(body))
 		for n := range 100 {
@@ -350,7 +351,7 @@
 		return true
 	})
 	client := pipelinedClient(t, v)
-	client.write(pipelinedHead(http.MethodGet, "/safe/", "a") + pipelinedHead(http.MethodGet, "/safe/", "b") + pipelinedHead(http.MethodGet, "/safe/", "c"))
+	client.write(lookupHead("a") + lookupHead("b") + lookupHead("c"))
 	for range 3 {
 		<-received
 	}
