Report an answer that its time limit cuts as late, not as lost

TestCutLongAnswerIsIncomplete got 502 and 504 instead of 200 under load.

If the deadline passes while the first 256 KB of a body are read, the connection is reset. That was reported as a lost answer, with status 502. It is now reported as the deadline, with status 504, like a deadline that passes before the head of the answer.

For the case "reset", the stand-in server reset the connection 200 ms after it had sent the body, also if the node had not received it, and a reset discards the rest. It now waits until all bytes are acknowledged.

--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -20,6 +20,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/lacewingslip/lacewingslip/hop"
 )
 
@@ -98,6 +100,9 @@
 // in memory.
 const longAnswerBytes = 200 << 10
 
+// receiveTimeout limits how long the server waits for its bytes to be acknowledged.
+const receiveTimeout = 10 * time.Second
+
 // longBodyBytes is the size up to which a long body is sent before it is cut. Nodes stream
 // bodies of this size.
 const longBodyBytes = 1 << 20
@@ -352,8 +357,7 @@
 		return false
 	case ResetLong:
 		writePartial(c, signedHeaders, strings.Repeat("x", longBodyBytes))
-		// Leaves time to read the bytes before the reset.
-		time.Sleep(200 * time.Millisecond)
+		awaitReceived(c)
 		hop.Reset(c)
 		return false
 	case LoseAnswer:
@@ -458,6 +462,21 @@
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
 }
 
+// awaitReceived waits until the receiver has acknowledged all bytes, of which a reset would
+// discard the others, or for receiveTimeout.
+func awaitReceived(c net.Conn) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return
+	}
+	for end := time.Now().Add(receiveTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		unsent := 0
+		if err = raw.Control(func(fd uintptr) { unsent, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); err != nil || unsent == 0 {
+			return
+		}
+	}
+}
+
 // writePartial writes a response without Content-Length, or the start of a response.
 func writePartial(c net.Conn, headers, body string) {
 	// Errors are ignored as in writeResponse.
--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -364,5 +364,5 @@
 	if err != nil {
 		return resultOfError(ctx, err), 0
 	}
-	return readPeerResult(resp, p.node)
+	return readPeerResult(ctx, resp, p.node)
 }
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -303,7 +303,7 @@
 	if load, ok := platform.ServerLoad(resp.Header); ok && statesOwnLoad(resp) {
 		s.capacity.observe(time.Now(), load)
 	}
-	return resultOfResponse(resp), nil
+	return resultOfResponse(ctx, resp), nil
 }
 
 // checkListening returns an error if the backend server accepts no connection.
@@ -413,6 +413,12 @@
 	default:
 		return notRunResult(call.ReasonUnreachable, err.Error())
 	}
+	return lostResult(ctx, err)
+}
+
+// lostResult returns the result of an attempt that may have run and ended without a complete
+// response.
+func lostResult(ctx context.Context, err error) *result {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return unknownResult(call.ReasonDeadline, "the deadline passed while the request was running")
@@ -442,7 +448,7 @@
 // resultOfResponse reads a response of the backend server. The result is
 // answered only if the response is complete. A response with a success status must
 // also be signed and have no content encoding.
-func resultOfResponse(resp *hop.Answer) *result {
+func resultOfResponse(ctx context.Context, resp *hop.Answer) *result {
 	res := &result{status: resp.StatusCode}
 	if mayBeLateCopy(resp) {
 		resp.Close()
@@ -456,7 +462,7 @@
 		return notRunResult(call.ReasonShed, fmt.Sprintf("the backend server stated that it did not run the request: status %d", res.status))
 	}
 	if err := readResultBody(resp, res); err != nil {
-		return unknownResult(call.ReasonLost, "the response of the backend server is incomplete: "+err.Error())
+		return lostResult(ctx, fmt.Errorf("the response of the backend server is incomplete: %w", err))
 	}
 	if resp.StatusCode < http.StatusMultipleChoices {
 		switch {
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"hash/fnv"
 	"maps"
 	"math"
@@ -292,7 +293,7 @@
 
 // readPeerResult decodes the response of another node, and the version of the
 // desired state at that node.
-func readPeerResult(resp *hop.Answer, node string) (res *result, version int64) {
+func readPeerResult(ctx context.Context, resp *hop.Answer, node string) (res *result, version int64) {
 	res, version, err := parseResponseHop(resp.Header.Get(headerHop))
 	if err != nil {
 		resp.Close()
@@ -316,7 +317,7 @@
 	keepEndToEnd(res.header)
 	delete(res.header, "Content-Length")
 	if err = readResultBody(resp, res); err != nil {
-		incomplete := unknownResult(call.ReasonLost, "the response from the other node is incomplete: "+err.Error())
+		incomplete := lostResult(ctx, eris.Wrap(err, "the response from the other node is incomplete"))
 		incomplete.node, incomplete.report = node, res.report
 		return incomplete, version
 	}
