--- a/mesh/expired_test.go
+++ b/mesh/expired_test.go
@@ -28,7 +28,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), c.timeLeft)
 			defer cancel()
 			req := &request{method: "POST", target: "/x", host: "example", header: http.Header{}}
-			_, err := pool.Do(ctx, req.httpRequest(func(http.Header) {}), "a", nil) //nolint:bodyclose // There is no answer.
+			_, err := pool.Do(ctx, req.httpRequest(func(http.Header) {}), "a", nil)
 			res := resultOfError(ctx, err)
 			must.EqOp(t, call.NotRun, res.outcome)
 			must.EqOp(t, c.reason, res.reason)
