Charge held responses, limit own connections, report refusals

Kernel buffers are not part of the resident memory.

If it is short, the response whose client has taken nothing for the longest time, and for more than a second, is cut. New requests wait for room and then get 503 without having run. The response of a request that runs is passed on without being held.

Connections for requests to the backend server and to other nodes share a limit, so that requests in progress do not take the descriptors of the log service and of exchanges. A request without a connection gets 503 and has not run, and its receiver does not count as unreachable.

Refusals are counted by reason, and reported by an event at most once in 5 s. Both budgets have metrics of use and limit.

--- a/clientlimit/clientlimit.go
+++ b/clientlimit/clientlimit.go
@@ -162,6 +162,14 @@
 	a.held = 0
 }
 
+// Limit returns what all accounts may hold, or 0 if there is no limit.
+func (b *Budget) Limit() int64 {
+	if b.limit == math.MaxInt64/2 {
+		return 0
+	}
+	return b.limit
+}
+
 // Used returns what all accounts hold.
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
--- a/event/node.go
+++ b/event/node.go
@@ -14,6 +14,8 @@
 	ServerError           ID = 1008
 	// CallSuccessChanged is about the calls that the backend server beside this node makes.
 	CallSuccessChanged ID = 1040
+	// ClientsRefused is about clients beyond the limits.
+	ClientsRefused ID = 1009
 	// ShareExceeded is about workspaces beyond their share of the admitted requests.
 	ShareExceeded         ID = 1050
 	BackendAnnounced      ID = 1101
@@ -48,5 +50,6 @@
 	{ID: IdleConnectionsClosed, Name: "idleConnectionsClosed", Level: slog.LevelInfo, Meaning: "Connections of callers were idle for longer than the limit in the desired state and were closed. The attributes are their number, the longest idle time, the limit, and the version that has the limit."},
 	{ID: RequestNotRead, Name: "requestNotRead", Level: slog.LevelInfo, Meaning: "A connection ended after a part of a request had arrived, but before its whole head had been read. The request was not passed on. The attributes are the time since the first part was read, the bytes that had arrived unread, the error of the read, the status line that was sent, if any, and the version in force."},
 	{ID: ServerError, Name: "serverError", Level: slog.LevelWarn, Meaning: "The HTTP server of the node reported an error. The attribute detail is its message."},
+	{ID: ClientsRefused, Name: "clientsRefused", Level: slog.LevelWarn, Meaning: "Clients were turned away by the limits in operate/limits.md since the last such event, which is recorded at most once in 5 s. The attributes are their numbers by reason, as in the metric lacewingslip_client_refusals_total."},
 	{ID: ShareExceeded, Name: "shareExceeded", Level: slog.LevelInfo, Meaning: "Requests of a workspace are refused under pressure, because it sends more than its share. The attributes are the workspace, the route, the level, and the rates that the workspace asks for and gets, in requests per second. It is recorded at most once in 5 s, so other workspaces may be refused as well."},
 }
--- a/hop/answer.go
+++ b/hop/answer.go
@@ -9,6 +9,9 @@
 // arrived. A receiver in trouble may state a length and send nothing.
 const maxPreparedBytes = 16 << 10
 
+// minHeldBytes is what is allocated first for a body of unknown length.
+const minHeldBytes = 4 << 10
+
 // Answer is a response whose body has not been read yet. Close must be called.
 type Answer struct {
 	StatusCode int
@@ -52,6 +55,48 @@
 	return body, true, nil
 }
 
+// ReadHeld reads at most limit bytes of the body as long as grow allows to hold more. complete is
+// false if the rest of the body has not been read. grow gets the number of bytes that are
+// allocated.
+func (a *Answer) ReadHeld(limit int64, grow func(allocated int64) (ok bool)) (body []byte, complete bool, err error) {
+	if a.Body == http.NoBody || a.ContentLength == 0 {
+		return a.ReadAll(limit)
+	}
+	stated := a.ContentLength >= 0 && a.ContentLength <= limit
+	size := int64(minHeldBytes)
+	if stated {
+		size = min(a.ContentLength, maxPreparedBytes)
+	}
+	for {
+		if !grow(size) {
+			return body, false, nil
+		}
+		grown := make([]byte, len(body), size)
+		copy(grown, body)
+		body = grown
+		for int64(len(body)) < size {
+			n, err := a.Body.Read(body[len(body):size])
+			body = body[:len(body)+n]
+			switch {
+			case stated && int64(len(body)) == a.ContentLength, err == io.EOF && !stated:
+				a.bodyRead = true
+				return body, true, nil
+			case err == io.EOF:
+				return nil, false, io.ErrUnexpectedEOF
+			case err != nil:
+				return nil, false, err
+			}
+		}
+		if size >= limit {
+			return body, false, nil
+		}
+		size = min(2*size, limit)
+		if stated {
+			size = min(size, a.ContentLength)
+		}
+	}
+}
+
 // OnReusedConnection reports whether the connection has carried earlier requests, to
 // which a late answer could belong.
 func (a *Answer) OnReusedConnection() bool { return a.conn.reused }
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -28,6 +28,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -90,6 +91,8 @@
 	address string
 	dialer  *net.Dialer
 	maxIdle time.Duration
+	// limit is shared with other pools, or nil.
+	limit *ConnectionLimit
 
 	mu sync.Mutex
 	// idle is sorted by last use, the most recently used connection at the end.
@@ -184,6 +187,9 @@
 	// deadline has passed are dropped when it reaches dropAt.
 	sent   map[uint64]time.Time
 	dropAt int
+	// limit counts the connection until it is closed, unless it is nil.
+	limit  *ConnectionLimit
+	closed atomic.Bool
 }
 
 // maxServedIdle is the number of idle connections from which on one is closed for each request
@@ -319,7 +325,10 @@
 }
 
 // abort resets the connection, so that bytes in flight are not delivered.
-func (c *conn) abort() { Reset(c.Conn) }
+func (c *conn) abort() {
+	Reset(c.Conn)
+	c.returnDescriptor()
+}
 
 // Reset closes a TCP connection with RST instead of an orderly shutdown.
 func Reset(c net.Conn) {
@@ -343,7 +352,7 @@
 func (p *Pool) acquire(ctx context.Context, id string) (c *conn, err error) {
 	for {
 		if c = p.popIdle(id); c == nil {
-			return p.dial(ctx)
+			return p.dialWithinLimit(ctx)
 		}
 		now := time.Now()
 		c.idleTime, c.reused = now.Sub(c.lastUsed), true
@@ -388,14 +397,16 @@
 		}
 	}
 	if len(p.idle) >= maxServedIdle {
-		p.idle[0].Close()
-		p.idle = slices.Delete(p.idle, 0, 1)
+		p.closeFirst()
 	}
 	return nil
 }
 
 func (p *Pool) dial(ctx context.Context) (c *conn, err error) {
 	netConn, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	if lacksDescriptors(err) {
+		return nil, eris.Wrap(ErrNoConnection, err.Error())
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -413,7 +424,7 @@
 }
 
 // CheckListening opens a connection and closes it. An error means that the receiver accepts
-// none.
+// none. The connection does not count towards the limit of the pool.
 func (p *Pool) CheckListening(ctx context.Context) (err error) {
 	defer func() { err = eris.Wrapf(err, "connect to %s", p.address) }()
 	c, err := p.dial(ctx)
@@ -456,6 +467,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	p.limit.forget(p)
 	for _, c := range p.idle {
 		c.Close()
 	}
--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -42,6 +42,8 @@
 // balancer chooses the node that a request is sent to and holds the connections
 // to all nodes.
 type balancer struct {
+	// limit is that of the connections for requests, or nil. It is set before the start.
+	limit    *hop.ConnectionLimit
 	settings nodeconfig.Config
 	events   eventRecorder
 
@@ -120,7 +122,7 @@
 			}
 			p = &peer{
 				node: m.Node, address: m.Address, region: m.Region, watcherOrder: watcherOrder(m.Node), member: m,
-				pool: hop.New(m.Address, hop.WithMaxIdle(peerIdleTimeout)),
+				pool: hop.New(m.Address, hop.WithMaxIdle(peerIdleTimeout), hop.WithConnectionLimit(b.limit)),
 			}
 			b.peers[m.Node] = p
 			changed[m.Service], addressesChanged = struct{}{}, true
@@ -364,5 +366,5 @@
 	if err != nil {
 		return resultOfError(ctx, err), 0
 	}
-	return readPeerResult(resp, p.node)
+	return readPeerResult(ctx, resp, p.node)
 }
--- a/mesh/client_bodies.go
+++ b/mesh/client_bodies.go
@@ -8,6 +8,7 @@
 
 	"github.com/lacewingslip/lacewingslip/call"
 	"github.com/lacewingslip/lacewingslip/clientlimit"
+	"github.com/lacewingslip/lacewingslip/metrics"
 )
 
 const (
@@ -61,25 +62,31 @@
 		return b.ReadCloser.Read(p)
 	}
 	if b.read == 0 && !b.charge() {
-		return 0, errBodyRefused
+		return 0, b.refuse()
 	}
 	n, err = b.ReadCloser.Read(p)
 	b.read += int64(n)
 	switch {
 	case n > 0 && !b.charge():
-		return 0, errBodyRefused
+		return 0, b.refuse()
 	case err == io.EOF || b.forwarded && b.read >= maxBufferedBytes:
 		b.kept = true
 	case err == nil:
 		return n, nil
 	}
 	if !b.account.Keep() {
-		return 0, errBodyRefused
+		return 0, b.refuse()
 	}
 	b.conn.endBody()
 	return n, err
 }
 
+// refuse counts that the body was turned away.
+func (b *clientBody) refuse() error {
+	b.conn.head.limits.refusals.count(metrics.BodyRefused)
+	return errBodyRefused
+}
+
 func (b *clientBody) charge() (ok bool) {
 	held := b.stated
 	if held == 0 {
--- a/mesh/client_connections.go
+++ b/mesh/client_connections.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/clientlimit"
+	"github.com/lacewingslip/lacewingslip/hop"
+	"github.com/lacewingslip/lacewingslip/metrics"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 )
 
@@ -14,6 +16,11 @@
 	// acceptedRatio is the part of the other descriptors that connections of clients may take.
 	// The rest is for connections to the backend server, other nodes and the log service.
 	acceptedRatio = 3.0 / 4
+	// forwardedRatio is the part of that rest that connections for requests may take. What is
+	// left is kept for exchanges between nodes and for the log service.
+	forwardedRatio = 3.0 / 4
+	// noConnectionRetryAfter is when a client may try again whose request got no connection.
+	noConnectionRetryAfter = time.Second
 	// forwardingReserveRatio and controlPortReserveRatio are the parts of the budget that are
 	// kept for each of callers and other nodes, and for each of the other ports.
 	forwardingReserveRatio, controlPortReserveRatio = 1.0 / 4, 1.0 / 32
@@ -30,13 +37,28 @@
 	if settings.Descriptors <= 0 {
 		return nil
 	}
-	limit := acceptedRatio * float64(max(settings.Descriptors-fileDescriptors, settings.Descriptors/2))
+	limit := acceptedRatio * socketDescriptors(settings)
 	forwarding, control := int(limit*forwardingReserveRatio), int(limit*controlPortReserveRatio)
 	return clientlimit.NewConnectionBudget(int(limit), map[clientlimit.Port]int{
 		callerPort: forwarding, peerPort: forwarding, announcePort: control, readyPort: control, operatorPort: control,
 	}, headerTimeout)
 }
 
+// socketDescriptors returns the number of descriptors that are not kept for files.
+func socketDescriptors(settings nodeconfig.Config) float64 {
+	return float64(max(settings.Descriptors-fileDescriptors, settings.Descriptors/2))
+}
+
+// newOwnConnectionLimit returns the limit of the connections for requests to the backend server
+// and to other nodes, or nil if the settings have no limit of descriptors. onRefused is called for
+// each request that gets no connection.
+func newOwnConnectionLimit(settings nodeconfig.Config, onRefused func()) *hop.ConnectionLimit {
+	if settings.Descriptors <= 0 {
+		return nil
+	}
+	return hop.NewConnectionLimit(int((1-acceptedRatio)*forwardedRatio*socketDescriptors(settings)), onRefused)
+}
+
 // clientConnection is what a connection holds of the budget of connections. The mutex of the
 // connection guards it.
 type clientConnection struct {
@@ -76,15 +98,18 @@
 			account.Set(time.Now(), clientlimit.Waiting)
 			return true
 		case clientlimit.Refused:
+			l.refusals.count(metrics.ConnectionRefused)
 			return false
 		case clientlimit.Pending:
 		}
 		if admission.Victim != nil {
+			l.refusals.count(metrics.ConnectionEnded)
 			admission.Victim.Owner().(*serverConn).endForAnother()
 		}
 		select {
 		case <-admission.Changed:
 		case <-timeout.C:
+			l.refusals.count(metrics.ConnectionRefused)
 			return false
 		}
 	}
--- a/mesh/client_connections_test.go
+++ b/mesh/client_connections_test.go
@@ -15,6 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lacewingslip/lacewingslip/clientlimit"
+	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 )
@@ -172,6 +173,39 @@
 	must.LessEq(t, admissionTimeout, time.Until(unread.writeDeadline))
 }
 
+// Guards against a request without a descriptor for its connection that fails as if it might have
+// run, against taking the receiver for unreachable because of it, and against refusing exchanges
+// and the log service, which have a reserve: the second node joins while no request gets a
+// connection.
+func TestRequestWithoutConnectionIsNotRun(t *testing.T) {
+	d := newEmptyDeployment(t)
+	none := hop.NewConnectionLimit(0, func() {})
+	d.beforeStart = func(n *Node) {
+		n.lifecycle.components.balancer.limit = none
+		n.lifecycle.components.sidecar.backend.setLimit(none)
+	}
+	for _, v := range []*vm{d.addVM("orders"), d.addVM("gateway")} {
+		d.publish(safe("safe"))
+		d.awaitConvergence()
+		answer := d.call(v, http.MethodGet, "/safe/", "a")
+		must.NoError(t, answer.err)
+		must.Eq(t, http.StatusServiceUnavailable, answer.status)
+		must.Eq(t, "1.000", answer.header.Get("Retry-After"))
+		must.Zero(t, d.runs("a"))
+		_, unreachable := v.node.lifecycle.components.balancer.countPeers()
+		must.Zero(t, unreachable)
+	}
+}
+
+// Guards against own connections that take what is kept for clients, files, exchanges and the log
+// service, or that get fewer than a node with its slots in use needs.
+func TestOwnConnectionLimitOfSettings(t *testing.T) {
+	must.Nil(t, newOwnConnectionLimit(nodeconfig.Config{}, nil))
+	for descriptors, limit := range map[int]int{64: 6, 1024: 154, 4100: 731, 8192: 1498} {
+		must.Eq(t, limit, newOwnConnectionLimit(nodeconfig.Config{Descriptors: descriptors}, nil).Limit())
+	}
+}
+
 // Guards against a budget that leaves no descriptors for files and for the connections of the
 // node itself, or nothing to clients.
 func TestConnectionBudgetOfSettings(t *testing.T) {
--- a/mesh/client_limits.go
+++ b/mesh/client_limits.go
@@ -8,6 +8,8 @@
 
 	"github.com/lacewingslip/lacewingslip/clientlimit"
 	"github.com/lacewingslip/lacewingslip/desired"
+	"github.com/lacewingslip/lacewingslip/hop"
+	"github.com/lacewingslip/lacewingslip/metrics"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 )
 
@@ -49,17 +51,26 @@
 type clientLimits struct {
 	// memory is the budget of heads, and bodies that of bodies.
 	memory, bodies *clientlimit.Budget
+	// answers is the budget of responses, or nil.
+	answers *clientlimit.AnswerBudget
 	// connections is the budget of connections, or nil.
 	connections *clientlimit.ConnectionBudget
+	// own is the limit of the node's own connections for requests, or nil.
+	own      *hop.ConnectionLimit
+	refusals *clientRefusals
 	// current returns the limits of the desired state in force, which are zero if there are
 	// none.
 	current func() desired.Limits
 }
 
-func newClientLimits(settings nodeconfig.Config, d *desiredState) *clientLimits {
+func newClientLimits(settings nodeconfig.Config, d *desiredState, m *metrics.Metrics, events eventRecorder) *clientLimits {
+	refusals := newClientRefusals(m, events)
 	return &clientLimits{
+		refusals:    refusals,
+		own:         newOwnConnectionLimit(settings, func() { refusals.count(metrics.OwnConnectionRefused) }),
 		memory:      newClientBudget(headBudgetRatio, settings),
 		bodies:      newClientBudget(bodyBudgetRatio, settings),
+		answers:     newAnswerBudget(settings),
 		connections: newConnectionBudget(settings),
 		current: func() desired.Limits {
 			if state := d.current(); state != nil {
@@ -204,6 +215,9 @@
 		return "", 0
 	}
 	c.ended, c.refused = true, true
+	if c.head.limits != nil {
+		c.head.limits.refusals.countHead(c.head.refusal, c.client.evicted)
+	}
 	c.progress.statusLine, _, _ = strings.Cut(c.head.refusal, "\r\n")
 	timeout = refusalTimeout
 	if c.client.evicted {
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -144,6 +144,9 @@
 	if origin != calltree.Customers {
 		req.repeatShare = i.sidecar.repeats.share()
 	}
+	if refusal = awaitAnswerRoom(ctx, req.deadline); refusal != nil {
+		return refusal
+	}
 	if refusal = credit.take(ctx, access); refusal != nil {
 		return refusal
 	}
--- a/mesh/instance_pool.go
+++ b/mesh/instance_pool.go
@@ -15,6 +15,8 @@
 // for requests that expect the same instance.
 type instancePool struct {
 	address string
+	// limit is shared with the connections to other nodes, or nil.
+	limit *hop.ConnectionLimit
 
 	mu       sync.Mutex
 	instance string
@@ -28,7 +30,15 @@
 }
 
 func (p *instancePool) newPool() *hop.Pool {
-	return hop.New(p.address, hop.WithMaxIdle(backendIdleTimeout))
+	return hop.New(p.address, hop.WithMaxIdle(backendIdleTimeout), hop.WithConnectionLimit(p.limit))
+}
+
+// setLimit sets the limit of connections. It must be called before the first request.
+func (p *instancePool) setLimit(limit *hop.ConnectionLimit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit, p.pool = limit, nil
+	p.pool = p.newPool()
 }
 
 // forInstance returns the connections for requests that expect the instance, and closes
--- a/mesh/lifecycle.go
+++ b/mesh/lifecycle.go
@@ -219,7 +219,7 @@
 			l.components.exchange.probeUnreachable(ctx, now)
 			if now.Sub(metricsAt) >= metricsInterval {
 				metricsAt = now
-				l.updateMetrics()
+				l.updateMetrics(now)
 			}
 		}
 	}
@@ -240,14 +240,12 @@
 }
 
 // updateMetrics exports the load of the backend server, the number of reachable and
-// unreachable nodes, the version of the desired state and the memory that clients take.
-func (l *lifecycle) updateMetrics() {
+// unreachable nodes, the version of the desired state and what clients take.
+func (l *lifecycle) updateMetrics(now time.Time) {
 	l.components.sidecar.updateMetrics()
 	reachable, unreachable := l.components.balancer.countPeers()
 	l.metrics.SetMembers(healthReachable, reachable)
 	l.metrics.SetMembers(healthLost, unreachable)
 	l.metrics.SetDesiredVersion(l.components.desired.version())
-	limits := l.components.servers.limits
-	l.metrics.SetClientMemory(metrics.ClientHeads, limits.memory.Used())
-	l.metrics.SetClientMemory(metrics.ClientBodies, limits.bodies.Used())
+	l.components.servers.limits.updateMetrics(now)
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -43,7 +43,8 @@
 // other nodes. freshness.go proves that the desired state is the newest, by the clock in
 // clock.go. servers.go serves callers and other nodes, connections.go decides when their
 // connections are closed, client_limits.go refuses heads over the limits, client_bodies.go
-// bodies and client_connections.go connections, and connection_ends.go records connections
+// bodies, client_answers.go requests whose responses can't be held and client_connections.go
+// connections, client_refusals.go reports refusals, and connection_ends.go records connections
 // that end without an answer. lifecycle.go starts and stops everything, and stop_schedule.go
 // decides which requests a stopping node accepts, by the response times in longest_times.go.
 package mesh
@@ -149,6 +150,8 @@
 			l.components = components{servers: s, balancer: b, exchange: e, watchers: w, announcements: a, sidecar: sc, desired: d, directory: dir, quarantine: q, proofs: p, caps: cp}
 			sc.crashes.onSuspects, sc.crashes.onReleased, sc.crashes.awaitTold = q.serverCrashed, q.requestReleased, q.awaitTold
 			s.caller.Handler = l.trackActive(s.caller.Handler)
+			b.limit = s.limits.own
+			sc.backend.setLimit(s.limits.own)
 			p.watchers = w
 			dir.SetReadsLog(w.readsLog)
 			d.readsLog, d.maxWait, d.recovered = w.readsDesiredState, w.maxWaitForDesiredState, w.shareRecovery
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -99,6 +99,8 @@
 	body   []byte
 	// stream is the response if its body continues after body, and nil otherwise.
 	stream *hop.Answer
+	// held is the charge for the part of the body that is held.
+	held heldAnswer
 	// retryAfter is when a refused caller may come again, or 0 for the default.
 	retryAfter time.Duration
 	// wait is the estimate by which the request was refused at once for want of a slot, or 0.
@@ -127,6 +129,7 @@
 		res.stream.Close()
 		res.stream = nil
 	}
+	res.held.release()
 }
 
 // setFingerprint must be called once the body, or the first part of a long one, has been
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -194,6 +194,10 @@
 	case err != nil:
 		return overloadedResult(err)
 	}
+	if refusal := refuseForAnswers(ctx); refusal != nil {
+		release(0)
+		return refusal
+	}
 	started := time.Now()
 	mark := s.capacity.begin(started, req.route, req.deadline)
 	res := s.forwardUnlessQuarantined(ctx, req)
@@ -271,9 +275,10 @@
 	s.silence.requestSent(time.Now())
 	execution := s.crashes.start(req.fingerprint, isolated)
 	res, err := s.exchange(ctx, server, httpReq, req)
-	// A time-out or the end of the context does not show that the server responds.
+	// A time-out, the end of the context or the lack of a descriptor does not show that the
+	// server responds.
 	// Any other error does, such as a connection that the server has reset.
-	s.silence.requestEnded(time.Now(), err == nil || !isTimeout(err) && ctx.Err() == nil)
+	s.silence.requestEnded(time.Now(), err == nil || !isTimeout(err) && !errors.Is(err, hop.ErrNoConnection) && ctx.Err() == nil)
 	if res.outcome == call.NotRun {
 		s.calls.recordNoRun(calledRoutes)
 	}
@@ -301,7 +306,7 @@
 	if load, ok := platform.ServerLoad(resp.Header); ok && statesOwnLoad(resp) {
 		s.capacity.observe(time.Now(), load)
 	}
-	return resultOfResponse(resp), nil
+	return resultOfResponse(ctx, resp), nil
 }
 
 // checkListening returns an error if the backend server accepts no connection.
@@ -403,6 +408,11 @@
 
 // resultOfError returns the result of an attempt that ended without a response.
 func resultOfError(ctx context.Context, err error) *result {
+	if errors.Is(err, hop.ErrNoConnection) {
+		res := notRunResult(call.ReasonOverloaded, err.Error())
+		res.retryAfter = noConnectionRetryAfter
+		return res
+	}
 	if !hop.MayHaveRun(err) {
 		return notRunResult(call.ReasonUnreachable, err.Error())
 	}
@@ -435,7 +445,7 @@
 // resultOfResponse reads a response of the backend server. The result is
 // answered only if the response is complete. A response with a success status must
 // also be signed and have no content encoding.
-func resultOfResponse(resp *hop.Answer) *result {
+func resultOfResponse(ctx context.Context, resp *hop.Answer) *result {
 	res := &result{status: resp.StatusCode}
 	if mayBeLateCopy(resp) {
 		resp.Close()
@@ -448,7 +458,7 @@
 		resp.Close()
 		return notRunResult(call.ReasonShed, fmt.Sprintf("the backend server stated that it did not run the request: status %d", res.status))
 	}
-	if err := readResultBody(resp, res); err != nil {
+	if err := readResultBody(ctx, resp, res); err != nil {
 		return unknownResult(call.ReasonLost, "the response of the backend server is incomplete: "+err.Error())
 	}
 	if resp.StatusCode < http.StatusMultipleChoices {
--- a/mesh/stream.go
+++ b/mesh/stream.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -73,15 +74,22 @@
 
 // copyStream copies the rest of a long response to the receiver. An error means
 // that the response is incomplete.
-func copyStream(w http.ResponseWriter, resp *hop.Answer) (err error) {
+func copyStream(w http.ResponseWriter, resp *hop.Answer, held heldAnswer) (err error) {
 	controller := http.NewResponseController(w)
-	buffer := make([]byte, streamBuffer)
+	size := streamBuffer
+	if !held.charge(streamBuffer) {
+		size = smallAnswerBytes
+	}
+	buffer := make([]byte, size)
 	for {
 		n, readErr := resp.Body.Read(buffer)
 		if n > 0 {
 			// An error means that the writer does not support deadlines, as in
 			// tests. Slow receivers are not limited then.
 			_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if !held.progress() {
+				return errAnswerEvicted
+			}
 			if _, err = w.Write(buffer[:n]); err != nil {
 				return err
 			}
@@ -89,6 +97,9 @@
 		switch {
 		case readErr == io.EOF:
 			resp.MarkBodyRead()
+			if !held.progress() {
+				return errAnswerEvicted
+			}
 			return nil
 		case readErr != nil:
 			return readErr
@@ -97,10 +108,13 @@
 }
 
 // readResultBody reads the body of a response, or only the beginning of a long
-// one, into memory. It closes the response unless the rest is to be streamed.
-func readResultBody(resp *hop.Answer, res *result) (err error) {
-	body, complete, err := resp.ReadAll(maxBufferedBytes)
+// one, into memory. It closes the response unless the rest is to be streamed, which it also is
+// if there is no room for it in the budget of the client.
+func readResultBody(ctx context.Context, resp *hop.Answer, res *result) (err error) {
+	res.held = holdAnswer(ctx)
+	body, complete, err := resp.ReadHeld(maxBufferedBytes, res.held.charge)
 	if err != nil {
+		res.close()
 		resp.Close()
 		return err
 	}
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -1,11 +1,14 @@
 package mesh
 
 import (
+	"context"
+	"errors"
 	"hash/fnv"
 	"maps"
 	"math"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -247,23 +250,26 @@
 // writeBody writes the status and body of a result. The response headers must
 // have been set before.
 func writeBody(w http.ResponseWriter, status int, res *result) (err error) {
+	defer res.close()
 	if res.stream == nil {
 		w.Header().Set("Content-Length", strconv.Itoa(len(res.body)))
 		w.WriteHeader(status)
-		// An error means that the receiver has disconnected and does not need the
+		if err = writeHeld(w, res); errors.Is(err, errAnswerEvicted) || errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		// Any other error means that the receiver has disconnected and does not need the
 		// response.
-		_, _ = w.Write(res.body)
 		return nil
 	}
-	defer res.close()
 	if length := res.stream.ContentLength; length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	w.WriteHeader(status)
-	if _, err = w.Write(res.body); err != nil {
+	if err = writeHeld(w, res); err != nil {
 		return err
 	}
-	return copyStream(w, res.stream)
+	res.body = nil
+	return copyStream(w, res.stream, res.held)
 }
 
 // isResponseTo reports whether a response of another node belongs to the
@@ -284,7 +290,7 @@
 
 // readPeerResult decodes the response of another node, and the version of the
 // desired state at that node.
-func readPeerResult(resp *hop.Answer, node string) (res *result, version int64) {
+func readPeerResult(ctx context.Context, resp *hop.Answer, node string) (res *result, version int64) {
 	res, version, err := parseResponseHop(resp.Header.Get(headerHop))
 	if err != nil {
 		resp.Close()
@@ -307,7 +313,7 @@
 	res.status, res.header = resp.StatusCode, resp.Header
 	keepEndToEnd(res.header)
 	delete(res.header, "Content-Length")
-	if err = readResultBody(resp, res); err != nil {
+	if err = readResultBody(ctx, resp, res); err != nil {
 		incomplete := unknownResult(call.ReasonLost, "the response from the other node is incomplete: "+err.Error())
 		incomplete.node, incomplete.report = node, res.report
 		return incomplete, version
--- a/metrics/catalogue.go
+++ b/metrics/catalogue.go
@@ -56,6 +56,7 @@
 	labelHealth     = "health"
 	labelResult     = "result"
 	labelContent    = "content"
+	labelSide       = "side"
 )
 
 var (
@@ -142,7 +143,27 @@
 	clientMemory = Instrument{
 		Name: "lacewingslip.client.memory", Exported: "lacewingslip_client_memory_bytes", Kind: Gauge, Unit: "By",
 		Labels:  []string{labelContent},
-		Meaning: "Memory that clients take, by content: heads or bodies of requests. Clients beyond the limits in operate/limits.md are turned away.",
+		Meaning: "Memory that clients take, by content: heads or bodies of requests, or answers that they have not read yet. Clients beyond the limits in operate/limits.md are turned away.",
+	}
+	clientMemoryLimit = Instrument{
+		Name: "lacewingslip.client.memory.limit", Exported: "lacewingslip_client_memory_limit_bytes", Kind: Gauge, Unit: "By",
+		Labels:  []string{labelContent},
+		Meaning: "Memory that clients may take, by content as for lacewingslip_client_memory_bytes. 0 means that there is no limit.",
+	}
+	connections = Instrument{
+		Name: "lacewingslip.connections", Exported: "lacewingslip_connections", Kind: Gauge, Unit: "{connection}",
+		Labels:  []string{labelSide},
+		Meaning: "Open connections by side: accepted from clients, or own for calls to the backend server and other nodes. Present only if the settings limit the descriptors.",
+	}
+	connectionLimit = Instrument{
+		Name: "lacewingslip.connection.limit", Exported: "lacewingslip_connection_limit", Kind: Gauge, Unit: "{connection}",
+		Labels:  []string{labelSide},
+		Meaning: "Connections that may be open, by side as for lacewingslip_connections.",
+	}
+	clientRefusals = Instrument{
+		Name: "lacewingslip.client.refusals", Exported: "lacewingslip_client_refusals_total", Kind: Counter, Unit: "{refusal}",
+		Labels:  []string{labelReason},
+		Meaning: "Clients turned away by the limits in operate/limits.md, by reason: headTooLarge, headTooSlow, headMemory, bodyMemory, answerMemory (a call refused because answers take all the memory), answerCut (an answer whose client did not read it), connectionRefused, connectionEnded (chosen to end in favour of a new one, also if it stays because bytes arrive) or ownConnection (no connection left for the call).",
 	}
 	capMessages = Instrument{
 		Name: "lacewingslip.cap.messages", Exported: "lacewingslip_cap_messages_total", Kind: Counter, Unit: "{message}",
@@ -200,7 +221,7 @@
 	return []Instrument{
 		calls, callDuration, retries, queueLength, running, limit,
 		bookings, crossRegionBytes, members, settingsOffset, pressure, desiredVersion, proofAge, blockedRequests,
-		capRequests, capMessages, capAccounts, shareRequests, retryAfter, clientMemory,
+		capRequests, capMessages, capAccounts, shareRequests, retryAfter, clientMemory, clientMemoryLimit, connections, connectionLimit, clientRefusals,
 		pace, expectedRun, elasticity, abandoned,
 		callsSucceeding, callsSustainable, callsRejected, callPressure,
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -89,34 +89,36 @@
 	handler  http.Handler
 	provider *sdk.MeterProvider
 
-	calls            metric.Int64Counter
-	callDuration     metric.Float64Histogram
-	retries          metric.Int64Counter
-	queueLength      metric.Int64Gauge
-	running          metric.Int64Gauge
-	limit            metric.Int64Gauge
-	bookings         metric.Int64Counter
-	crossRegionBytes metric.Int64Counter
-	members          metric.Int64Gauge
-	settingsOffset   metric.Int64Gauge
-	pressure         metric.Float64Gauge
-	desiredVersion   metric.Int64Gauge
-	proofAge         metric.Float64Gauge
-	blockedRequests  metric.Int64Gauge
-	capRequests      metric.Int64Counter
-	capMessages      metric.Int64Counter
-	shareRequests    metric.Int64Counter
-	retryAfter       metric.Float64Histogram
-	clientMemory     metric.Int64Gauge
-	capAccounts      metric.Int64Gauge
-	pace             metric.Float64Gauge
-	expectedRun      metric.Float64Gauge
-	elasticity       metric.Float64Gauge
-	abandoned        metric.Int64Gauge
-	callsSucceeding  metric.Float64Gauge
-	callsSustainable metric.Float64Gauge
-	callsRejected    metric.Float64Gauge
-	callPressure     metric.Float64Gauge
+	calls                                           metric.Int64Counter
+	callDuration                                    metric.Float64Histogram
+	retries                                         metric.Int64Counter
+	queueLength                                     metric.Int64Gauge
+	running                                         metric.Int64Gauge
+	limit                                           metric.Int64Gauge
+	bookings                                        metric.Int64Counter
+	crossRegionBytes                                metric.Int64Counter
+	members                                         metric.Int64Gauge
+	settingsOffset                                  metric.Int64Gauge
+	pressure                                        metric.Float64Gauge
+	desiredVersion                                  metric.Int64Gauge
+	proofAge                                        metric.Float64Gauge
+	blockedRequests                                 metric.Int64Gauge
+	capRequests                                     metric.Int64Counter
+	capMessages                                     metric.Int64Counter
+	shareRequests                                   metric.Int64Counter
+	retryAfter                                      metric.Float64Histogram
+	clientMemory                                    metric.Int64Gauge
+	clientMemoryLimit, connections, connectionLimit metric.Int64Gauge
+	clientRefusals                                  metric.Int64Counter
+	capAccounts                                     metric.Int64Gauge
+	pace                                            metric.Float64Gauge
+	expectedRun                                     metric.Float64Gauge
+	elasticity                                      metric.Float64Gauge
+	abandoned                                       metric.Int64Gauge
+	callsSucceeding                                 metric.Float64Gauge
+	callsSustainable                                metric.Float64Gauge
+	callsRejected                                   metric.Float64Gauge
+	callPressure                                    metric.Float64Gauge
 
 	// Label sets are cached per combination of values, because creating one sorts and
 	// allocates.
@@ -263,7 +265,7 @@
 	m.retryAfter.Record(context.Background(), after.Seconds())
 }
 
-// ClientContent is what clients send that is held in memory.
+// ClientContent is what is held in memory for clients.
 type ClientContent string
 
 const (
@@ -271,11 +273,65 @@
 	ClientHeads ClientContent = "heads"
 	// ClientBodies are the bodies of requests.
 	ClientBodies ClientContent = "bodies"
+	// ClientAnswers are responses until their clients have read them.
+	ClientAnswers ClientContent = "answers"
 )
 
-// SetClientMemory sets how much memory clients take.
-func (m *Metrics) SetClientMemory(content ClientContent, bytes int64) {
-	m.clientMemory.Record(context.Background(), bytes, m.pair(labelContent, string(content), "", "").record...)
+// SetClientMemory sets how much memory clients take, and how much they may take. A limit of 0
+// means that there is none.
+func (m *Metrics) SetClientMemory(content ClientContent, bytes, limit int64) {
+	labels := m.pair(labelContent, string(content), "", "").record
+	m.clientMemory.Record(context.Background(), bytes, labels...)
+	m.clientMemoryLimit.Record(context.Background(), limit, labels...)
+}
+
+// ConnectionSide says which side has opened connections.
+type ConnectionSide string
+
+const (
+	// AcceptedConnections are those of clients.
+	AcceptedConnections ConnectionSide = "accepted"
+	// OwnConnections are those of this node for requests to the backend server and other nodes.
+	OwnConnections ConnectionSide = "own"
+)
+
+// SetConnections sets how many connections are open, and how many may be.
+func (m *Metrics) SetConnections(side ConnectionSide, open, limit int) {
+	labels := m.pair(labelSide, string(side), "", "").record
+	m.connections.Record(context.Background(), int64(open), labels...)
+	m.connectionLimit.Record(context.Background(), int64(limit), labels...)
+}
+
+// ClientRefusal is why clients were turned away.
+type ClientRefusal string
+
+const (
+	// HeadTooLarge and HeadTooSlow are heads beyond the limits of the desired state.
+	HeadTooLarge ClientRefusal = "headTooLarge"
+	HeadTooSlow  ClientRefusal = "headTooSlow"
+	// HeadRefused and BodyRefused are heads and bodies for which there was no memory.
+	HeadRefused ClientRefusal = "headMemory"
+	BodyRefused ClientRefusal = "bodyMemory"
+	// AnswerRefused are requests refused because held responses took all the memory, and AnswerCut
+	// responses cut for it.
+	AnswerRefused ClientRefusal = "answerMemory"
+	AnswerCut     ClientRefusal = "answerCut"
+	// ConnectionRefused are new connections for which there was no room, and ConnectionEnded
+	// those chosen to end in favour of new ones.
+	ConnectionRefused ClientRefusal = "connectionRefused"
+	ConnectionEnded   ClientRefusal = "connectionEnded"
+	// OwnConnectionRefused are requests for which this node had no connection left.
+	OwnConnectionRefused ClientRefusal = "ownConnection"
+)
+
+// ClientRefusals has all reasons.
+var ClientRefusals = []ClientRefusal{
+	HeadTooLarge, HeadTooSlow, HeadRefused, BodyRefused, AnswerRefused, AnswerCut, ConnectionRefused, ConnectionEnded, OwnConnectionRefused,
+}
+
+// ClientsRefused counts clients that were turned away.
+func (m *Metrics) ClientsRefused(reason ClientRefusal, count int64) {
+	m.clientRefusals.Add(context.Background(), count, m.pair(labelReason, string(reason), "", "").add...)
 }
 
 // CapMessageSent counts a message to a keeper of caps.
@@ -323,6 +379,10 @@
 	m.shareRequests = c.counter(shareRequests)
 	m.retryAfter = c.histogram(retryAfter)
 	m.clientMemory = c.gauge(clientMemory)
+	m.clientMemoryLimit = c.gauge(clientMemoryLimit)
+	m.connections = c.gauge(connections)
+	m.connectionLimit = c.gauge(connectionLimit)
+	m.clientRefusals = c.counter(clientRefusals)
 	m.capAccounts = c.gauge(capAccounts)
 	m.pace = c.floatGauge(pace)
 	m.expectedRun = c.floatGauge(expectedRun)
