--- a/internal/abuse/abuse.go
+++ b/internal/abuse/abuse.go
@@ -75,6 +75,11 @@
 // Start starts a node with low limits, and the limit of descriptors in its settings. Its files
 // are in the directory.
 func Start(binaries e2e.Binaries, directory string, descriptors int) (d *Deployment, err error) {
+	return StartWithMemory(binaries, directory, descriptors, MemoryBytes)
+}
+
+// StartWithMemory is Start with another limit of memory in the settings of the process.
+func StartWithMemory(binaries e2e.Binaries, directory string, descriptors int, memoryBytes int64) (d *Deployment, err error) {
 	defer func() { err = eris.Wrap(err, "start a node with low limits") }()
 	log := keyedlog.New()
 	log.Put(operator.DesiredStateTopic, operator.DesiredStateKey, operator.EncodeDesiredStateWithLimits(1,
@@ -100,7 +105,7 @@
 	d.settings = nodeconfig.Config{
 		Node: "node-1", Region: "addis", Zone: "addis-a", Service: service, Backend: d.server.Address(),
 		RegionOf: map[string]string{"addis-a": "addis"}, Log: d.logServer.Listener.Addr().String(),
-		MemoryBytes: MemoryBytes, Descriptors: descriptors,
+		MemoryBytes: memoryBytes, Descriptors: descriptors,
 		Bounds: nodeconfig.Bounds{
 			Drain: time.Second, Grace: 2 * time.Second, ConfigApply: 2 * time.Second, RetryRatio: 0.1, RetryWindow: 10 * time.Second, RetrySlack: 10,
 		},
@@ -204,6 +209,9 @@
 type Usage struct {
 	// PeakBytes is the highest resident memory since the process started.
 	PeakBytes int64
+	// ResidentBytes is the resident memory, and AnonymousBytes the part of it that is not that
+	// of files.
+	ResidentBytes, AnonymousBytes int64
 	// Descriptors is the number of open descriptors.
 	Descriptors int
 }
@@ -217,11 +225,13 @@
 		return Usage{}, err
 	}
 	for line := range strings.Lines(string(status)) {
-		if text, found := strings.CutPrefix(line, "VmHWM:"); found {
-			if _, err = fmt.Sscanf(text, "%d kB", &used.PeakBytes); err != nil {
-				return Usage{}, err
+		for name, bytes := range map[string]*int64{"VmHWM:": &used.PeakBytes, "VmRSS:": &used.ResidentBytes, "RssAnon:": &used.AnonymousBytes} {
+			if text, found := strings.CutPrefix(line, name); found {
+				if _, err = fmt.Sscanf(text, "%d kB", bytes); err != nil {
+					return Usage{}, err
+				}
+				*bytes <<= 10
 			}
-			used.PeakBytes <<= 10
 		}
 	}
 	entries, err := os.ReadDir(filepath.Join(directory, "fd"))
@@ -242,7 +252,8 @@
 		if served := d.served.Load(); current.Descriptors != last || served != lastServed {
 			unchanged, last, lastServed = 0, current.Descriptors, served
 		}
-		used = Usage{PeakBytes: current.PeakBytes, Descriptors: max(used.Descriptors, current.Descriptors)}
+		current.Descriptors = max(used.Descriptors, current.Descriptors)
+		used = current
 		time.Sleep(retryInterval)
 	}
 	return used, nil
--- a/internal/abuse/crowd.go
+++ b/internal/abuse/crowd.go
@@ -145,6 +145,9 @@
 // Silence opens connections and sends nothing.
 func Silence() Attack { return Attack{} }
 
+// Ordinary sends an ordinary request, reads the answer and then nothing.
+func Ordinary() Attack { return Attack{Kept: true} }
+
 // StoppedBody sends a body that stops after a number of bytes of its stated length.
 func StoppedBody(target string, stated, sent int) Attack {
 	block := string(bytes.Repeat([]byte(" "), 1<<10))
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -306,20 +306,22 @@
 type ClientRefusal string
 
 const (
-	// HeadTooLarge and HeadTooSlow are heads beyond the limits of the desired state.
+	// HeadTooLarge are heads beyond the limit of their length.
 	HeadTooLarge ClientRefusal = "headTooLarge"
-	HeadTooSlow  ClientRefusal = "headTooSlow"
-	// HeadRefused and BodyRefused are heads and bodies for which there was no memory.
+	// HeadTooSlow are heads beyond the limit of their time.
+	HeadTooSlow ClientRefusal = "headTooSlow"
+	// HeadRefused are heads for which there was no memory.
 	HeadRefused ClientRefusal = "headMemory"
+	// BodyRefused are bodies for which there was no memory.
 	BodyRefused ClientRefusal = "bodyMemory"
-	// AnswerRefused are requests refused because held responses took all the memory, and AnswerCut
-	// responses cut for it.
+	// AnswerRefused are requests refused because held responses took all the memory.
 	AnswerRefused ClientRefusal = "answerMemory"
-	AnswerCut     ClientRefusal = "answerCut"
-	// ConnectionRefused are new connections for which there was no room, and ConnectionEnded
-	// those chosen to end in favour of new ones.
+	// AnswerCut are responses that were not read and cut in favour of others.
+	AnswerCut ClientRefusal = "answerCut"
+	// ConnectionRefused are new connections for which there was no room.
 	ConnectionRefused ClientRefusal = "connectionRefused"
-	ConnectionEnded   ClientRefusal = "connectionEnded"
+	// ConnectionEnded are connections chosen to end in favour of new ones.
+	ConnectionEnded ClientRefusal = "connectionEnded"
 	// OwnConnectionRefused are requests for which this node had no connection left.
 	OwnConnectionRefused ClientRefusal = "ownConnection"
 )
