Open the account of a response only when there is something to charge

Responses of up to 4 KB are not charged, and now open no account either. A refusal beside the server for want of memory is counted like one at ingress.

--- a/mesh/client_answers.go
+++ b/mesh/client_answers.go
@@ -48,22 +48,30 @@
 	return clientlimit.NewAnswerBudget(int64(budget), map[clientlimit.Port]int64{peerPort: int64(budget * peerReserveRatio)}, answerStallTimeout)
 }
 
-// heldAnswer is the charge for a response, or for nothing if there is no budget.
-type heldAnswer struct{ account *clientlimit.Answer }
+// heldAnswer is the charge for a response. The zero value charges nothing.
+type heldAnswer struct {
+	// conn is the connection of the client if there is a budget.
+	conn *serverConn
+	// account is nil until there is something to charge, so that small responses cost nothing.
+	account *clientlimit.Answer
+}
 
-// holdAnswer opens the account of the response to the request of a context.
+// holdAnswer returns the charge for the response to the request of a context.
 func holdAnswer(ctx context.Context) (h heldAnswer) {
 	if c, ok := ctx.Value(serverConnKey{}).(*serverConn); ok && c.head.limits != nil && c.head.limits.answers != nil {
-		h.account = c.head.limits.answers.Open(c.head.port, c)
+		h.conn = c
 	}
 	return h
 }
 
 // charge sets what the response holds. ok is false if there is no room for it.
-func (h heldAnswer) charge(held int64) (ok bool) {
-	if h.account == nil || held <= smallAnswerBytes {
+func (h *heldAnswer) charge(held int64) (ok bool) {
+	if h.conn == nil || held <= smallAnswerBytes {
 		return true
 	}
+	if h.account == nil {
+		h.account = h.conn.head.limits.answers.Open(h.conn.head.port, h.conn)
+	}
 	victim, ok := h.account.Charge(time.Now(), held)
 	evictAnswer(victim)
 	return ok
@@ -71,9 +79,9 @@
 
 // progress records that a part of the response is about to be written. ok is false if the response
 // has been evicted. It must be called after the write deadline has been set.
-func (h heldAnswer) progress() (ok bool) { return h.account == nil || h.account.Progress(time.Now()) }
+func (h *heldAnswer) progress() (ok bool) { return h.account == nil || h.account.Progress(time.Now()) }
 
-func (h heldAnswer) release() {
+func (h *heldAnswer) release() {
 	if h.account != nil {
 		h.account.Release()
 	}
@@ -109,11 +117,16 @@
 				continue
 			}
 		}
-		ctx.Value(serverConnKey{}).(*serverConn).head.limits.refusals.count(metrics.AnswerRefused)
-		return refusal
+		return countAnswerRefusal(ctx, refusal)
 	}
 }
 
+// countAnswerRefusal counts a refusal of [refuseForAnswers] and returns it.
+func countAnswerRefusal(ctx context.Context, refusal *result) *result {
+	ctx.Value(serverConnKey{}).(*serverConn).head.limits.refusals.count(metrics.AnswerRefused)
+	return refusal
+}
+
 // refuseForAnswers returns the refusal of a request that has not run if there is no room for its
 // response, or nil. It ends a response that is not read.
 func refuseForAnswers(ctx context.Context) (refusal *result) {
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -196,7 +196,7 @@
 	}
 	if refusal := refuseForAnswers(ctx); refusal != nil {
 		release(0)
-		return refusal
+		return countAnswerRefusal(ctx, refusal)
 	}
 	started := time.Now()
 	mark := s.capacity.begin(started, req.route, req.deadline)
--- a/mesh/stream.go
+++ b/mesh/stream.go
@@ -74,7 +74,7 @@
 
 // copyStream copies the rest of a long response to the receiver. An error means
 // that the response is incomplete.
-func copyStream(w http.ResponseWriter, resp *hop.Answer, held heldAnswer) (err error) {
+func copyStream(w http.ResponseWriter, resp *hop.Answer, held *heldAnswer) (err error) {
 	controller := http.NewResponseController(w)
 	size := streamBuffer
 	if !held.charge(streamBuffer) {
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -269,7 +269,7 @@
 		return err
 	}
 	res.body = nil
-	return copyStream(w, res.stream, res.held)
+	return copyStream(w, res.stream, &res.held)
 }
 
 // isResponseTo reports whether a response of another node belongs to the
