--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -196,6 +196,10 @@
 	case err != nil:
 		return overloadedResult(err)
 	}
+	if refusal := refuseForAnswers(ctx); refusal != nil {
+		release(0)
+		return countAnswerRefusal(ctx, refusal)
+	}
 	started := time.Now()
 	mark := s.capacity.begin(started, req.route, req.deadline)
 	res := s.forwardUnlessQuarantined(ctx, req)
@@ -273,9 +277,10 @@
 	s.silence.requestSent(time.Now())
 	execution := s.crashes.start(req.fingerprint, isolated)
 	res, err := s.exchange(ctx, server, httpReq, req)
-	// A time-out or the end of the context does not show that the server responds.
+	// A time-out, the end of the context or the lack of a descriptor does not show that the
+	// server responds.
 	// Any other error does, such as a connection that the server has reset.
-	s.silence.requestEnded(time.Now(), err == nil || !isTimeout(err) && ctx.Err() == nil)
+	s.silence.requestEnded(time.Now(), err == nil || !isTimeout(err) && !errors.Is(err, hop.ErrNoConnection) && ctx.Err() == nil)
 	if res.outcome == call.NotRun {
 		s.calls.recordNoRun(calledRoutes)
 	}
@@ -406,6 +411,10 @@
 // resultOfError returns the result of an attempt that ended without a response.
 func resultOfError(ctx context.Context, err error) *result {
 	switch {
+	case errors.Is(err, hop.ErrNoConnection):
+		res := notRunResult(call.ReasonOverloaded, err.Error())
+		res.retryAfter = noConnectionRetryAfter
+		return res
 	case hop.MayHaveRun(err):
 	case hop.Expired(ctx):
 		// This says nothing about the receiver.
@@ -461,7 +470,7 @@
 		resp.Close()
 		return notRunResult(call.ReasonShed, fmt.Sprintf("the backend server stated that it did not run the request: status %d", res.status))
 	}
-	if err := readResultBody(resp, res); err != nil {
+	if err := readResultBody(ctx, resp, res); err != nil {
 		return lostResult(ctx, fmt.Errorf("the response of the backend server is incomplete: %w", err))
 	}
 	if resp.StatusCode < http.StatusMultipleChoices {
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"maps"
 	"math"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -256,23 +258,26 @@
 // writeBody writes the status and body of a result. The response headers must
 // have been set before.
 func writeBody(w http.ResponseWriter, status int, res *result) (err error) {
+	defer res.close()
 	if res.stream == nil {
 		w.Header().Set("Content-Length", strconv.Itoa(len(res.body)))
 		w.WriteHeader(status)
-		// An error means that the receiver has disconnected and does not need the
+		if err = writeHeld(w, res); errors.Is(err, errAnswerEvicted) || errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		// Any other error means that the receiver has disconnected and does not need the
 		// response.
-		_, _ = w.Write(res.body)
 		return nil
 	}
-	defer res.close()
 	if length := res.stream.ContentLength; length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	w.WriteHeader(status)
-	if _, err = w.Write(res.body); err != nil {
+	if err = writeHeld(w, res); err != nil {
 		return err
 	}
-	return copyStream(w, res.stream)
+	res.body = nil
+	return copyStream(w, res.stream, &res.held)
 }
 
 // isResponseTo reports whether a response of another node belongs to the
@@ -316,7 +321,7 @@
 	res.status, res.header = resp.StatusCode, resp.Header
 	keepEndToEnd(res.header)
 	delete(res.header, "Content-Length")
-	if err = readResultBody(resp, res); err != nil {
+	if err = readResultBody(ctx, resp, res); err != nil {
 		incomplete := lostResult(ctx, eris.Wrap(err, "the response from the other node is incomplete"))
 		incomplete.node, incomplete.report = node, res.report
 		return incomplete, version
