--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -432,84 +431,3 @@
 		return labels
 	})
 }
-
-// instrumentCreator creates instruments and keeps the first error, so that the error is
-// checked once for all of them.
-type instrumentCreator struct {
-	meter metric.Meter
-	err   error
-}
-
-func (c *instrumentCreator) counter(i Instrument) metric.Int64Counter {
-	instrument, err := c.meter.Int64Counter(i.Name, metric.WithUnit(i.Unit), metric.WithDescription(i.Meaning))
-	c.recordError(i, err)
-	return instrument
-}
-
-func (c *instrumentCreator) gauge(i Instrument) metric.Int64Gauge {
-	instrument, err := c.meter.Int64Gauge(i.Name, metric.WithUnit(i.Unit), metric.WithDescription(i.Meaning))
-	c.recordError(i, err)
-	return instrument
-}
-
-func (c *instrumentCreator) floatGauge(i Instrument) metric.Float64Gauge {
-	instrument, err := c.meter.Float64Gauge(i.Name, metric.WithUnit(i.Unit), metric.WithDescription(i.Meaning))
-	c.recordError(i, err)
-	return instrument
-}
-
-func (c *instrumentCreator) histogram(i Instrument) metric.Float64Histogram {
-	instrument, err := c.meter.Float64Histogram(i.Name, metric.WithUnit(i.Unit), metric.WithDescription(i.Meaning),
-		metric.WithExplicitBucketBoundaries(durationBucketBounds...))
-	c.recordError(i, err)
-	return instrument
-}
-
-func (c *instrumentCreator) recordError(i Instrument, err error) {
-	if err != nil && c.err == nil {
-		c.err = fmt.Errorf("instrument %s: %w", i.Name, err)
-	}
-}
-
-type hopKey struct {
-	hop     Hop
-	service string
-}
-
-type pairKey struct {
-	firstName, first, secondName, second string
-}
-
-// labelSet is a set of labels as options for counters (add) and for other instruments
-// (record). Passing a prepared slice avoids an allocation per measurement.
-type labelSet struct {
-	add    []metric.AddOption
-	record []metric.RecordOption
-}
-
-// labelSets is a cache of label sets.
-type labelSets[K comparable] struct {
-	mu   sync.RWMutex
-	sets map[K]labelSet
-}
-
-func (s *labelSets[K]) get(key K, labels func() []attribute.KeyValue) labelSet {
-	s.mu.RLock()
-	set, found := s.sets[key]
-	s.mu.RUnlock()
-	if found {
-		return set
-	}
-	option := metric.WithAttributeSet(attribute.NewSet(labels()...))
-	set = labelSet{add: []metric.AddOption{option}, record: []metric.RecordOption{option}}
-
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.sets == nil {
-		s.sets = make(map[K]labelSet)
-	}
-	if len(s.sets) < maxLabelSets {
-		s.sets[key] = set
-	}
-	return set
-}
