--- a/desired/desired.go
+++ b/desired/desired.go
@@ -79,6 +79,12 @@
 // Name returns the name that the operator has given to the route.
 func (r *Route) Name() string { return r.name }
 
+// Host returns the host whose requests the route receives, in the form of [CanonicalHost].
+func (r *Route) Host() string { return r.host }
+
+// Prefix returns the path prefix of the requests that the route receives.
+func (r *Route) Prefix() string { return r.prefix }
+
 // Kind returns whether a request may run more than once.
 func (r *Route) Kind() Kind { return r.kind }
 
--- a/desired/workspace.go
+++ b/desired/workspace.go
@@ -64,6 +64,9 @@
 // Name returns the name that the operator has given to the workspace.
 func (w *Workspace) Name() string { return w.name }
 
+// Keys returns the digests of the keys that the operator has given to the workspace.
+func (w *Workspace) Keys() []KeyDigest { return w.keys }
+
 // Priority returns the priority of the workspace's requests. ok is false if the priority of
 // the route applies.
 func (w *Workspace) Priority() (priority int, ok bool) { return w.priority, w.hasPriority }
