Add lacewingslip config check

An error in a desired state showed only once nodes had rejected the version, and entries without effect did not show at all.

The examples of the page are run by TestPagesRun, which takes JSON files now as well as YAML files.

--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -95,7 +95,7 @@
 
 var (
 	includePattern    = regexp.MustCompile(`<!-- The test runs (\S+) first. -->`)
-	blockPattern      = regexp.MustCompile("(?ms)^```(yaml (\\S+)|console)\n(.*?)^```$")
+	blockPattern      = regexp.MustCompile("(?ms)^```((?:yaml|json) (\\S+)|console)\n(.*?)^```$")
 	addressPattern    = regexp.MustCompile(`127\.0\.0\.1:\d+`)
 	listenFlagPattern = regexp.MustCompile(`--listen (\S+)`)
 	publicKeyPattern  = regexp.MustCompile(`<public key of (\S+)>`)
@@ -103,7 +103,7 @@
 )
 
 // script is a page converted to a testscript script: console blocks become commands and
-// checks of their output, and YAML blocks with a file name become files.
+// checks of their output, and YAML and JSON blocks with a file name become files.
 type script struct {
 	commands, files strings.Builder
 	background      int
@@ -234,7 +234,7 @@
 	})
 }
 
-// write writes a YAML block of the page to the file that the block names.
+// write writes a YAML or JSON block of the page to the file that the block names.
 func write(ts *testscript.TestScript, _ bool, args []string) {
 	text := withKeys(ts, ts.ReadFile(args[0]))
 	file := ts.MkAbs(args[1])
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -53,7 +53,8 @@
       shows what happened to one request, on all nodes
 
 Exit codes: 0 done; 1 failed; 2 wrong command line; 3 done, and a problem was
-found; 4 a change of settings may have been written, but this is not known.`
+found; 4 a change of settings may have been written, but this is not known.
+"config check" has codes of its own.`
 
 // Run runs the command line args and returns the exit code. args[0] is the name of
 // the program.
@@ -84,6 +85,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			settingsCommand(),
+			configCommand(),
 			demoCommand(),
 			experimentCommand(),
 			statusCommand(),
--- /dev/null
+++ b/internal/command/config.go
@@ -0,0 +1,111 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/lacewingslip/lacewingslip/configcheck"
+)
+
+// Exit codes of "config check", which differ from those of the other commands.
+const (
+	// ExitNoFindings means that the check found nothing.
+	ExitNoFindings = 0
+	// ExitFindings means that the check found something, if only a difference.
+	ExitFindings = 1
+	// ExitUnreadable means that a file can't be read or the command line is invalid.
+	ExitUnreadable = 2
+)
+
+const configCheckDescription = `Checks a desired state in JSON before it is published: what nodes reject, entries
+that can never match or take effect, and limits that contradict each other. With
+--against, it also lists what changes by meaning from the version in force, and the
+effect on callers. Needs neither the log nor a node. Keys are shown as digests only.
+
+Exit codes: 0 no findings; 1 findings, of which differences are some; 2 a file can't
+be read, or nodes reject the one after --against, or wrong command line.`
+
+func configCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "config",
+		Usage: "check the desired state of the users' platform",
+		Commands: []*cli.Command{{
+			Name:        "check",
+			Usage:       "check a desired state before it is published",
+			ArgsUsage:   "FILE",
+			Description: configCheckDescription,
+			Flags: []cli.Flag{
+				&cli.StringFlag{Name: "against", Usage: "`FILE` has the version in force", TakesFile: true},
+				&cli.BoolFlag{Name: "json", Usage: "print JSON for scripts"},
+			},
+			Action: checkConfig,
+		}},
+	}
+}
+
+type configReport struct {
+	Findings []configcheck.Finding `json:"findings"`
+}
+
+func checkConfig(_ context.Context, c *cli.Command) error {
+	path, err := oneArgument(c, "a file")
+	if err != nil {
+		return err
+	}
+	document, err := readDesiredState(path)
+	if err != nil {
+		return err
+	}
+	report := configReport{Findings: append([]configcheck.Finding{}, document.Check()...)}
+	if inForcePath := c.String("against"); inForcePath != "" {
+		inForce, err := readDesiredState(inForcePath)
+		if err != nil {
+			return err
+		}
+		if inForce.State == nil {
+			return cli.Exit(fmt.Sprintf("expected a version that nodes accept after --against: %v", inForce.Check()[0]), ExitUnreadable)
+		}
+		report.Findings = append(report.Findings, document.Differences(inForce)...)
+	}
+	if err = writeFindings(c, path, report); err != nil {
+		return err
+	}
+	if len(report.Findings) > 0 {
+		return cli.Exit("", ExitFindings)
+	}
+	return nil
+}
+
+func writeFindings(c *cli.Command, path string, report configReport) (err error) {
+	w := c.Root().Writer
+	if c.Bool("json") {
+		return json.NewEncoder(w).Encode(report)
+	}
+	for _, finding := range report.Findings {
+		if _, err = fmt.Fprintln(w, finding); err != nil {
+			return err
+		}
+	}
+	if len(report.Findings) == 0 {
+		_, err = fmt.Fprintf(w, "%s: no findings\n", path)
+	}
+	return err
+}
+
+func readDesiredState(path string) (document configcheck.Document, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		var pathError *fs.PathError
+		if errors.As(err, &pathError) {
+			err = pathError.Err
+		}
+		return document, cli.Exit(fmt.Sprintf("read the desired state %s: %v", path, err), ExitUnreadable)
+	}
+	return configcheck.Inspect(path, text), nil
+}
--- /dev/null
+++ b/internal/command/config_test.go
@@ -0,0 +1,62 @@
+package command_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/configcheck"
+	"github.com/lacewingslip/lacewingslip/internal/command"
+)
+
+// Guards against exit codes by which a pipeline publishes a version with findings, or stops
+// for a file that it could not read as if for a finding.
+func TestConfigCheckExitCodes(t *testing.T) {
+	directory := t.TempDir()
+	for name, text := range map[string]string{
+		"good.json":    `{"Version":1,"Resources":[]}`,
+		"next.json":    `{"Version":2,"Resources":[{"ResourceType":"Limits","Spec":{"MaxHeaderBytes":9}}]}`,
+		"invalid.json": "{\n\"Version\": 1,\n",
+	} {
+		must.NoError(t, os.WriteFile(filepath.Join(directory, name), []byte(text), 0o600))
+	}
+	for name, tc := range map[string]struct {
+		args string
+		code int
+		text string
+	}{
+		"no findings":         {"$/good.json", command.ExitNoFindings, "good.json: no findings"},
+		"no findings as JSON": {"--json $/good.json", command.ExitNoFindings, `{"findings":[]}`},
+		"invalid":             {"$/invalid.json", command.ExitFindings, "invalid.json:3: error: nodes reject the version"},
+		"difference":          {"$/next.json --against $/good.json", command.ExitFindings, "maximum header size 9, was 0"},
+		"no file":             {"$/lost.json", command.ExitUnreadable, "lost.json: no such file"},
+		"no file in force":    {"$/good.json --against $/lost.json", command.ExitUnreadable, "lost.json: no such file"},
+		"invalid in force":    {"$/good.json --against $/invalid.json", command.ExitUnreadable, "expected a version that nodes accept"},
+		"no argument":         {"", command.ExitUnreadable, "expected a file"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			code, stdout, stderr := run("config check " + strings.ReplaceAll(tc.args, "$", directory))
+			must.EqOp(t, tc.code, code)
+			must.StrContains(t, stdout+stderr, tc.text)
+		})
+	}
+}
+
+// Guards against fields that a pipeline reads and that are missing or renamed.
+func TestConfigCheckJSON(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "state.json")
+	must.NoError(t, os.WriteFile(path, []byte(`{"Version":1,"Resources":[
+		{"ResourceType":"Route"}]}`), 0o600))
+	_, stdout, _ := run("config check --json " + path)
+	var report map[string][]map[string]any
+	must.NoError(t, json.Unmarshal([]byte(stdout), &report))
+	must.Eq(t, map[string]any{
+		"file": path, "line": 2.0, "path": "Resources[0].ResourceType",
+		"severity": string(configcheck.Warning), "kind": string(configcheck.Ignored),
+		"message": `nodes ignore the unknown name "Route"`, "expected": "one of Routes, Services, Tenants, Limits", "meant": "Routes",
+	}, report["findings"][0])
+}
