Check a desired state against the one of a node

A pipeline does not always have the version in force as a file. The log service charges for reads, so the command asks a node: nodes serve the version in force at /lacewingslip/v1/desired-state of their operator address, in the form in which they exchange it, with digests in place of keys. TestNodesPassOnNoKeys reads that path too.

--- a/desired/desired.go
+++ b/desired/desired.go
@@ -17,6 +17,10 @@
 	"time"
 )
 
+// StatePath is the path at which a node serves the desired state in force on its operator
+// address, with digests in place of keys.
+const StatePath = "/lacewingslip/v1/desired-state"
+
 // Kind specifies whether a request may run more than once.
 type Kind uint8
 
--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -5,12 +5,18 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
+	"net/http"
+	"net/url"
 	"os"
+	"strings"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/lacewingslip/lacewingslip/configcheck"
+	"github.com/lacewingslip/lacewingslip/desired"
 )
 
 // Exit codes of "config check", which differ from those of the other commands.
@@ -26,10 +32,19 @@
 const configCheckDescription = `Checks a desired state in JSON before it is published: what nodes reject, entries
 that can never match or take effect, and limits that contradict each other. With
 --against, it also lists what changes by meaning from the version in force, and the
-effect on callers. Needs neither the log nor a node. Keys are shown as digests only.
+effect on callers. That version is a file, or the one of a node, by the URL of its
+operator address. Keys are shown as digests only.
 
-Exit codes: 0 no findings; 1 findings, of which differences are some; 2 a file can't
-be read, or nodes reject the one after --against, or wrong command line.`
+Exit codes: 0 no findings; 1 findings, of which differences are some; 2 a file or
+node can't be read, or nodes reject the one after --against, or wrong command line.`
+
+const (
+	// nodeTimeout limits the time in which a node sends its desired state.
+	nodeTimeout = 10 * time.Second
+	// maxStateBytes limits the size of that desired state. 5,000 workspaces with ten keys each
+	// have about 3 MB.
+	maxStateBytes = 64 << 20
+)
 
 func configCommand() *cli.Command {
 	return &cli.Command{
@@ -41,7 +56,7 @@
 			ArgsUsage:   "FILE",
 			Description: configCheckDescription,
 			Flags: []cli.Flag{
-				&cli.StringFlag{Name: "against", Usage: "`FILE` has the version in force", TakesFile: true},
+				&cli.StringFlag{Name: "against", Usage: "`FILE|URL` has the version in force, for example http://10.0.0.1:7104", TakesFile: true},
 				&cli.BoolFlag{Name: "json", Usage: "print JSON for scripts"},
 			},
 			Action: checkConfig,
@@ -53,7 +68,7 @@
 	Findings []configcheck.Finding `json:"findings"`
 }
 
-func checkConfig(_ context.Context, c *cli.Command) error {
+func checkConfig(ctx context.Context, c *cli.Command) error {
 	path, err := oneArgument(c, "a file")
 	if err != nil {
 		return err
@@ -64,7 +79,7 @@
 	}
 	report := configReport{Findings: append([]configcheck.Finding{}, document.Check()...)}
 	if inForcePath := c.String("against"); inForcePath != "" {
-		inForce, err := readDesiredState(inForcePath)
+		inForce, err := readInForce(ctx, inForcePath)
 		if err != nil {
 			return err
 		}
@@ -98,6 +113,43 @@
 	return err
 }
 
+// readInForce reads the version in force from a file or a node.
+func readInForce(ctx context.Context, place string) (document configcheck.Document, err error) {
+	if !strings.HasPrefix(place, "http://") && !strings.HasPrefix(place, "https://") {
+		return readDesiredState(place)
+	}
+	text, err := fetchDesiredState(ctx, place)
+	if err != nil {
+		return document, cli.Exit(fmt.Sprintf("read the desired state of the node %s: %v", place, err), ExitUnreadable)
+	}
+	return configcheck.Inspect(place, text), nil
+}
+
+func fetchDesiredState(ctx context.Context, address string) (text []byte, err error) {
+	target, err := url.JoinPath(address, desired.StatePath)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if text, err = io.ReadAll(io.LimitReader(resp.Body, maxStateBytes)); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("expected status 200, got %s: %.200s", resp.Status, strings.TrimSpace(string(text)))
+	}
+	return text, nil
+}
+
 func readDesiredState(path string) (document configcheck.Document, err error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/command/config_test.go
+++ b/internal/command/config_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -10,7 +12,9 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lacewingslip/lacewingslip/configcheck"
+	"github.com/lacewingslip/lacewingslip/desired"
 	"github.com/lacewingslip/lacewingslip/internal/command"
+	"github.com/lacewingslip/lacewingslip/platform"
 )
 
 // Guards against exit codes by which a pipeline publishes a version with findings, or stops
@@ -46,6 +50,30 @@
 	}
 }
 
+// Guards against differences between keys and the digests that a node sends for them, and
+// against a node without a version that is taken for one.
+func TestConfigCheckAgainstNode(t *testing.T) {
+	text := []byte(`{"Version":1,"Resources":[{"ResourceType":"Tenants","Metadata":{"Name":"w"},"Spec":{"ApiKeys":["k"]}}]}`)
+	path := filepath.Join(t.TempDir(), "state.json")
+	must.NoError(t, os.WriteFile(path, text, 0o600))
+	status := http.StatusOK
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+desired.StatePath, func(w http.ResponseWriter, _ *http.Request) {
+		digested, err := platform.WithKeyDigests(text)
+		must.NoError(t, err)
+		w.WriteHeader(status)
+		_, _ = w.Write(digested)
+	})
+	node := httptest.NewServer(mux)
+	defer node.Close()
+	code, stdout, stderr := run("config check " + path + " --against " + node.URL)
+	must.EqOp(t, command.ExitNoFindings, code, must.Sprint(stdout, stderr))
+	status = http.StatusServiceUnavailable
+	code, _, stderr = run("config check " + path + " --against " + node.URL)
+	must.EqOp(t, command.ExitUnreadable, code)
+	must.StrContains(t, stderr, "503")
+}
+
 // Guards against fields that a pipeline reads and that are missing or renamed.
 func TestConfigCheckJSON(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "state.json")
--- a/mesh/desired_state.go
+++ b/mesh/desired_state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,6 +73,18 @@
 	return current()
 }
 
+// serveDocument serves the state in force to operators.
+func (d *desiredState) serveDocument(w http.ResponseWriter, _ *http.Request) {
+	document := d.currentDocument()
+	if document == nil {
+		http.Error(w, "this node has no desired state", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// An error means that the client has disconnected.
+	_, _ = w.Write(document)
+}
+
 // withKeyDigests returns a function that returns a document for other nodes.
 func (d *desiredState) withKeyDigests(state *desired.State, document []byte) func() []byte {
 	if !state.HasWorkspaces() {
--- a/mesh/freshness_test.go
+++ b/mesh/freshness_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingslip/lacewingslip/desired"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
 	"github.com/lacewingslip/lacewingslip/timeline"
@@ -261,7 +262,7 @@
 		document := v.node.lifecycle.components.desired.currentDocument()
 		must.StrContains(t, string(document), "west")
 		operatorAddress := net.JoinHostPort(v.settings.IP, strconv.Itoa(v.settings.FirstPort))
-		for _, path := range []string{metricsPath, timeline.EventsPath} {
+		for _, path := range []string{metricsPath, timeline.EventsPath, desired.StatePath} {
 			response, err := http.Get("http://" + operatorAddress + path)
 			must.NoError(t, err)
 			body, err := io.ReadAll(response.Body)
--- a/mesh/servers.go
+++ b/mesh/servers.go
@@ -17,6 +17,7 @@
 
 	"github.com/lacewingslip/lacewingslip/call"
 	"github.com/lacewingslip/lacewingslip/clientlimit"
+	"github.com/lacewingslip/lacewingslip/desired"
 	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/follow"
 	"github.com/lacewingslip/lacewingslip/metrics"
@@ -116,6 +117,7 @@
 	operator := mux.NewRouter()
 	operator.Handle(metricsPath, m.Handler()).Methods(http.MethodGet)
 	operator.Handle(timeline.EventsPath, events.Handler()).Methods(http.MethodGet)
+	operator.HandleFunc(desired.StatePath, peer.desired.serveDocument).Methods(http.MethodGet)
 	s.all = []*http.Server{s.caller, peers, newServer(ready), newServer(announce), newServer(operator)}
 	for n, control := range []struct {
 		listener *net.Listener
