Check the product's own settings with config check

A pipeline with both kinds of configuration needed two commands with different exit codes and reports. A YAML file is now checked with its directory by settings.Parse, and the problems are printed in the form of the other findings.

--- a/configcheck/configcheck.go
+++ b/configcheck/configcheck.go
@@ -7,12 +7,14 @@
 //	findings := next.Check()
 //	findings = append(findings, next.Differences(inForce)...)
 //
-// Errors are found by the code with which nodes decode a desired state. The cost grows with
+// Errors are found by the code with which nodes decode a desired state, and those of the
+// product's own settings by the code with which nodes parse them. The cost grows with
 // the size of the document: 5,000 workspaces with ten keys each take well under a second.
 package configcheck
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -21,6 +23,7 @@
 
 	"github.com/lacewingslip/lacewingslip/desired"
 	"github.com/lacewingslip/lacewingslip/platform"
+	"github.com/lacewingslip/lacewingslip/settings"
 )
 
 // Severity states how a finding affects the version that has it.
@@ -70,6 +73,8 @@
 	File string `json:"file"`
 	// Line counts from 1.
 	Line int `json:"line"`
+	// Column counts from 1. It is 0 for a desired state.
+	Column int `json:"column,omitempty"`
 	// Path is the place in the document, such as "Resources[3].Spec.Host". It is empty for
 	// the whole document.
 	Path     string   `json:"path"`
@@ -84,6 +89,9 @@
 // String returns the finding as one line of text.
 func (f Finding) String() string {
 	text := fmt.Sprintf("%s:%d: ", f.File, f.Line)
+	if f.Column > 0 {
+		text = fmt.Sprintf("%s:%d:%d: ", f.File, f.Line, f.Column)
+	}
 	if f.Path != "" {
 		text += f.Path + ": "
 	}
@@ -98,6 +106,25 @@
 	return text
 }
 
+// CheckSettings returns the findings of a tree of settings: the problems for which nodes reject
+// it.
+func CheckSettings(root settings.File, branches ...settings.File) (findings []Finding, err error) {
+	_, err = settings.Parse(root, branches...)
+	var invalid *settings.InvalidError
+	if !errors.As(err, &invalid) {
+		return nil, err
+	}
+	for _, problem := range invalid.Problems() {
+		message, meant, _ := strings.Cut(problem.Message, "; did you mean ")
+		message, expected, _ := strings.Cut(message, "; expected ")
+		findings = append(findings, Finding{
+			File: problem.File, Line: problem.Line, Column: problem.Column, Severity: Error, Kind: Rejected,
+			Message: message, Expected: expected, Meant: strings.Trim(meant, `"?`),
+		})
+	}
+	return findings, nil
+}
+
 // Document is a desired state to be checked.
 type Document struct {
 	file string
--- a/configcheck/configcheck_test.go
+++ b/configcheck/configcheck_test.go
@@ -123,3 +123,26 @@
 		})
 	}
 }
+
+// The cost must not grow with the square of the number of workspaces.
+func BenchmarkCheckAndDifferences(b *testing.B) {
+	for _, workspaces := range []int{500, 5000} {
+		b.Run(fmt.Sprint(workspaces), func(b *testing.B) {
+			var resources []string
+			for n := range workspaces {
+				var keys []string
+				for k := range 10 {
+					keys = append(keys, fmt.Sprintf(`"key-%d-%d"`, n, k))
+				}
+				resources = append(resources, fmt.Sprintf(`Tenants w%d {"ApiKeys":[%s],"RatePerS":5,"Burst":5}`, n, strings.Join(keys, ",")))
+			}
+			before, after := state(1, resources...), state(2, resources[1:]...)
+			for b.Loop() {
+				d := configcheck.Inspect("after", after)
+				if len(d.Check()) > 0 || len(d.Differences(configcheck.Inspect("before", before))) == 0 {
+					b.Fatal("unexpected findings")
+				}
+			}
+		})
+	}
+}
--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"github.com/lacewingslip/lacewingslip/configcheck"
 	"github.com/lacewingslip/lacewingslip/desired"
+	"github.com/lacewingslip/lacewingslip/settings"
 )
 
 // Exit codes of "config check", which differ from those of the other commands.
@@ -35,6 +37,9 @@
 effect on callers. That version is a file, or the one of a node, by the URL of its
 operator address. Keys are shown as digests only.
 
+A FILE that ends in .yaml is one of the product's own settings. It is checked with the
+other files of its directory.
+
 Exit codes: 0 no findings; 1 findings, of which differences are some; 2 a file or
 node can't be read, or nodes reject the one after --against, or wrong command line.`
 
@@ -49,10 +54,10 @@
 func configCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "config",
-		Usage: "check the desired state of the users' platform",
+		Usage: "check a configuration before it is published",
 		Commands: []*cli.Command{{
 			Name:        "check",
-			Usage:       "check a desired state before it is published",
+			Usage:       "check a desired state (JSON) or settings (YAML)",
 			ArgsUsage:   "FILE",
 			Description: configCheckDescription,
 			Flags: []cli.Flag{
@@ -73,6 +78,9 @@
 	if err != nil {
 		return err
 	}
+	if filepath.Ext(path) == ".yaml" {
+		return checkSettingsTree(c, path)
+	}
 	document, err := readDesiredState(path)
 	if err != nil {
 		return err
@@ -88,19 +96,35 @@
 		}
 		report.Findings = append(report.Findings, document.Differences(inForce)...)
 	}
-	if err = writeFindings(c, path, report); err != nil {
-		return err
+	return writeFindings(c, path, report)
+}
+
+// checkSettingsTree checks the tree of settings that a file belongs to, because the rules for a
+// file depend on root.yaml.
+func checkSettingsTree(c *cli.Command, path string) error {
+	if c.String("against") != "" {
+		return usageError(c, "--against is for a desired state in JSON; see \"settings diff\"")
 	}
-	if len(report.Findings) > 0 {
-		return cli.Exit("", ExitFindings)
+	if _, err := os.Stat(path); err != nil {
+		return unreadable("settings", path, err)
+	}
+	root, branches, err := settings.ReadDirectory(filepath.Dir(path))
+	if err != nil {
+		return unreadable("settings", path, err)
 	}
-	return nil
+	findings, err := configcheck.CheckSettings(root, branches...)
+	if err != nil {
+		return err
+	}
+	return writeFindings(c, path, configReport{Findings: append([]configcheck.Finding{}, findings...)})
 }
 
+// writeFindings prints the findings and returns the exit code.
 func writeFindings(c *cli.Command, path string, report configReport) (err error) {
 	w := c.Root().Writer
 	if c.Bool("json") {
-		return json.NewEncoder(w).Encode(report)
+		err = json.NewEncoder(w).Encode(report)
+		return exitIfFindings(report, err)
 	}
 	for _, finding := range report.Findings {
 		if _, err = fmt.Fprintln(w, finding); err != nil {
@@ -110,9 +134,25 @@
 	if len(report.Findings) == 0 {
 		_, err = fmt.Fprintf(w, "%s: no findings\n", path)
 	}
+	return exitIfFindings(report, err)
+}
+
+func exitIfFindings(report configReport, err error) error {
+	if err == nil && len(report.Findings) > 0 {
+		return cli.Exit("", ExitFindings)
+	}
 	return err
 }
 
+// unreadable returns the error for a file that can't be read.
+func unreadable(what, path string, err error) error {
+	var pathError *fs.PathError
+	if errors.As(err, &pathError) {
+		path, err = pathError.Path, pathError.Err
+	}
+	return cli.Exit(fmt.Sprintf("read the %s %s: %v", what, path, err), ExitUnreadable)
+}
+
 // readInForce reads the version in force from a file or a node.
 func readInForce(ctx context.Context, place string) (document configcheck.Document, err error) {
 	if !strings.HasPrefix(place, "http://") && !strings.HasPrefix(place, "https://") {
@@ -153,11 +193,7 @@
 func readDesiredState(path string) (document configcheck.Document, err error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		var pathError *fs.PathError
-		if errors.As(err, &pathError) {
-			err = pathError.Err
-		}
-		return document, cli.Exit(fmt.Sprintf("read the desired state %s: %v", path, err), ExitUnreadable)
+		return document, unreadable("desired state", path, err)
 	}
 	return configcheck.Inspect(path, text), nil
 }
--- a/internal/command/config_test.go
+++ b/internal/command/config_test.go
@@ -25,6 +25,7 @@
 		"good.json":    `{"Version":1,"Resources":[]}`,
 		"next.json":    `{"Version":2,"Resources":[{"ResourceType":"Limits","Spec":{"MaxHeaderBytes":9}}]}`,
 		"invalid.json": "{\n\"Version\": 1,\n",
+		"root.yaml":    "team: {}\n",
 	} {
 		must.NoError(t, os.WriteFile(filepath.Join(directory, name), []byte(text), 0o600))
 	}
@@ -40,6 +41,9 @@
 		"no file":             {"$/lost.json", command.ExitUnreadable, "lost.json: no such file"},
 		"no file in force":    {"$/good.json --against $/lost.json", command.ExitUnreadable, "lost.json: no such file"},
 		"invalid in force":    {"$/good.json --against $/invalid.json", command.ExitUnreadable, "expected a version that nodes accept"},
+		"settings":            {"$/root.yaml", command.ExitFindings, `root.yaml:1:1: error: unknown key "team"`},
+		"no settings":         {"$/lost.yaml", command.ExitUnreadable, "lost.yaml: no such file"},
+		"settings against":    {"$/root.yaml --against $/good.json", command.ExitUnreadable, "settings diff"},
 		"no argument":         {"", command.ExitUnreadable, "expected a file"},
 	} {
 		t.Run(name, func(t *testing.T) {
