--- a/configcheck/configcheck.go
+++ b/configcheck/configcheck.go
@@ -9,7 +9,8 @@
 //
 // Errors are found by the code with which nodes decode a desired state, and those of the
 // product's own settings by the code with which nodes parse them. The cost grows with
-// the size of the document: 5,000 workspaces with ten keys each take well under a second.
+// the size of the document; to check and compare two with 5,000 workspaces of ten keys each
+// takes half a second.
 package configcheck
 
 import (
