Test old versions and numbers as keys in package configcheck

Removing the comparison of versions left the tests of the package green; TestOldVersion fails without it. The case of a number as a key guards the output only: encoding/json does not put a number that should be a string into its error, so the case passes without withoutValue too.

--- a/configcheck/configcheck_test.go
+++ b/configcheck/configcheck_test.go
@@ -80,6 +80,7 @@
 		"not a list":      state(1, tenant("a", `{"ApiKeys":"KEY"}`)),
 		"an object":       state(1, tenant("a", `{"ApiKeys":[{"KEY":1}]}`)),
 		"a wrong digest":  state(1, tenant("a", `{"ApiKeyDigests":["KEY"]}`)),
+		"a number":        state(1, tenant("a", `{"ApiKeys":[47110815.5]}`)),
 		"same key":        state(2, tenant("a", `{"ApiKeys":["KEY"]}`), tenant("b", `{"ApiKeys":["KEY","KEY"]}`)),
 		"a key as a name": state(2, tenant("a", `{"ApiKeys":["x"],"KEY":1}`)),
 		"syntax":          []byte(`{"Version":1,"Resources":[{"Spec":{"ApiKeys":["` + key + `"}}]}`),
@@ -88,6 +89,27 @@
 			d := configcheck.Inspect("f", document)
 			text := fmt.Sprint(d.Check(), d.Differences(configcheck.Inspect("g", state(1))), configcheck.Inspect("g", state(3)).Differences(d))
 			must.StrNotContains(t, text, key)
+			must.StrNotContains(t, text, "47110815")
+		})
+	}
+}
+
+// Guards against a version that is published in vain, because nodes have a higher one or
+// another one of the same number.
+func TestOldVersion(t *testing.T) {
+	inForce := configcheck.Inspect("f", state(3, `Services s {}`))
+	for name, tc := range map[string]struct {
+		document []byte
+		old      bool
+	}{
+		"lower":           {state(2, `Services s {}`), true},
+		"same, different": {state(3), true},
+		"same":            {state(3, `Services s {}`), false},
+		"higher":          {state(4), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			findings := configcheck.Inspect("f", tc.document).Differences(inForce)
+			must.Eq(t, tc.old, len(findings) > 0 && findings[0].Kind == configcheck.OldVersion)
 		})
 	}
 }
