--- a/mesh/balancer.go
+++ b/mesh/balancer.go
@@ -42,7 +42,7 @@
 // balancer chooses the node that a request is sent to and holds the connections
 // to all nodes.
 type balancer struct {
-	// limit is that of the connections for requests, or nil. It is set before the start.
+	// limit bounds the connections for requests, or is nil. It is set before the start.
 	limit    *hop.ConnectionLimit
 	settings nodeconfig.Config
 	events   eventRecorder
--- a/mesh/level_sources.go
+++ b/mesh/level_sources.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// recordAnswer records the result of a question. region is that of the node that has answered.
+// recordAnswer records the result of a question that a node of the region has answered.
 func (s *levelSources) recordAnswer(now time.Time, target pressure.Target, region string, known bool, hold time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -288,9 +288,10 @@
 type ConnectionSide string
 
 const (
-	// AcceptedConnections are those of clients.
+	// AcceptedConnections counts the connections that clients have opened.
 	AcceptedConnections ConnectionSide = "accepted"
-	// OwnConnections are those of this node for requests to the backend server and other nodes.
+	// OwnConnections counts the connections that this node has opened for requests, to the backend
+	// server and other nodes.
 	OwnConnections ConnectionSide = "own"
 )
 
--- a/throughput/level_questions_test.go
+++ b/throughput/level_questions_test.go
@@ -55,8 +55,8 @@
 }
 
 // Guards against an end that reaches ingress late over three hops: the levels at the bottom fall at
-// once, after an overload in which hardly any request is admitted. The time constants of the
-// averages are those of package pressure, one for each hop.
+// once, after an overload in which hardly any request is admitted. Each hop averages with the time
+// constant of package pressure.
 func TestEndReachesIngress(t *testing.T) {
 	const end, within, timeConstants = 4 * time.Second, 500 * time.Millisecond, 3 * 100 * time.Millisecond
 	for name, rate := range map[string]float64{"usual load": 1, "a tenth": 0.1} {
