Keep the links of routes that hardly run during an overload

The counts of a link decay with a mean age of 20 s. While most requests of a route were refused, the matches fell below the limit of three deviations, the link was removed, and the node still counted as one that knows the calls of the route. It then answered questions for levels with 0 although the service that it calls was overloaded. The same answer came from a node that had just started: ten runs are too few to show a link of which only one call in ten matches.

A link now stays until 100 runs have shown that it has ended: with fewer, the least share of matches that makes a link gives fewer than three. The calls of a route are known after 100 runs, and a route that has not run for three minutes is forgotten.

TestKnows fails without the change at run 11. The tests in mesh send 120 requests instead of 20, because the route has to be known.

--- a/calltree/calltree.go
+++ b/calltree/calltree.go
@@ -45,9 +45,9 @@
 	// minDeviations is the number of standard deviations by which the matches must
 	// exceed those expected by chance.
 	minDeviations = 3.0
-	// minRunsToKnow is the number of runs of a route after which its calls are known. Of a route
-	// that makes calls, nearly all of ten runs have made one.
-	minRunsToKnow = 10
+	// minRunsToKnow is the number of runs of a route that show its calls: with fewer, the matches
+	// of a link may be too few for minDeviations.
+	minRunsToKnow = minDeviations / minMatchesPerRun
 	// evaluationInterval is the time between two evaluations. Each of them
 	// multiplies the counts by decayFactor, which gives them a mean age of 20 s, so
 	// that links follow changes of the services.
@@ -78,14 +78,16 @@
 	runs     map[string]float64
 	counts   map[routePair]*matchCounts
 	children map[string][]string
-	// known has the routes of which enough requests have run since the start.
+	// started counts the runs of each route without decay, and known has the routes of which
+	// these were enough at an evaluation. Both forget a route that has not run for minutes.
+	started     map[string]int
 	known       map[string]struct{}
 	evaluatedAt time.Time
 }
 
 // NewLinks returns a table without links.
 func NewLinks() *Links {
-	return &Links{runs: make(map[string]float64), counts: make(map[routePair]*matchCounts), children: make(map[string][]string), known: make(map[string]struct{})}
+	return &Links{runs: make(map[string]float64), counts: make(map[routePair]*matchCounts), children: make(map[string][]string), started: make(map[string]int), known: make(map[string]struct{})}
 }
 
 // Start records that a request starts to run.
@@ -96,6 +98,7 @@
 	l.running = append(l.running, run)
 	if len(l.runs) < maxRoutes {
 		l.runs[route]++
+		l.started[route]++
 	}
 	return run
 }
@@ -154,8 +157,7 @@
 	return l.children[route]
 }
 
-// Knows reports whether enough requests of the route have run since the start for its calls to be
-// known.
+// Knows reports whether enough requests of the route have run for its calls to be known.
 func (l *Links) Knows(route string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -183,12 +185,26 @@
 			delete(l.counts, key)
 		}
 	}
+	// While most requests of a route are refused, its counts decay. Too few runs do not show that
+	// a link has ended.
+	for parent, routes := range l.children {
+		if n := l.runs[parent]; n == 0 || n >= minRunsToKnow {
+			continue
+		}
+		for _, child := range routes {
+			if !slices.Contains(children[parent], child) {
+				children[parent] = append(children[parent], child)
+			}
+		}
+	}
 	for route, n := range l.runs {
-		if n >= minRunsToKnow && len(l.known) < maxRoutes {
+		if l.started[route] >= minRunsToKnow {
 			l.known[route] = struct{}{}
 		}
 		if n *= decayFactor; n < 0.01 {
 			delete(l.runs, route)
+			delete(l.started, route)
+			delete(l.known, route)
 			continue
 		}
 		l.runs[route] = n
--- a/calltree/calltree_test.go
+++ b/calltree/calltree_test.go
@@ -77,6 +77,48 @@
 	must.SliceEmpty(t, links.Children("parent"))
 }
 
+// Plays a route of which nearly all requests are refused after a while. Guards against calls that
+// count as known to be none: before enough runs have shown those that match seldom, and because
+// the counts decay while hardly any request runs. Such a node would state a level of 0.
+func TestKnows(t *testing.T) {
+	links, now, runs := calltree.NewLinks(), time.Now(), 0
+	run := func(calls bool) {
+		runs++
+		now = now.Add(200 * time.Millisecond)
+		deadline := now.Add(time.Duration(runs) * time.Hour)
+		r := links.Start("parent", deadline)
+		if calls && runs%10 == 0 {
+			links.RecordCall("child", deadline)
+		}
+		links.End(r)
+		links.Tick(now)
+	}
+	for range 200 {
+		run(true)
+		must.True(t, !links.Knows("parent") || len(links.Children("parent")) > 0, must.Sprintf("run %d", runs))
+	}
+	must.True(t, links.Knows("parent"))
+	for range 600 {
+		now = now.Add(200 * time.Millisecond)
+		links.Tick(now)
+		must.Eq(t, []string{"child"}, links.Children("parent"))
+	}
+	// Runs without calls end the link, and a route that does not run any more is forgotten.
+	for range 600 {
+		for range 4 {
+			links.End(links.Start("parent", now))
+		}
+		run(false)
+	}
+	must.True(t, links.Knows("parent"))
+	must.SliceEmpty(t, links.Children("parent"))
+	for range 1500 {
+		now = now.Add(200 * time.Millisecond)
+		links.Tick(now)
+	}
+	must.False(t, links.Knows("parent"))
+}
+
 func TestCallers(t *testing.T) {
 	callers := calltree.NewCallers()
 	for n, service := range []string{"a", "b", "c", "d", "a", "b", "c", "d"} {
--- a/mesh/level_messages_test.go
+++ b/mesh/level_messages_test.go
@@ -27,12 +27,12 @@
 	d.publish(once("once"), operator.Route{Name: "lists", Service: "catalogue", Timeout: time.Second, Attempts: 2})
 	d.awaitConvergence()
 	entry, caller := d.vms[0], d.vms[1]
-	for n := range 20 {
+	for n := range 120 {
 		d.callWithin(entry, "/lists/", fmt.Sprintf("list-%d", n), time.Second)
 		d.callWithin(caller, "/once/", fmt.Sprintf("once-%d", n), time.Second)
 	}
 	links := caller.node.lifecycle.components.sidecar.links
-	for n := range 20 {
+	for n := range 120 {
 		deadline := time.Now().Add(time.Duration(n+1) * time.Hour)
 		run := links.Start("lists", deadline)
 		links.RecordCall("once", deadline)
@@ -138,7 +138,7 @@
 	v := d.vms[0]
 	d.publish(once("once"))
 	d.awaitConvergence()
-	for n := range 20 {
+	for n := range 120 {
 		d.callWithin(v, "/once/", fmt.Sprintf("once-%d", n), time.Second)
 	}
 	eventually(t, func() bool { return v.node.lifecycle.components.sidecar.links.Knows("once") })
