End questions between services that call each other

A node that is asked for the level of a route asks for the routes that it calls, also if it has no level itself. If the services of two routes call each other, each question caused the next one: the nodes asked each other without end after all levels had fallen to 0. While a level was above 0, each node stated the one that the other had stated, and since levels do not decay while answers state them, it never fell.

A question now has the routes whose levels depend on its answer. A node does not ask for a route that is among them, and answers that it does not know the level, which then decays as without questions. A path has at most 32 routes; the longest chains have 26 calls. At three hops, a path adds the names of at most two routes to a message.

TestQuestionsInLoopEnd and the case "loop" of TestLevelsEndpoint fail without the check of the path.

--- a/levelquery/levelquery.go
+++ b/levelquery/levelquery.go
@@ -19,9 +19,9 @@
 //
 // The node that is asked:
 //
-//	table.Want(now, targets)
+//	if !table.Want(now, target, path...) { answer that nothing is known }
 //	held := levelquery.Hold(now, recorded, hold)
-//	if held.Due(now, level, table.Known(now, targets)) { answer with the level }
+//	if held.Due(now, level, table.Known(now, target)) { answer with the level }
 package levelquery
 
 import (
@@ -58,6 +58,8 @@
 	knownTime = 1500 * time.Millisecond
 	// wantTime is for how long a node asks for a target after it has been asked for it.
 	wantTime = time.Second
+	// maxPath bounds the routes in the path of a question. The longest chains have 26 calls.
+	maxPath = 32
 	// forgetTime is the time without any event after which a target is forgotten.
 	forgetTime = 10 * time.Second
 	// maxTargets bounds the targets in memory.
@@ -86,6 +88,8 @@
 	askedAt     time.Time
 	open        bool
 	wantedUntil time.Time
+	// path has the routes whose levels are asked for while the target is wanted.
+	path []string
 	// knownUntil is until when the latest response or answer states the level.
 	knownUntil time.Time
 }
@@ -135,11 +139,27 @@
 	}
 }
 
-// Want records that another node has asked for something that depends on the target.
-func (t *Table) Want(now time.Time, at pressure.Target) {
+// Want records that another node has asked for something that depends on the target. path has the
+// routes whose levels depend on the answer, the one that was asked for first at the beginning. If
+// the target is among them, Want records nothing and reports false: services that call each other
+// would ask without end, and each would state the level that the other one has stated.
+func (t *Table) Want(now time.Time, at pressure.Target, path ...string) (ok bool) {
+	if len(path) > maxPath || slices.Contains(path, at.Route) {
+		return false
+	}
 	if state := t.target(at); state != nil {
-		state.wantedUntil = now.Add(wantTime)
+		state.wantedUntil, state.path = now.Add(wantTime), path
+	}
+	return true
+}
+
+// Path returns the path to state in a question for the target, which is empty if no other node
+// wants it.
+func (t *Table) Path(now time.Time, at pressure.Target) (path []string) {
+	if state := t.targets[at]; state != nil && now.Before(state.wantedUntil) {
+		return state.path
 	}
+	return nil
 }
 
 // Known reports whether a recent response or answer states the level of the target.
--- a/levelquery/levelquery_test.go
+++ b/levelquery/levelquery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -70,6 +71,37 @@
 	must.False(t, table.Known(now, target))
 }
 
+// Plays two nodes whose services call each other, after a level that both have recorded has ended.
+// Guards against questions that cause each other without end.
+func TestQuestionsInLoopEnd(t *testing.T) {
+	routes, now := []string{"lists", "entries"}, time.Now()
+	tables := []*levelquery.Table{levelquery.New(middle), levelquery.New(middle)}
+	var answers []func()
+	last := time.Duration(0)
+	for elapsed := time.Duration(0); elapsed < time.Minute; elapsed += tick {
+		now = now.Add(tick)
+		if elapsed%(levelquery.MinHold+tick) == 0 {
+			for _, answer := range answers {
+				answer()
+			}
+			answers = nil
+		}
+		for n, table := range tables {
+			asked := pressure.Target{Route: routes[1-n]}
+			var overloaded []pressure.Target
+			if elapsed < time.Second {
+				overloaded = append(overloaded, asked)
+			}
+			for _, target := range table.Due(now, overloaded) {
+				last = elapsed
+				tables[1-n].Want(now, pressure.Target{Route: routes[n]}, slices.Concat(table.Path(now, target), []string{target.Route})...)
+				answers = append(answers, func() { table.RecordAnswer(now, target, false, levelquery.MinHold) })
+			}
+		}
+	}
+	must.Between(t, 1, last, 10*time.Second)
+}
+
 // Guards against a node of an earlier version that is asked again within a second, or never.
 func TestUnsupported(t *testing.T) {
 	table, now := levelquery.New(middle), time.Now()
--- a/mesh/level_messages.go
+++ b/mesh/level_messages.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +42,8 @@
 type levelsRequest struct {
 	// Routes has the level that the asking node has recorded, by route.
 	Routes map[string]float64 `json:"routes"`
+	// Path has the routes whose levels depend on the answer, because nodes are asked for them.
+	Path []string `json:"path,omitempty"`
 	// HoldMs is how long the question may wait for a level that falls.
 	HoldMs int64 `json:"holdMs"`
 }
@@ -96,7 +99,9 @@
 	recorded := q.admission.levelOf(time.Now(), asked.target)
 	ctx, cancel := context.WithTimeout(ctx, hold+levelquery.AnswerTime)
 	defer cancel()
-	response, err := q.exchange(ctx, p, levelsRequest{Routes: map[string]float64{route: math.Round(recorded*levelScale) / levelScale}, HoldMs: hold.Milliseconds()})
+	response, err := q.exchange(ctx, p, levelsRequest{
+		Routes: map[string]float64{route: math.Round(recorded*levelScale) / levelScale}, Path: asked.path, HoldMs: hold.Milliseconds(),
+	})
 	now, answer := time.Now(), response.Levels[route]
 	known := err == nil && answer.Known && answer.Level >= 0 && answer.Level <= maxStatedLevel
 	switch {
@@ -185,7 +190,7 @@
 		levels = make(map[string]routeLevel, len(recorded))
 		due := len(recorded) == 0 || q.sidecar.stopping.Load()
 		for route := range recorded {
-			level := q.sidecar.knownLevel(now, route)
+			level := q.sidecar.knownLevel(now, route, received.Path)
 			levels[route] = level
 			due = held[route].Due(now, level.Level, level.Known) || due
 		}
@@ -201,12 +206,13 @@
 }
 
 // knownLevel returns the level of a route as responses state it, and asks for the levels of the
-// routes that it calls. A node that has run few requests of the route does not know these.
-func (s *sidecar) knownLevel(now time.Time, route string) routeLevel {
+// routes that it calls. A node that has run few requests of the route does not know these, and
+// neither does one whose answer would depend on the routes of the path.
+func (s *sidecar) knownLevel(now time.Time, route string, path []string) routeLevel {
 	if !s.links.Knows(route) {
 		return routeLevel{}
 	}
-	known := s.levelSources.want(now, s.links.Children(route))
+	known := s.levelSources.want(now, s.links.Children(route), slices.Concat(path, []string{route}))
 	return routeLevel{Level: math.Round(s.pressureLevel(route)*levelScale) / levelScale, Known: known}
 }
 
--- a/mesh/level_messages_test.go
+++ b/mesh/level_messages_test.go
@@ -132,7 +132,7 @@
 }
 
 // Guards against a node that does not understand later nodes, and one that states a level of 0 for
-// a route of which it knows nothing.
+// a route of which it knows nothing, or that depends on the route for which it is asked.
 func TestLevelsEndpoint(t *testing.T) {
 	d := newDeployment(t, "orders")
 	v := d.vms[0]
@@ -142,12 +142,23 @@
 		d.callWithin(v, "/once/", fmt.Sprintf("once-%d", n), time.Second)
 	}
 	eventually(t, func() bool { return v.node.lifecycle.components.sidecar.links.Knows("once") })
+	// The services of both routes call each other.
+	sidecar, until := v.node.lifecycle.components.sidecar, time.Now().Add(time.Hour)
+	for range 120 {
+		run := sidecar.links.Start("list", until)
+		sidecar.links.RecordCall("entry", until)
+		sidecar.links.End(run)
+	}
+	eventually(t, func() bool { return slices.Contains(sidecar.links.Children("list"), "entry") })
+	sidecar.levelSources.recordAnswer(time.Now(), pressure.Target{Route: "entry"}, "addis", true, time.Hour)
 	for name, c := range map[string]struct {
 		body, want string
 		status     int
 	}{
 		"known":           {`{"routes":{"once":0.5},"later":true}`, `{"node":%q,"levels":{"once":{"level":0,"known":true}}}`, http.StatusOK},
 		"nothing known":   {`{"routes":{"other":0.5}}`, `{"node":%q,"levels":{"other":{"level":0,"known":false}}}`, http.StatusOK},
+		"first of a path": {`{"routes":{"list":0.5}}`, `{"node":%q,"levels":{"list":{"level":0,"known":true}}}`, http.StatusOK},
+		"loop":            {`{"routes":{"list":0.5},"path":["entry"]}`, `{"node":%q,"levels":{"list":{"level":0,"known":false}}}`, http.StatusOK},
 		"not a message":   {`[]`, "", http.StatusBadRequest},
 		"too many routes": {tooManyRoutes(t), "", http.StatusBadRequest},
 	} {
--- a/mesh/level_sources.go
+++ b/mesh/level_sources.go
@@ -52,10 +52,12 @@
 	}
 }
 
-// question is a target to ask for, with the service that serves its route.
+// question is a target to ask for, with the service that serves its route and the path of
+// [levelsRequest].
 type question struct {
 	target  pressure.Target
 	service string
+	path    []string
 }
 
 // due returns the questions to send now.
@@ -63,21 +65,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, target := range s.table.Due(now, overloaded) {
-		due = append(due, question{target, s.services[target.Route]})
+		due = append(due, question{target, s.services[target.Route], s.table.Path(now, target)})
 	}
 	return due
 }
 
 // want records that another node asks for what depends on the routes, and reports whether their
-// levels are known.
-func (s *levelSources) want(now time.Time, routes []string) (known bool) {
+// levels are known. They are not if one of them is in the path.
+func (s *levelSources) want(now time.Time, routes, path []string) (known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known = true
 	for _, route := range routes {
 		target := pressure.Target{Route: route}
-		s.table.Want(now, target)
-		known = known && s.table.Known(now, target)
+		known = s.table.Want(now, target, path...) && s.table.Known(now, target) && known
 	}
 	return known
 }
