Run the replays of package throughput in parallel

The replays for questions play 56 runs of up to 44 s, one after the other.

The tests now run in parallel. Four baselines that several tests compare with are played once. Events are allocated once instead of twice, and the events that are left are released at the end of a run. The replays that two tests share are up to a second longer than before, so that these compare more.

--- a/throughput/level_questions_test.go
+++ b/throughput/level_questions_test.go
@@ -13,6 +13,7 @@
 // Guards against questions that cost goodput by worth, that delay the end of an overload, or that
 // are more than ten a second for each node.
 func TestQuestionsForLevels(t *testing.T) {
+	t.Parallel()
 	// The faults of 2 and 4 s end before the budget is used up. What is gained there is less than
 	// the difference between two seeds, so several are added.
 	const one, several = 1, 5
@@ -34,9 +35,10 @@
 		"slots, 8.5 s":           {load{1, faultEnd, 0, true}, one},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			worthBefore, worthNow := 0, 0
 			for seed := uint64(1); seed <= c.seeds; seed++ {
-				before, now := c.play(seed, true, false), c.play(seed, true, true)
+				before, now := c.baseline(seed), c.play(seed, true, true)
 				before.report(t, "before", c.seconds())
 				now.report(t, "now", c.seconds())
 				busiest := 0
@@ -58,9 +60,11 @@
 // once, after an overload in which hardly any request is admitted. The time constants of the
 // averages are those of package pressure, one for each hop.
 func TestEndReachesIngress(t *testing.T) {
+	t.Parallel()
 	const end, within, timeConstants = 4 * time.Second, 500 * time.Millisecond, 3 * 100 * time.Millisecond
 	for name, rate := range map[string]float64{"usual load": 1, "a tenth": 0.1} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			level := func(asks bool) (mean float64) {
 				s := newSimulation(1, rejecting(0, 0), true, true)
 				s.rate = rate
@@ -88,6 +92,7 @@
 
 // Guards against questions while all levels are 0.
 func TestNoQuestionsWithoutLevel(t *testing.T) {
+	t.Parallel()
 	s := load{1, 2 * time.Second, 0, false}.playRejecting(0.05)
 	must.Zero(t, s.questions.sent)
 }
--- a/throughput/questions_test.go
+++ b/throughput/questions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/levelquery"
@@ -244,6 +245,21 @@
 	return s
 }
 
+// baselines has the replays that several tests compare with.
+var baselines sync.Map
+
+// baseline replays the load without questions and with calls at once, or returns the replay of
+// another test.
+func (l load) baseline(seed uint64) *simulation {
+	l.lost = 0
+	type key struct {
+		load
+		seed uint64
+	}
+	played, _ := baselines.LoadOrStore(key{l, seed}, sync.OnceValue(func() *simulation { return l.play(seed, true, false) }))
+	return played.(func() *simulation)()
+}
+
 // playRejecting replays the load with questions and another rejected share.
 func (l load) playRejecting(share float64) *simulation {
 	s := newSimulation(1, rejecting(share, l.fault), true, true)
--- a/throughput/simulation_test.go
+++ b/throughput/simulation_test.go
@@ -48,15 +48,17 @@
 	do func()
 }
 
-type events []event
+// events has pointers, which container/heap takes and returns without an allocation.
+type events []*event
 
 func (e events) Len() int           { return len(e) }
 func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
 func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Push(x any)        { *e = append(*e, x.(*event)) }
 func (e *events) Pop() (last any) {
-	last = (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
+	n := len(*e) - 1
+	last, (*e)[n] = (*e)[n], nil
+	*e = (*e)[:n]
 	return last
 }
 
@@ -126,7 +128,7 @@
 
 func (s *simulation) time() time.Time { return s.start.Add(s.now) }
 
-func (s *simulation) after(d time.Duration, do func()) { heap.Push(&s.events, event{s.now + d, do}) }
+func (s *simulation) after(d time.Duration, do func()) { heap.Push(&s.events, &event{s.now + d, do}) }
 
 // run plays the time from the end of the warm-up.
 func (s *simulation) run(d time.Duration) {
@@ -135,10 +137,11 @@
 	}
 	s.after(tick, s.tick)
 	for s.now < warmUp+d {
-		e := heap.Pop(&s.events).(event)
+		e := heap.Pop(&s.events).(*event)
 		s.now = e.at
 		e.do()
 	}
+	s.events = nil
 }
 
 func (s *simulation) tick() {
--- a/throughput/throughput_test.go
+++ b/throughput/throughput_test.go
@@ -15,11 +15,18 @@
 // them fail, against refusals of routes that are more important or do not need the service,
 // against a level that takes effect late, oscillates or stays after the end.
 func TestServiceThatRejectsHalf(t *testing.T) {
+	t.Parallel()
 	for name, parallel := range map[string]bool{"calls one after the other": false, "calls at once": true} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			const seconds = 12
 			before := play(rejecting(0.55, faultEnd), false, parallel, seconds)
-			now := play(rejecting(0.55, faultEnd), true, parallel, seconds)
+			var now *simulation
+			if parallel {
+				now = load{rate: 1, fault: faultEnd}.baseline(1)
+			} else {
+				now = play(rejecting(0.55, faultEnd), true, parallel, seconds)
+			}
 			before.report(t, "before, fault", 9)
 			now.report(t, "now, fault", 9)
 			before.report(t, "before, with 3 s after it", seconds)
@@ -49,6 +56,7 @@
 // Guards against any difference for services that reject a share that retries make up for, and
 // for those of which single servers fail.
 func TestFailuresThatRetriesCarry(t *testing.T) {
+	t.Parallel()
 	for name, rejected := range map[string]func(time.Duration, int) float64{
 		"a small share":       rejecting(0.05, faultEnd),
 		"as much as possible": rejecting(0.15, faultEnd),
@@ -60,6 +68,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			before, now := play(rejected, false, true, 10), play(rejected, true, true, 10)
 			must.Eq(t, before.offered, now.admitted)
 			must.Eq(t, before.succeeded, now.succeeded)
@@ -71,9 +80,10 @@
 // for the rest, against refusing all of the least important route meanwhile, and against refusals
 // that go on after the end.
 func TestBudgetThatRunsOut(t *testing.T) {
+	t.Parallel()
 	const end = 16
 	before := play(rejecting(0.55, end*time.Second), false, true, end+3)
-	now := play(rejecting(0.55, end*time.Second), true, true, end+3)
+	now := load{rate: 1, fault: end * time.Second}.baseline(1)
 	before.report(t, "before", end)
 	now.report(t, "now", end)
 	must.Greater(t, 1.3*float64(sum(before.succeeded[register.name], 0, end)), float64(sum(now.succeeded[register.name], 0, end)))
@@ -87,6 +97,7 @@
 // against a level that changes between all and none, so that those admitted at the wrong time
 // fail: refusals end the rejections that cause them.
 func TestServiceThatRejectsForLoad(t *testing.T) {
+	t.Parallel()
 	const acceptedPerS, seconds = 5000, 10
 	limited := func() func(time.Duration, int) float64 {
 		tokens, last := 0.0, time.Duration(0)
