Bound held questions by the connections kept for other nodes

Each question that waits at a node keeps one of the connections of the port for other nodes. Up to 256 could wait whatever the limit of descriptors. With 1,024 descriptors, 154 connections are kept for that port, so that questions could take all of them, and requests of nodes that connect then had to displace others or were refused.

At most half of the kept connections may now wait with a question, and at most 256.

TestHeldQuestionsLeaveConnections fails without the bound for 400 descriptors with 18 held questions.

--- a/mesh/client_connections.go
+++ b/mesh/client_connections.go
@@ -30,13 +30,18 @@
 	if settings.Descriptors <= 0 {
 		return nil
 	}
-	limit := acceptedRatio * float64(max(settings.Descriptors-fileDescriptors, settings.Descriptors/2))
+	limit := acceptedConnections(settings)
 	forwarding, control := int(limit*forwardingReserveRatio), int(limit*controlPortReserveRatio)
 	return clientlimit.NewConnectionBudget(int(limit), map[clientlimit.Port]int{
 		callerPort: forwarding, peerPort: forwarding, announcePort: control, readyPort: control, operatorPort: control,
 	}, headerTimeout)
 }
 
+// acceptedConnections returns how many connections of clients may be open at all ports.
+func acceptedConnections(settings nodeconfig.Config) float64 {
+	return acceptedRatio * float64(max(settings.Descriptors-fileDescriptors, settings.Descriptors/2))
+}
+
 // clientConnection is what a connection holds of the budget of connections. The mutex of the
 // connection guards it.
 type clientConnection struct {
--- a/mesh/level_messages.go
+++ b/mesh/level_messages.go
@@ -31,6 +31,9 @@
 	// maxHeldQuestions bounds the questions that wait at a node. Of 1,100 nodes, some 40 ask
 	// each of 28 nodes of a service for one route.
 	maxHeldQuestions = 256
+	// heldReserveRatio is the part of the connections kept for other nodes that may wait with a
+	// question, so that requests of these find room.
+	heldReserveRatio = 1.0 / 2
 	// maxLevelsBytes and maxLevelRoutes limit a message.
 	maxLevelsBytes = 64 << 10
 	maxLevelRoutes = 16
@@ -68,12 +71,18 @@
 	sidecar   *sidecar
 	metrics   *metrics.Metrics
 	client    *http.Client
-	held      atomic.Int64
+	// held is the number of questions that wait, each of which keeps a connection open.
+	held    atomic.Int64
+	maxHeld int64
 }
 
 func newLevelQuestions(settings nodeconfig.Config, a *customerAdmission, b *balancer, s *sidecar, m *metrics.Metrics) *levelQuestions {
+	maxHeld := int64(maxHeldQuestions)
+	if settings.Descriptors > 0 {
+		maxHeld = min(maxHeld, int64(acceptedConnections(settings)*forwardingReserveRatio*heldReserveRatio))
+	}
 	return &levelQuestions{
-		settings: settings, admission: a, balancer: b, sidecar: s, metrics: m,
+		maxHeld: maxHeld, settings: settings, admission: a, balancer: b, sidecar: s, metrics: m,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: hop.Dialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: levelsIdleTimeout, DisableCompression: true,
 		}},
@@ -150,7 +159,7 @@
 // ServeHTTP answers a node that asks for levels, once a level has fallen or the hold ends.
 func (q *levelQuestions) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer q.held.Add(-1)
-	if q.held.Add(1) > maxHeldQuestions {
+	if q.held.Add(1) > q.maxHeld {
 		http.Error(w, "too many questions for levels wait at this node", http.StatusServiceUnavailable)
 		return
 	}
--- a/mesh/level_messages_test.go
+++ b/mesh/level_messages_test.go
@@ -16,6 +16,7 @@
 	"github.com/lacewingslip/lacewingslip/calltree"
 	"github.com/lacewingslip/lacewingslip/fleet"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
+	"github.com/lacewingslip/lacewingslip/nodeconfig"
 	"github.com/lacewingslip/lacewingslip/pressure"
 )
 
@@ -178,6 +179,30 @@
 	}
 }
 
+// Guards against held questions that take the connections which requests of other nodes need.
+func TestHeldQuestionsLeaveConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		descriptors int
+		held        int64
+		status      int
+	}{
+		// Of 200 descriptors for connections, 150 are for clients, and 37 of these for other nodes.
+		"few descriptors, few held":  {400, 17, http.StatusBadRequest},
+		"few descriptors, many held": {400, 18, http.StatusServiceUnavailable},
+		"many descriptors":           {1 << 20, 255, http.StatusBadRequest},
+		"unlimited":                  {0, 256, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := newLevelQuestions(nodeconfig.Config{Descriptors: c.descriptors}, nil, nil, nil, nil)
+			q.held.Store(c.held)
+			w := httptest.NewRecorder()
+			q.ServeHTTP(w, httptest.NewRequest(http.MethodPost, levelsPath, bytes.NewBufferString("[]")))
+			must.Eq(t, c.status, w.Code)
+			must.Eq(t, c.held, q.held.Load())
+		})
+	}
+}
+
 func tooManyRoutes(t *testing.T) string {
 	routes := make(map[string]float64)
 	for n := range maxLevelRoutes + 1 {
