State no level at a node that gets no more requests

A node that is stopping, or whose backend server is leaving, gets no more requests of its service. Its own level then falls to 0 or stays as it was, whatever the load of the service is. It answered questions that it held with that level as a known one, so that the nodes that had asked admitted all requests at once.

Such a node now answers at once that it does not know the level, and another node is asked.

TestLeavingNodeKnowsNoLevel fails without the change for both cases.

--- a/mesh/level_messages.go
+++ b/mesh/level_messages.go
@@ -197,7 +197,7 @@
 	for {
 		now = time.Now()
 		levels = make(map[string]routeLevel, len(recorded))
-		due := len(recorded) == 0 || q.sidecar.stopping.Load()
+		due := len(recorded) == 0 || !q.sidecar.takesRequests()
 		for route := range recorded {
 			level := q.sidecar.knownLevel(now, route, received.Path)
 			levels[route] = level
@@ -216,15 +216,21 @@
 
 // knownLevel returns the level of a route as responses state it, and asks for the levels of the
 // routes that it calls. A node that has run few requests of the route does not know these, and
-// neither does one whose answer would depend on the routes of the path.
+// neither does one whose answer would depend on the routes of the path, or that gets no requests
+// because it or its backend server is leaving: its own level falls or stays whatever the load is.
 func (s *sidecar) knownLevel(now time.Time, route string, path []string) routeLevel {
-	if !s.links.Knows(route) {
+	if !s.takesRequests() || !s.links.Knows(route) {
 		return routeLevel{}
 	}
 	known := s.levelSources.want(now, s.links.Children(route), slices.Concat(path, []string{route}))
 	return routeLevel{Level: math.Round(s.pressureLevel(route)*levelScale) / levelScale, Known: known}
 }
 
+// takesRequests reports whether the node and its backend server take requests.
+func (s *sidecar) takesRequests() bool {
+	return !s.stopping.Load() && s.tracker.Server().TakesWork()
+}
+
 // levelPeer returns a random node of the service that is asked for a level, or false if there is
 // none in the region: nodes of the own zone first, then those of the own region. Any region is
 // meant if it is "". hold is how long the question may be held.
--- a/mesh/level_messages_test.go
+++ b/mesh/level_messages_test.go
@@ -179,6 +179,27 @@
 	}
 }
 
+// Guards against a node that states the level of a service whose requests it does not get any more,
+// because it or its backend server is leaving.
+func TestLeavingNodeKnowsNoLevel(t *testing.T) {
+	for name, leave := range map[string]func(d *deployment, v *vm){
+		"node":           func(_ *deployment, v *vm) { v.node.lifecycle.components.sidecar.stopping.Store(true) },
+		"backend server": func(d *deployment, v *vm) { d.announce(v, "draining") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, "orders")
+			q := d.vms[0].node.lifecycle.components.levels
+			for range 120 {
+				q.sidecar.links.End(q.sidecar.links.Start("once", time.Now()))
+			}
+			question := levelsRequest{Routes: map[string]float64{"once": 0.5}}
+			eventually(t, func() bool { return q.awaitLevels(t.Context(), question)["once"].Known })
+			leave(d, d.vms[0])
+			must.Eq(t, map[string]routeLevel{"once": {}}, q.awaitLevels(t.Context(), question))
+		})
+	}
+}
+
 // Guards against held questions that take the connections which requests of other nodes need.
 func TestHeldQuestionsLeaveConnections(t *testing.T) {
 	for name, c := range map[string]struct {
