--- a/mesh/client_connections.go
+++ b/mesh/client_connections.go
@@ -37,13 +37,18 @@
 	if settings.Descriptors <= 0 {
 		return nil
 	}
-	limit := acceptedRatio * socketDescriptors(settings)
+	limit := acceptedConnections(settings)
 	forwarding, control := int(limit*forwardingReserveRatio), int(limit*controlPortReserveRatio)
 	return clientlimit.NewConnectionBudget(int(limit), map[clientlimit.Port]int{
 		callerPort: forwarding, peerPort: forwarding, announcePort: control, readyPort: control, operatorPort: control,
 	}, headerTimeout)
 }
 
+// acceptedConnections returns how many connections of clients may be open at all ports.
+func acceptedConnections(settings nodeconfig.Config) float64 {
+	return acceptedRatio * socketDescriptors(settings)
+}
+
 // socketDescriptors returns the number of descriptors that are not kept for files.
 func socketDescriptors(settings nodeconfig.Config) float64 {
 	return float64(max(settings.Descriptors-fileDescriptors, settings.Descriptors/2))
--- a/mesh/level_messages.go
+++ b/mesh/level_messages.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,9 @@
 	// maxHeldQuestions bounds the questions that wait at a node. Of 1,100 nodes, some 40 ask
 	// each of 28 nodes of a service for one route.
 	maxHeldQuestions = 256
+	// heldReserveRatio is the part of the connections kept for other nodes that may wait with a
+	// question, so that requests of these find room.
+	heldReserveRatio = 1.0 / 2
 	// maxLevelsBytes and maxLevelRoutes limit a message.
 	maxLevelsBytes = 64 << 10
 	maxLevelRoutes = 16
@@ -41,6 +45,8 @@
 type levelsRequest struct {
 	// Routes has the level that the asking node has recorded, by route.
 	Routes map[string]float64 `json:"routes"`
+	// Path has the routes whose levels depend on the answer, because nodes are asked for them.
+	Path []string `json:"path,omitempty"`
 	// HoldMs is how long the question may wait for a level that falls.
 	HoldMs int64 `json:"holdMs"`
 }
@@ -65,12 +71,18 @@
 	sidecar   *sidecar
 	metrics   *metrics.Metrics
 	client    *http.Client
-	held      atomic.Int64
+	// held is the number of questions that wait, each of which keeps a connection open.
+	held    atomic.Int64
+	maxHeld int64
 }
 
 func newLevelQuestions(settings nodeconfig.Config, a *customerAdmission, b *balancer, s *sidecar, m *metrics.Metrics) *levelQuestions {
+	maxHeld := int64(maxHeldQuestions)
+	if settings.Descriptors > 0 {
+		maxHeld = min(maxHeld, int64(acceptedConnections(settings)*forwardingReserveRatio*heldReserveRatio))
+	}
 	return &levelQuestions{
-		settings: settings, admission: a, balancer: b, sidecar: s, metrics: m,
+		maxHeld: maxHeld, settings: settings, admission: a, balancer: b, sidecar: s, metrics: m,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: hop.Dialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: levelsIdleTimeout, DisableCompression: true,
 		}},
@@ -96,7 +108,9 @@
 	recorded := q.admission.levelOf(time.Now(), asked.target)
 	ctx, cancel := context.WithTimeout(ctx, hold+levelquery.AnswerTime)
 	defer cancel()
-	response, err := q.exchange(ctx, p, levelsRequest{Routes: map[string]float64{route: math.Round(recorded*levelScale) / levelScale}, HoldMs: hold.Milliseconds()})
+	response, err := q.exchange(ctx, p, levelsRequest{
+		Routes: map[string]float64{route: math.Round(recorded*levelScale) / levelScale}, Path: asked.path, HoldMs: hold.Milliseconds(),
+	})
 	now, answer := time.Now(), response.Levels[route]
 	known := err == nil && answer.Known && answer.Level >= 0 && answer.Level <= maxStatedLevel
 	switch {
@@ -145,7 +159,7 @@
 // ServeHTTP answers a node that asks for levels, once a level has fallen or the hold ends.
 func (q *levelQuestions) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer q.held.Add(-1)
-	if q.held.Add(1) > maxHeldQuestions {
+	if q.held.Add(1) > q.maxHeld {
 		http.Error(w, "too many questions for levels wait at this node", http.StatusServiceUnavailable)
 		return
 	}
@@ -183,9 +197,9 @@
 	for {
 		now = time.Now()
 		levels = make(map[string]routeLevel, len(recorded))
-		due := len(recorded) == 0 || q.sidecar.stopping.Load()
+		due := len(recorded) == 0 || !q.sidecar.takesRequests()
 		for route := range recorded {
-			level := q.sidecar.knownLevel(now, route)
+			level := q.sidecar.knownLevel(now, route, received.Path)
 			levels[route] = level
 			due = held[route].Due(now, level.Level, level.Known) || due
 		}
@@ -201,15 +215,22 @@
 }
 
 // knownLevel returns the level of a route as responses state it, and asks for the levels of the
-// routes that it calls. A node that has run few requests of the route does not know these.
-func (s *sidecar) knownLevel(now time.Time, route string) routeLevel {
-	if !s.links.Knows(route) {
+// routes that it calls. A node that has run few requests of the route does not know these, and
+// neither does one whose answer would depend on the routes of the path, or that gets no requests
+// because it or its backend server is leaving: its own level falls or stays whatever the load is.
+func (s *sidecar) knownLevel(now time.Time, route string, path []string) routeLevel {
+	if !s.takesRequests() || !s.links.Knows(route) {
 		return routeLevel{}
 	}
-	known := s.levelSources.want(now, s.links.Children(route))
+	known := s.levelSources.want(now, s.links.Children(route), slices.Concat(path, []string{route}))
 	return routeLevel{Level: math.Round(s.pressureLevel(route)*levelScale) / levelScale, Known: known}
 }
 
+// takesRequests reports whether the node and its backend server take requests.
+func (s *sidecar) takesRequests() bool {
+	return !s.stopping.Load() && s.tracker.Server().TakesWork()
+}
+
 // levelPeer returns a random node of the service that is asked for a level, or false if there is
 // none in the region: nodes of the own zone first, then those of the own region. Any region is
 // meant if it is "". hold is how long the question may be held.
--- a/mesh/level_messages_test.go
+++ b/mesh/level_messages_test.go
@@ -16,6 +16,7 @@
 	"github.com/lacewingslip/lacewingslip/calltree"
 	"github.com/lacewingslip/lacewingslip/fleet"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
+	"github.com/lacewingslip/lacewingslip/nodeconfig"
 	"github.com/lacewingslip/lacewingslip/pressure"
 )
 
@@ -27,12 +28,12 @@
 	d.publish(once("once"), operator.Route{Name: "lists", Service: "catalogue", Timeout: time.Second, Attempts: 2})
 	d.awaitConvergence()
 	entry, caller := d.vms[0], d.vms[1]
-	for n := range 20 {
+	for n := range 120 {
 		d.callWithin(entry, "/lists/", fmt.Sprintf("list-%d", n), time.Second)
 		d.callWithin(caller, "/once/", fmt.Sprintf("once-%d", n), time.Second)
 	}
 	links := caller.node.lifecycle.components.sidecar.links
-	for n := range 20 {
+	for n := range 120 {
 		deadline := time.Now().Add(time.Duration(n+1) * time.Hour)
 		run := links.Start("lists", deadline)
 		links.RecordCall("once", deadline)
@@ -132,22 +133,33 @@
 }
 
 // Guards against a node that does not understand later nodes, and one that states a level of 0 for
-// a route of which it knows nothing.
+// a route of which it knows nothing, or that depends on the route for which it is asked.
 func TestLevelsEndpoint(t *testing.T) {
 	d := newDeployment(t, "orders")
 	v := d.vms[0]
 	d.publish(once("once"))
 	d.awaitConvergence()
-	for n := range 20 {
+	for n := range 120 {
 		d.callWithin(v, "/once/", fmt.Sprintf("once-%d", n), time.Second)
 	}
 	eventually(t, func() bool { return v.node.lifecycle.components.sidecar.links.Knows("once") })
+	// The services of both routes call each other.
+	sidecar, until := v.node.lifecycle.components.sidecar, time.Now().Add(time.Hour)
+	for range 120 {
+		run := sidecar.links.Start("list", until)
+		sidecar.links.RecordCall("entry", until)
+		sidecar.links.End(run)
+	}
+	eventually(t, func() bool { return slices.Contains(sidecar.links.Children("list"), "entry") })
+	sidecar.levelSources.recordAnswer(time.Now(), pressure.Target{Route: "entry"}, "addis", true, time.Hour)
 	for name, c := range map[string]struct {
 		body, want string
 		status     int
 	}{
 		"known":           {`{"routes":{"once":0.5},"later":true}`, `{"node":%q,"levels":{"once":{"level":0,"known":true}}}`, http.StatusOK},
 		"nothing known":   {`{"routes":{"other":0.5}}`, `{"node":%q,"levels":{"other":{"level":0,"known":false}}}`, http.StatusOK},
+		"first of a path": {`{"routes":{"list":0.5}}`, `{"node":%q,"levels":{"list":{"level":0,"known":true}}}`, http.StatusOK},
+		"loop":            {`{"routes":{"list":0.5},"path":["entry"]}`, `{"node":%q,"levels":{"list":{"level":0,"known":false}}}`, http.StatusOK},
 		"not a message":   {`[]`, "", http.StatusBadRequest},
 		"too many routes": {tooManyRoutes(t), "", http.StatusBadRequest},
 	} {
@@ -167,6 +179,51 @@
 	}
 }
 
+// Guards against a node that states the level of a service whose requests it does not get any more,
+// because it or its backend server is leaving.
+func TestLeavingNodeKnowsNoLevel(t *testing.T) {
+	for name, leave := range map[string]func(d *deployment, v *vm){
+		"node":           func(_ *deployment, v *vm) { v.node.lifecycle.components.sidecar.stopping.Store(true) },
+		"backend server": func(d *deployment, v *vm) { d.announce(v, "draining") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, "orders")
+			q := d.vms[0].node.lifecycle.components.levels
+			for range 120 {
+				q.sidecar.links.End(q.sidecar.links.Start("once", time.Now()))
+			}
+			question := levelsRequest{Routes: map[string]float64{"once": 0.5}}
+			eventually(t, func() bool { return q.awaitLevels(t.Context(), question)["once"].Known })
+			leave(d, d.vms[0])
+			must.Eq(t, map[string]routeLevel{"once": {}}, q.awaitLevels(t.Context(), question))
+		})
+	}
+}
+
+// Guards against held questions that take the connections which requests of other nodes need.
+func TestHeldQuestionsLeaveConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		descriptors int
+		held        int64
+		status      int
+	}{
+		// Of 200 descriptors for connections, 150 are for clients, and 37 of these for other nodes.
+		"few descriptors, few held":  {400, 17, http.StatusBadRequest},
+		"few descriptors, many held": {400, 18, http.StatusServiceUnavailable},
+		"many descriptors":           {1 << 20, 255, http.StatusBadRequest},
+		"unlimited":                  {0, 256, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := newLevelQuestions(nodeconfig.Config{Descriptors: c.descriptors}, nil, nil, nil, nil)
+			q.held.Store(c.held)
+			w := httptest.NewRecorder()
+			q.ServeHTTP(w, httptest.NewRequest(http.MethodPost, levelsPath, bytes.NewBufferString("[]")))
+			must.Eq(t, c.status, w.Code)
+			must.Eq(t, c.held, q.held.Load())
+		})
+	}
+}
+
 func tooManyRoutes(t *testing.T) string {
 	routes := make(map[string]float64)
 	for n := range maxLevelRoutes + 1 {
