Let reservations use half of a budget beside the reserves of other ports

Reserve added the unused reserves of the other ports to what is used before it compared the sum with half of the budget.

A reservation is now refused if more than half of the budget would be used, or if it would take from the reserves of other ports.

--- a/clientlimit/reserve.go
+++ b/clientlimit/reserve.go
@@ -2,7 +2,7 @@
 
 // Reserve sets what a kept account holds, without turning others away. An increase is refused
 // if it would use more than half of the budget, which leaves room for what must be admitted
-// rather than postponed.
+// rather than postponed, or if it would use the reserves of other ports.
 func (a *Account) Reserve(held int64) (ok bool) {
 	b := a.budget
 	if b == nil {
@@ -11,7 +11,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	added := held - a.held
-	if added > 0 && b.used-b.leaving+b.reservedBeside(a.port)+added > b.limit/2 {
+	used := b.used - b.leaving + added
+	if added > 0 && (used > b.limit/2 || used+b.reservedBeside(a.port) > b.limit) {
 		return false
 	}
 	a.held = held
