Record crashes of requests whose response is dropped

The panic of a request that had started ahead was recorded when its response was written. If the connection ended before that, because an earlier response was cut or the client disconnected, no event stated the crash.

The crash is now recorded when the handler panics, once, and the writing of the response only ends the connection. The comment on the wait of a long response is corrected: the slot of the backend server is free by then.

TestPipelinedCrashIsRecorded fails without the change (0 events, dropped).

--- a/mesh/crashed_handler.go
+++ b/mesh/crashed_handler.go
@@ -20,11 +20,9 @@
 	if cause == http.ErrAbortHandler { //nolint:errorlint // The value is compared as net/http does.
 		panic(http.ErrAbortHandler)
 	}
-	stack := debug.Stack()
-	if crash, ok := cause.(*startedCrash); ok {
-		stack = crash.stack
+	if cause != errStartedCrash { //nolint:errorlint // Only this value means that it has been recorded.
+		s.recordCrash(id, cause)
 	}
-	s.record(event.CallCrashed, attrRequest(id), attrDetail(fmt.Sprint(cause)), slog.String("stack", string(stack)))
 	c.dropStarted()
 	if w.started {
 		panic(http.ErrAbortHandler)
@@ -39,6 +37,11 @@
 	c.endHandler()
 }
 
+// recordCrash records the panic of a handler. It must be called while the goroutine panics.
+func (s *connections) recordCrash(id string, cause any) {
+	s.record(event.CallCrashed, attrRequest(id), attrDetail(fmt.Sprint(cause)), slog.String("stack", string(debug.Stack())))
+}
+
 // startedWriter records whether an answer has been started.
 type startedWriter struct {
 	http.ResponseWriter
--- a/mesh/pipelining.go
+++ b/mesh/pipelining.go
@@ -27,11 +27,13 @@
 	repeatable func(host, target string) bool
 	// handler processes the requests that start ahead.
 	handler http.Handler
+	// recordCrash records the panic of a handler that processes a request with the ID.
+	recordCrash func(id string, cause any)
 }
 
 // startAhead makes the connections start requests ahead.
 func startAhead(p *pipelining) connectionsOption {
-	return func(s *connections) { s.pipelining = p }
+	return func(s *connections) { s.pipelining, p.recordCrash = p, s.recordCrash }
 }
 
 // setPipelining makes a connection that is accepted start requests ahead. The context has the
--- a/mesh/pipelining_test.go
+++ b/mesh/pipelining_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"slices"
@@ -18,6 +19,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lacewingslip/lacewingslip/clientlimit"
+	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 	"github.com/lacewingslip/lacewingslip/pipeline"
 )
@@ -309,6 +311,38 @@
 	}
 }
 
+// Guards against a crash that leaves no event, because the connection ends before the turn of
+// the response, and against a second event for a crash whose response is written.
+func TestPipelinedCrashIsRecorded(t *testing.T) {
+	for name, cut := range map[string]bool{"dropped": true, "written": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newPipeServer(t, func(_ http.ResponseWriter, r *http.Request) {
+					if r.RequestURI == "/safe/1" {
+						panic("index out of range")
+					}
+					time.Sleep(time.Second)
+					if cut {
+						panic(http.ErrAbortHandler)
+					}
+				})
+				open, client, stop := s.start(true)
+				var crashes atomic.Int64
+				open.record = func(id event.ID, _ ...slog.Attr) {
+					if id == event.CallCrashed {
+						crashes.Add(1)
+					}
+				}
+				send(client, lookups(2), 1<<20)
+				_, err := io.Copy(io.Discard, client)
+				must.NoError(t, err)
+				stop()
+				must.EqOp(t, 1, crashes.Load())
+			})
+		})
+	}
+}
+
 // Guards against a long response that is cut, or held without bound, while it waits for an
 // earlier one.
 func TestLongPipelinedResponse(t *testing.T) {
--- a/mesh/started_request.go
+++ b/mesh/started_request.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"fmt"
+	"errors"
 	"maps"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/clientlimit"
+	"github.com/lacewingslip/lacewingslip/platform"
 )
 
 const (
@@ -51,17 +51,13 @@
 	// them.
 	w        http.ResponseWriter
 	writeErr error
-	// crash is what the handler has panicked with, or nil.
-	crash any
+	// crash is what the writing of the response panics with, or nil.
+	crash error
 }
 
-// startedCrash is the panic of a request that has started ahead.
-type startedCrash struct {
-	cause any
-	stack []byte
-}
-
-func (p *startedCrash) String() string { return fmt.Sprint(p.cause) }
+// errStartedCrash is the panic in place of that of a request that has started ahead, which has
+// been recorded.
+var errStartedCrash = errors.New("the handler of a request that started ahead has crashed")
 
 // newStartedRequest returns a request that is ready to run. ok is false if the budgets have no
 // room for it, or the connection has been closed. The mutex of the connection must be held.
@@ -99,9 +95,11 @@
 // end records that the handler has returned or panicked. It must be deferred.
 func (s *startedRequest) end() {
 	if cause := recover(); cause != nil {
-		s.crash = cause
+		s.crash = http.ErrAbortHandler
 		if cause != http.ErrAbortHandler { //nolint:errorlint // The value is compared as net/http does.
-			s.crash = &startedCrash{cause: cause, stack: debug.Stack()}
+			// The response may be dropped, so the crash is recorded at once.
+			s.conn.ahead.pipelining.recordCrash(platform.RequestID(s.r.Header), cause)
+			s.crash = errStartedCrash
 		}
 	}
 	s.cancel()
@@ -137,8 +135,8 @@
 	s.responseAccount.Release()
 }
 
-// respond writes the response when its turn has come. It panics like the handler of the
-// request.
+// respond writes the response when its turn has come. It panics if the handler of the request
+// has panicked.
 func (s *startedRequest) respond(w http.ResponseWriter) {
 	defer s.finish()
 	select {
@@ -190,8 +188,8 @@
 		return len(p), nil
 	case s.w == nil:
 		close(s.full)
-		// The rest of the response holds a slot of its backend server until the time limit of
-		// the request, as for a slow reader.
+		// The responses before it end with their time limits. Meanwhile, the rest of this one
+		// holds a connection to the node or the backend server that sends it, but no slot.
 		select {
 		case s.w = <-s.turn:
 		case <-s.r.Context().Done():
