Notice disconnects while no more bytes may be held

While 16 KB were held, or the budget had no room for them, the node read nothing and did not notice that the client had disconnected. The request in progress and up to 16 behind it ran on, and those that waited could still reach a server, until the first of them ended and its response could not be written.

The goroutine that reads ahead now waits for the end of the connection in that case (POLLRDHUP on its descriptor, woken by the poller of the runtime), until net/http ends the read as before. No goroutine or timer is added, and nothing changes for a client that sends less.

TestPipelinedRequestsOfDisconnectedClientBeyondBuffer fails without the change: no request is cancelled within 10 s.

--- a/hop/peek.go
+++ b/hop/peek.go
@@ -28,3 +28,17 @@
 	}
 	return unread, open
 }
+
+// AwaitClose waits until the other side has closed or reset a connection, also behind bytes
+// that have not been read. It ends with an error when the read deadline passes.
+func AwaitClose(raw syscall.RawConn) (err error) {
+	return raw.Read(func(fd uintptr) (closed bool) {
+		events := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}} //nolint:gosec // Descriptors are below the limit of open files.
+		for {
+			n, err := unix.Poll(events[:], 0)
+			if err != unix.EINTR { //nolint:errorlint // Poll returns the number of the error.
+				return n > 0
+			}
+		}
+	})
+}
--- a/mesh/pipelining.go
+++ b/mesh/pipelining.go
@@ -5,15 +5,18 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/clientlimit"
 	"github.com/lacewingslip/lacewingslip/desired"
+	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/pipeline"
 )
 
@@ -206,12 +209,17 @@
 	return n
 }
 
-// readInBackground reads ahead until net/http ends the read by a deadline, the client
-// disconnects, or no more may be held. It returns no bytes to net/http, which then reads no
-// more until the response has been written.
+// readInBackground reads ahead until net/http ends the read by a deadline or the client
+// disconnects. If no more may be held, it only waits for one of these. It returns no bytes to
+// net/http, which then reads no more until the response has been written.
 func (c *serverConn) readInBackground(b []byte) (err error) {
 	for {
-		room := c.readRoom(b)
+		room, full := c.readRoom(b)
+		if full {
+			err = c.awaitClose()
+			c.addHeld(nil, err)
+			return err
+		}
 		if len(room) == 0 {
 			return nil
 		}
@@ -223,30 +231,49 @@
 	}
 }
 
-// readRoom returns where the next bytes are read to, or nothing if no more may be held. Nothing
-// is allocated before the first byte has arrived.
-func (c *serverConn) readRoom(b []byte) (room []byte) {
+// awaitClose waits until the client disconnects or the read deadline passes, and returns which
+// of these has happened. It returns nil at once on connections that don't support that.
+func (c *serverConn) awaitClose() (err error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if err = hop.AwaitClose(raw); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// readRoom returns where the next bytes are read to, or nothing if no more are read. full is
+// true if no more may be held. Nothing is allocated before the first byte has arrived.
+func (c *serverConn) readRoom(b []byte) (room []byte, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a := &c.ahead
 	held := len(a.held())
 	switch {
 	case held == 0:
-		return b
-	case a.closing || a.unsynced || c.progress.handled || held >= pipeline.MaxHeldBytes:
-		return nil
+		return b, false
+	case a.closing || a.unsynced || c.progress.handled:
+		return nil, false
+	case held >= pipeline.MaxHeldBytes:
+		return nil, true
 	case len(a.buf) < cap(a.buf):
-		return a.buf[len(a.buf):cap(a.buf)]
+		return a.buf[len(a.buf):cap(a.buf)], false
 	}
 	size := max(min(2*held, pipeline.MaxHeldBytes), minReadAheadBytes)
 	if a.account == nil {
 		a.account = c.head.limits.memory.Open(c.head.port, c)
 	}
 	if !a.account.Reserve(int64(size)) {
-		return nil
+		return nil, true
 	}
 	a.buf, a.off = append(make([]byte, 0, size), a.held()...), 0
-	return a.buf[len(a.buf):size]
+	return a.buf[len(a.buf):size], false
 }
 
 // addHeld records the result of a read in the background. Bytes that were not read into the
--- a/mesh/pipelining_test.go
+++ b/mesh/pipelining_test.go
@@ -254,6 +254,41 @@
 	})
 }
 
+// Guards against requests that run on after their client has disconnected while as many bytes
+// are held as may be, so that the end of the connection can't be read.
+func TestPipelinedRequestsOfDisconnectedClientBeyondBuffer(t *testing.T) {
+	started, cancelled := make(chan struct{}, 100), make(chan struct{}, 100)
+	s := newPipeServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		<-r.Context().Done()
+		cancelled <- struct{}{}
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := newServer(s.handler)
+	_, tracked := trackConnections(server, listener, limitClients(s.limits, callerPort),
+		startAhead(&pipelining{handler: s.handler, repeatable: func(string, string) bool { return true }}))
+	go func() { _ = server.Serve(tracked) }()
+	defer server.Close()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	must.NoError(t, err)
+	_, err = io.WriteString(client, strings.Repeat("GET /safe HTTP/1.1\r\nHost: a\r\nA: "+strings.Repeat("b", 700)+"\r\n\r\n", 60))
+	must.NoError(t, err)
+	for range 1 + pipeline.MaxStarted {
+		<-started
+	}
+	eventually(t, func() bool { return s.limits.memory.Used() >= pipeline.MaxHeldBytes })
+	client.Close()
+	for range 1 + pipeline.MaxStarted {
+		select {
+		case <-cancelled:
+		case <-time.After(10 * time.Second):
+			t.Fatal("requests run on")
+		}
+	}
+	must.EqOp(t, 0, len(started))
+}
+
 // Guards against closing the connection with a response while requests behind it have started,
 // as when a planned stop begins: they would be left without a response.
 func TestPipelinedResponseThatCloses(t *testing.T) {
