--- a/hop/peek.go
+++ b/hop/peek.go
@@ -36,7 +36,7 @@
 		events := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}} //nolint:gosec // Descriptors are below the limit of open files.
 		for {
 			n, err := unix.Poll(events[:], 0)
-			if err != unix.EINTR { //nolint:errorlint // Poll returns the number of the error.
+			if err != unix.EINTR {
 				return n > 0
 			}
 		}
