--- a/mesh/pipelining_test.go
+++ b/mesh/pipelining_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"slices"
@@ -18,6 +19,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lacewingslip/lacewingslip/clientlimit"
+	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/internal/standin/operator"
 	"github.com/lacewingslip/lacewingslip/pipeline"
 )
@@ -252,6 +254,41 @@
 	})
 }
 
+// Guards against requests that run on after their client has disconnected while as many bytes
+// are held as may be, so that the end of the connection can't be read.
+func TestPipelinedRequestsOfDisconnectedClientBeyondBuffer(t *testing.T) {
+	started, cancelled := make(chan struct{}, 100), make(chan struct{}, 100)
+	s := newPipeServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		<-r.Context().Done()
+		cancelled <- struct{}{}
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := newServer(s.handler)
+	_, tracked := trackConnections(server, listener, limitClients(s.limits, callerPort),
+		startAhead(&pipelining{handler: s.handler, repeatable: func(string, string) bool { return true }}))
+	go func() { _ = server.Serve(tracked) }()
+	defer server.Close()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	must.NoError(t, err)
+	_, err = io.WriteString(client, strings.Repeat("GET /safe HTTP/1.1\r\nHost: a\r\nA: "+strings.Repeat("b", 700)+"\r\n\r\n", 60))
+	must.NoError(t, err)
+	for range 1 + pipeline.MaxStarted {
+		<-started
+	}
+	eventually(t, func() bool { return s.limits.memory.Used() >= pipeline.MaxHeldBytes })
+	client.Close()
+	for range 1 + pipeline.MaxStarted {
+		select {
+		case <-cancelled:
+		case <-time.After(10 * time.Second):
+			t.Fatal("requests run on")
+		}
+	}
+	must.EqOp(t, 0, len(started))
+}
+
 // Guards against closing the connection with a response while requests behind it have started,
 // as when a planned stop begins: they would be left without a response.
 func TestPipelinedResponseThatCloses(t *testing.T) {
@@ -309,6 +346,38 @@
 	}
 }
 
+// Guards against a crash that leaves no event, because the connection ends before the turn of
+// the response, and against a second event for a crash whose response is written.
+func TestPipelinedCrashIsRecorded(t *testing.T) {
+	for name, cut := range map[string]bool{"dropped": true, "written": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newPipeServer(t, func(_ http.ResponseWriter, r *http.Request) {
+					if r.RequestURI == "/safe/1" {
+						panic("index out of range")
+					}
+					time.Sleep(time.Second)
+					if cut {
+						panic(http.ErrAbortHandler)
+					}
+				})
+				open, client, stop := s.start(true)
+				var crashes atomic.Int64
+				open.record = func(id event.ID, _ ...slog.Attr) {
+					if id == event.CallCrashed {
+						crashes.Add(1)
+					}
+				}
+				send(client, lookups(2), 1<<20)
+				_, err := io.Copy(io.Discard, client)
+				must.NoError(t, err)
+				stop()
+				must.EqOp(t, 1, crashes.Load())
+			})
+		})
+	}
+}
+
 // Guards against a long response that is cut, or held without bound, while it waits for an
 // earlier one.
 func TestLongPipelinedResponse(t *testing.T) {
