Do not cut a response that waits for its turn on its connection

A response of a request that has started ahead counts as unread while it waits for an earlier one of its connection: copyStream records progress and then waits in startedRequest.Write. The eviction sets the write deadline of the connection, so it cuts the earlier response, whose client reads.

Such a response now begins to count when its turn has come. The test fails without the check.

--- a/mesh/client_answers.go
+++ b/mesh/client_answers.go
@@ -77,9 +77,18 @@
 	return ok
 }
 
-// progress records that a part of the response is about to be written. ok is false if the response
-// has been evicted. It must be called after the write deadline has been set.
-func (h *heldAnswer) progress() (ok bool) { return h.account == nil || h.account.Progress(time.Now()) }
+// progress records that a part of the response is about to be written to w. ok is false if the
+// response has been evicted. It must be called after the write deadline has been set.
+func (h *heldAnswer) progress(w http.ResponseWriter) (ok bool) {
+	if h.account == nil {
+		return true
+	}
+	if s, ahead := w.(*startedRequest); ahead && s.w == nil {
+		// The client can't take it yet. Its eviction would cut the response before it.
+		return true
+	}
+	return h.account.Progress(time.Now())
+}
 
 func (h *heldAnswer) release() {
 	if h.account != nil {
@@ -154,7 +163,7 @@
 		if len(res.body) > smallAnswerBytes {
 			// An error means that the writer does not support deadlines, as in tests.
 			_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if !res.held.progress() {
+			if !res.held.progress(w) {
 				return errAnswerEvicted
 			}
 		}
@@ -163,13 +172,13 @@
 		}
 		body = body[len(part):]
 	}
-	return writtenHeld(res)
+	return writtenHeld(w, res)
 }
 
 // writtenHeld returns an error if the response was evicted while its last part was written: the
 // connection has to end, because its write deadline may still be set to the past.
-func writtenHeld(res *result) (err error) {
-	if len(res.body) > smallAnswerBytes && !res.held.progress() {
+func writtenHeld(w http.ResponseWriter, res *result) (err error) {
+	if len(res.body) > smallAnswerBytes && !res.held.progress(w) {
 		return errAnswerEvicted
 	}
 	return nil
--- a/mesh/client_answers_test.go
+++ b/mesh/client_answers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -97,3 +98,27 @@
 		})
 	}
 }
+
+// Guards against taking a response that waits for an earlier one of its connection for one that
+// the client does not read: its eviction ends the connection, and cuts the earlier one.
+func TestAnswerThatWaitsForItsTurnIsNotCut(t *testing.T) {
+	budget := clientlimit.NewAnswerBudget(2*maxHeldResponse, nil, answerStallTimeout)
+	conn := new(serverConn)
+	conn.head.limits, conn.head.port = &clientLimits{answers: budget}, callerPort
+	ctx := context.WithValue(t.Context(), serverConnKey{}, conn)
+	s := &startedRequest{
+		conn: conn, r: httptest.NewRequestWithContext(ctx, http.MethodGet, "/safe/", http.NoBody),
+		header: make(http.Header), full: make(chan struct{}), turn: make(chan http.ResponseWriter, 1),
+	}
+	res := &result{body: make([]byte, 2*maxHeldResponse), held: holdAnswer(ctx)}
+	must.True(t, res.held.charge(int64(len(res.body))))
+	written := make(chan error, 1)
+	go func() { written <- writeHeld(s, res) }()
+	<-s.full
+	for now := time.Now(); now.Before(time.Now().Add(2 * answerStallTimeout)); now = now.Add(answerRoomInterval) {
+		victim, ok := budget.Admits(now, callerPort, 1)
+		must.True(t, victim == nil && !ok)
+	}
+	s.turn <- httptest.NewRecorder()
+	must.NoError(t, <-written)
+}
--- a/mesh/stream.go
+++ b/mesh/stream.go
@@ -87,7 +87,7 @@
 			// An error means that the writer does not support deadlines, as in
 			// tests. Slow receivers are not limited then.
 			_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if !held.progress() {
+			if !held.progress(w) {
 				return errAnswerEvicted
 			}
 			if _, err = w.Write(buffer[:n]); err != nil {
@@ -97,7 +97,7 @@
 		switch {
 		case readErr == io.EOF:
 			resp.MarkBodyRead()
-			if !held.progress() {
+			if !held.progress(w) {
 				return errAnswerEvicted
 			}
 			return nil
