Do not cut responses because the process stood still

When a process goes on after a pause, no response has made progress for as long as the pause took, although clients have read all of it. The first request that lacks room then cut responses whose writers had not run yet.

The budget gets the ticks of the periodic work. While a tick is overdue by more than 0.3 s, and for 0.3 s after it, nothing is evicted. The test fails without the check.

--- a/clientlimit/answers.go
+++ b/clientlimit/answers.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// maxTickGap is the time between two calls of Tick from which on the process is taken to have
+// stood still, and the time after it in which nothing is evicted. Ticks are due every 100 ms.
+const maxTickGap = 300 * time.Millisecond
+
 // AnswerBudget is the memory that responses may take until their clients have read them. It is
 // safe for concurrent use.
 //
@@ -25,6 +29,8 @@
 	// used is what all responses hold, and leaving the part of it that victims have not
 	// released yet.
 	used, leaving int64
+	// tickedAt is when Tick was last called, or zero. Nothing is evicted before evictAfter.
+	tickedAt, evictAfter time.Time
 }
 
 type portAnswers struct {
@@ -80,6 +86,22 @@
 	return b.grant(now, b.port(port), room)
 }
 
+// Tick records that the process runs. After it has stood still, responses have made no progress
+// whose clients have read, so nothing is evicted until their writers have run.
+func (b *AnswerBudget) Tick(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stoodStill(now) {
+		b.evictAfter = now.Add(maxTickGap)
+	}
+	b.tickedAt = now
+}
+
+// stoodStill reports whether a call of Tick is overdue. The mutex must be held.
+func (b *AnswerBudget) stoodStill(now time.Time) bool {
+	return !b.tickedAt.IsZero() && now.Sub(b.tickedAt) > maxTickGap
+}
+
 // Limit returns what all responses may hold.
 func (b *AnswerBudget) Limit() int64 { return b.limit }
 
@@ -164,7 +186,7 @@
 	if port.used+more <= port.reserve || b.used+more+reserved <= b.limit {
 		return nil, true
 	}
-	if b.used-b.leaving+more+reserved <= b.limit {
+	if b.used-b.leaving+more+reserved <= b.limit || b.stoodStill(now) || now.Before(b.evictAfter) {
 		return nil, false
 	}
 	for _, p := range b.ports {
--- a/clientlimit/answers_test.go
+++ b/clientlimit/answers_test.go
@@ -60,6 +60,31 @@
 	must.True(t, admitted)
 }
 
+// Guards against cutting responses whose clients read, because the process stood still and has not
+// written what they wait for.
+func TestNoAnswerIsEvictedAfterPause(t *testing.T) {
+	const tick = 100 * time.Millisecond
+	budget, now := newAnswers(), time.Unix(0, 0)
+	a := budget.Open("caller", nil)
+	_, ok := a.Charge(now, answerLimit-answerReserve)
+	must.True(t, ok && a.Progress(now))
+	budget.Tick(now)
+	now = now.Add(5 * stallTimeout)
+	for _, step := range []string{"before the first tick", "after the first tick"} {
+		victim, ok := budget.Admits(now, "caller", 1)
+		must.True(t, victim == nil && !ok, must.Sprint(step))
+		budget.Tick(now)
+	}
+	must.True(t, a.Progress(now))
+	for stalled := time.Duration(0); stalled <= stallTimeout; stalled += tick {
+		budget.Tick(now.Add(stalled))
+		victim, _ := budget.Admits(now.Add(stalled), "caller", 1)
+		must.True(t, victim == nil)
+	}
+	victim, _ := budget.Admits(now.Add(stallTimeout+tick), "caller", 1)
+	must.True(t, victim == a)
+}
+
 // Guards against a budget that is exceeded, or that loses what responses have returned.
 func TestAnswersStayWithinLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/mesh/client_limits.go
+++ b/mesh/client_limits.go
@@ -81,6 +81,13 @@
 	}
 }
 
+// tick does the periodic work.
+func (l *clientLimits) tick(now time.Time) {
+	if l.answers != nil {
+		l.answers.Tick(now)
+	}
+}
+
 // newClientBudget returns a budget of a part of the memory of the process.
 func newClientBudget(ratio float64, settings nodeconfig.Config) *clientlimit.Budget {
 	budget := ratio * float64(settings.MemoryBytes)
--- a/mesh/lifecycle.go
+++ b/mesh/lifecycle.go
@@ -217,6 +217,7 @@
 			l.components.quarantine.tick(now)
 			l.components.caps.tick()
 			l.components.levels.tick(ctx, now)
+			l.components.servers.limits.tick(now)
 			l.closeIdleConnections(now)
 			l.components.exchange.probeUnreachable(ctx, now)
 			if now.Sub(metricsAt) >= metricsInterval {
