Do not change the charge of an evicted response, nor evict a written one

An evicted response that charged less afterwards left the difference in what is about to be released, for good. From then on, fewer responses or none were evicted. copyStream charges after the part that is held was written.

A response could also be evicted after its last part was written and before it was released: the write deadline then ended the next response of its connection. Both need a pause of more than a second at these places. The test fails without the checks.

--- a/clientlimit/answers.go
+++ b/clientlimit/answers.go
@@ -19,6 +19,7 @@
 //	answer := budget.Open("caller", owner)
 //	victim, ok := answer.Charge(now, 64<<10)
 //	ok = answer.Progress(now)
+//	ok = answer.Written()
 //	answer.Release()
 type AnswerBudget struct {
 	limit        int64
@@ -116,12 +117,16 @@
 func (a *Answer) Owner() any { return a.owner }
 
 // Charge sets what the response holds. If there is no room for it, ok is false, the charge stays
-// as it was, and the response has to be passed on without being held. The victim is a response
+// as it was, and the response has to be passed on without being held. That of an evicted response
+// never changes, because what it leaves has been counted. The victim is a response
 // to evict, or nil: the one whose client has taken nothing for the longest time.
 func (a *Answer) Charge(now time.Time, held int64) (victim *Answer, ok bool) {
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if a.evicted {
+		return nil, false
+	}
 	if more := held - a.held; more > 0 {
 		if victim, ok = b.grant(now, a.port, more); !ok {
 			return victim, false
@@ -149,6 +154,15 @@
 	return true
 }
 
+// Written records that the client has taken all that was written, so that the response can't be
+// evicted until the next call of Progress. ok is false if it has been evicted before.
+func (a *Answer) Written() (ok bool) {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.unlist()
+	return !a.evicted
+}
+
 // Release returns what the response holds.
 func (a *Answer) Release() {
 	a.budget.mu.Lock()
--- a/clientlimit/answers_test.go
+++ b/clientlimit/answers_test.go
@@ -85,6 +85,30 @@
 	must.True(t, victim == a)
 }
 
+// Guards against a budget that never evicts again, because an evicted response has changed its
+// charge, and against cutting the next response of a connection whose response was written.
+func TestEvictedAndWrittenAnswers(t *testing.T) {
+	budget, now := newAnswers(), time.Unix(0, 0)
+	late := func() time.Time { now = now.Add(2 * stallTimeout); return now }
+	for range 2 {
+		a := budget.Open("caller", nil)
+		_, ok := a.Charge(now, answerLimit-answerReserve)
+		must.True(t, ok && a.Progress(now))
+		victim, _ := budget.Admits(late(), "caller", 1)
+		must.True(t, victim == a)
+		_, ok = a.Charge(now, 1)
+		must.False(t, ok || a.Progress(now) || a.Written())
+		a.Release()
+		must.Zero(t, budget.Used())
+	}
+	a := budget.Open("caller", nil)
+	_, ok := a.Charge(now, answerLimit-answerReserve)
+	must.True(t, ok && a.Progress(now) && a.Written())
+	victim, _ := budget.Admits(late(), "caller", 1)
+	must.True(t, victim == nil)
+	must.True(t, a.Progress(now))
+}
+
 // Guards against a budget that is exceeded, or that loses what responses have returned.
 func TestAnswersStayWithinLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/mesh/client_answers.go
+++ b/mesh/client_answers.go
@@ -90,6 +90,15 @@
 	return h.account.Progress(time.Now())
 }
 
+// written returns an error if the response was evicted while its last part was written: the
+// connection has to end, because its write deadline may still be set to the past.
+func (h *heldAnswer) written() (err error) {
+	if h.account != nil && !h.account.Written() {
+		return errAnswerEvicted
+	}
+	return nil
+}
+
 func (h *heldAnswer) release() {
 	if h.account != nil {
 		h.account.Release()
@@ -172,14 +181,5 @@
 		}
 		body = body[len(part):]
 	}
-	return writtenHeld(w, res)
-}
-
-// writtenHeld returns an error if the response was evicted while its last part was written: the
-// connection has to end, because its write deadline may still be set to the past.
-func writtenHeld(w http.ResponseWriter, res *result) (err error) {
-	if len(res.body) > smallAnswerBytes && !res.held.progress(w) {
-		return errAnswerEvicted
-	}
-	return nil
+	return res.held.written()
 }
--- a/mesh/stream.go
+++ b/mesh/stream.go
@@ -97,10 +97,7 @@
 		switch {
 		case readErr == io.EOF:
 			resp.MarkBodyRead()
-			if !held.progress(w) {
-				return errAnswerEvicted
-			}
-			return nil
+			return held.written()
 		case readErr != nil:
 			return readErr
 		}
