Do not try other nodes without a connection left

A request for which this process has no connection went on to the next node, up to 8 times. Each attempt looked at the pools of all nodes and counted a refusal. The limit is the same for all nodes, so the first refusal ends the request now.

--- a/mesh/client_connections_test.go
+++ b/mesh/client_connections_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -214,3 +215,19 @@
 		must.Eq(t, limit, newConnectionBudget(nodeconfig.Config{Descriptors: descriptors}).Limit())
 	}
 }
+
+// Guards against trying one node after another, and counting a refusal for each, if this process
+// has no connection left: the limit is the same for all nodes.
+func TestRequestWithoutConnectionIsTriedOnce(t *testing.T) {
+	var refused atomic.Int64
+	none := hop.NewConnectionLimit(0, func() { refused.Add(1) })
+	d := newEmptyDeployment(t)
+	d.addVM("orders")
+	d.addVM("orders")
+	d.beforeStart = func(n *Node) { n.lifecycle.components.balancer.limit = none }
+	v := d.addVM("gateway")
+	d.publish(safe("safe"))
+	d.awaitConvergence()
+	must.Eq(t, http.StatusServiceUnavailable, d.call(v, http.MethodGet, "/safe/", "a").status)
+	must.EqOp(t, 1, refused.Load())
+}
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -307,6 +307,9 @@
 			return res
 		case res.reason == call.ReasonQuarantined:
 			return res
+		case res.noConnection:
+			// There is none for another node either.
+			return res
 		case res.outcome == call.NotRun && res.reason != call.ReasonShed:
 			i.updatePeer(p, epoch, res)
 			selector.recordRefusal(p, res)
--- a/mesh/request.go
+++ b/mesh/request.go
@@ -103,6 +103,8 @@
 	held heldAnswer
 	// retryAfter is when a refused caller may come again, or 0 for the default.
 	retryAfter time.Duration
+	// noConnection is true if this process had no connection left for the attempt.
+	noConnection bool
 	// wait is the estimate by which the request was refused at once for want of a slot, or 0.
 	wait time.Duration
 	// node is the node that returned the result.
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -413,7 +413,7 @@
 	switch {
 	case errors.Is(err, hop.ErrNoConnection):
 		res := notRunResult(call.ReasonOverloaded, err.Error())
-		res.retryAfter = noConnectionRetryAfter
+		res.retryAfter, res.noConnection = noConnectionRetryAfter, true
 		return res
 	case hop.MayHaveRun(err):
 	case hop.Expired(ctx):
