End a pipelined response that its client does not read

The part of a response that is held until its turn was written at once and without a time limit. A client that reads nothing kept it, and its share of the memory of bodies, for as long as it stayed connected.

--- a/mesh/pipelining_test.go
+++ b/mesh/pipelining_test.go
@@ -339,6 +339,31 @@
 	})
 }
 
+// Guards against a client that reads nothing and keeps a response for ever that was held until
+// its turn.
+func TestUnreadPipelinedResponseEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPipeServer(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.RequestURI == "/safe/0" {
+				time.Sleep(time.Second)
+				return
+			}
+			// An error shows in the length of the response.
+			_, _ = w.Write(make([]byte, maxHeldResponse))
+		})
+		_, client, stop := s.start(true)
+		defer stop()
+		send(client, lookups(2), 1<<20)
+		reader := bufio.NewReader(client)
+		first, err := http.ReadResponse(reader, nil)
+		must.NoError(t, err)
+		must.NoError(t, first.Body.Close())
+		time.Sleep(2 * writeTimeout)
+		rest, err := io.ReadAll(reader)
+		must.Less(t, maxHeldResponse, len(rest), must.Sprint(err))
+	})
+}
+
 // Guards against losing requests that have started behind another when a planned stop begins
 // while all of them run.
 func TestPipelinedRequestsAtStopAreAnswered(t *testing.T) {
--- a/mesh/started_request.go
+++ b/mesh/started_request.go
@@ -149,10 +149,9 @@
 	if s.status > 0 {
 		w.WriteHeader(s.status)
 	}
-	if len(s.body) > 0 {
-		if _, err := w.Write(s.body); err != nil {
-			panic(http.ErrAbortHandler)
-		}
+	// It has the time limits of any response that is held.
+	if err := writeHeld(w, &result{body: s.body}); err != nil {
+		panic(http.ErrAbortHandler)
 	}
 	s.turn <- w
 	<-s.done
