--- a/clientlimit/answers.go
+++ b/clientlimit/answers.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// maxTickGap is the time between two calls of Tick from which on the process is taken to have
+// stood still, and the time after it in which nothing is evicted. Ticks are due every 100 ms.
+const maxTickGap = 300 * time.Millisecond
+
 // AnswerBudget is the memory that responses may take until their clients have read them. It is
 // safe for concurrent use.
 //
@@ -15,6 +19,7 @@
 //	answer := budget.Open("caller", owner)
 //	victim, ok := answer.Charge(now, 64<<10)
 //	ok = answer.Progress(now)
+//	ok = answer.Written()
 //	answer.Release()
 type AnswerBudget struct {
 	limit        int64
@@ -25,6 +30,8 @@
 	// used is what all responses hold, and leaving the part of it that victims have not
 	// released yet.
 	used, leaving int64
+	// tickedAt is when Tick was last called, or zero. Nothing is evicted before evictAfter.
+	tickedAt, evictAfter time.Time
 }
 
 type portAnswers struct {
@@ -80,6 +87,22 @@
 	return b.grant(now, b.port(port), room)
 }
 
+// Tick records that the process runs. After it has stood still, responses have made no progress
+// whose clients have read, so nothing is evicted until their writers have run.
+func (b *AnswerBudget) Tick(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stoodStill(now) {
+		b.evictAfter = now.Add(maxTickGap)
+	}
+	b.tickedAt = now
+}
+
+// stoodStill reports whether a call of Tick is overdue. The mutex must be held.
+func (b *AnswerBudget) stoodStill(now time.Time) bool {
+	return !b.tickedAt.IsZero() && now.Sub(b.tickedAt) > maxTickGap
+}
+
 // Limit returns what all responses may hold.
 func (b *AnswerBudget) Limit() int64 { return b.limit }
 
@@ -94,12 +117,16 @@
 func (a *Answer) Owner() any { return a.owner }
 
 // Charge sets what the response holds. If there is no room for it, ok is false, the charge stays
-// as it was, and the response has to be passed on without being held. The victim is a response
+// as it was, and the response has to be passed on without being held. That of an evicted response
+// never changes, because what it leaves has been counted. The victim is a response
 // to evict, or nil: the one whose client has taken nothing for the longest time.
 func (a *Answer) Charge(now time.Time, held int64) (victim *Answer, ok bool) {
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if a.evicted {
+		return nil, false
+	}
 	if more := held - a.held; more > 0 {
 		if victim, ok = b.grant(now, a.port, more); !ok {
 			return victim, false
@@ -127,6 +154,15 @@
 	return true
 }
 
+// Written records that the client has taken all that was written, so that the response can't be
+// evicted until the next call of Progress. ok is false if it has been evicted before.
+func (a *Answer) Written() (ok bool) {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.unlist()
+	return !a.evicted
+}
+
 // Release returns what the response holds.
 func (a *Answer) Release() {
 	a.budget.mu.Lock()
@@ -164,7 +200,7 @@
 	if port.used+more <= port.reserve || b.used+more+reserved <= b.limit {
 		return nil, true
 	}
-	if b.used-b.leaving+more+reserved <= b.limit {
+	if b.used-b.leaving+more+reserved <= b.limit || b.stoodStill(now) || now.Before(b.evictAfter) {
 		return nil, false
 	}
 	for _, p := range b.ports {
