--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -16,6 +16,7 @@
 
 var cases = map[string]func(c *cluster, trouble bool) (broken bool, err error){
 	"stale-watchers": staleWatchers,
+	"lost-leave":     lostLeave,
 }
 
 func main() {
