--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(c *cluster, trouble bool) (broken bool, err error){
 	"stale-watchers": staleWatchers,
 	"lost-leave":     lostLeave,
+	"locked-route":   lockedRoute,
 }
 
 func main() {
