review: case 8, a part of a cap granted by two nodes

A machine that joins takes the place of a keeper that can't hear of it, and both grant the same part of the cap.

--- a/review/standins-2/cluster.go
+++ b/review/standins-2/cluster.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -53,8 +54,10 @@
 	log      *keyedlog.Log
 	machines []*machine
 	started  time.Time
-	record   *os.File
-	mu       sync.Mutex
+	// bounds are the bounds of the settings, those of tmfw-mesh by default.
+	bounds string
+	record *os.File
+	mu     sync.Mutex
 }
 
 // machine is a VM with a node and a backend server.
@@ -65,6 +68,7 @@
 	portFirst, serverAddress, store   string
 	fault                             atomic.Int32
 	operatorReads                     atomic.Int64
+	nodeReadEnds                      atomic.Int64
 	mu                                sync.Mutex
 	command                           *exec.Cmd
 	exited                            chan struct{}
@@ -77,7 +81,7 @@
 }
 
 func newCluster(recordPath string) (c *cluster, err error) {
-	c = &cluster{log: keyedlog.New(), started: time.Now()}
+	c = &cluster{log: keyedlog.New(), started: time.Now(), bounds: bounds}
 	if c.dir, err = os.MkdirTemp("", "review"); err != nil {
 		return nil, err
 	}
@@ -138,6 +142,10 @@
 	if r.URL.Path == "/lacewingslip/log-read" && r.URL.Query().Get("Topic") == operator.DesiredStateTopic {
 		m.operatorReads.Add(1)
 	}
+	if r.URL.Path == "/lacewingslip/log-read" && r.URL.Query().Get("Topic") != operator.DesiredStateTopic {
+		wait, _ := strconv.ParseInt(r.URL.Query().Get("WaitMs"), 10, 64)
+		m.nodeReadEnds.Store(time.Now().UnixMilli() + wait)
+	}
 	m.c.log.ServeHTTP(noEra{w}, r)
 }
 
@@ -152,7 +160,7 @@
 		"PortRange=" + m.portFirst + "," + m.portFirst, "Seeds=", "FirstStart=true", "CountsAsLoss=false",
 		"Limits.CpuShare=0.64", "Limits.Cores=1", "Limits.MemoryMb=284", "Limits.MaxFds=4100", "Limits.LinkMbps=1000.0", "Limits.DiskMb=0",
 		"Discovery=local", "Entry=local", "HeartbeatIntervalMs=1500", "Contracts=base,drain,config,cost,retry,recover,pressure,platform",
-		"FaultTolerance.Machines=1", "FaultTolerance.Zones=0", "FaultTolerance.Regions=0", "Bounds=" + bounds,
+		"FaultTolerance.Machines=1", "FaultTolerance.Zones=0", "FaultTolerance.Regions=0", "Bounds=" + m.c.bounds,
 		"AppAddr=" + m.serverAddress, "Service=" + m.service, "Provider.Address=" + m.store, "Provider.form=log",
 		"Provider.WritesPerS=400", "Provider.ReadsPerS=2000", "Provider.parts=12", "Provider.RecordBytes=262144", "Provider.CallBytes=2097152", "Provider.keep_s=300",
 	}
@@ -255,12 +263,33 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-func (c *cluster) start() (err error) {
+// startBoth starts the node and the backend server.
+func (m *machine) startBoth() (err error) {
+	if err = m.startNode(); err != nil {
+		return err
+	}
+	return m.startServer("i-" + m.name)
+}
+
+// readers returns the machines that read the operator's topic within 5 s.
+func (c *cluster) readers() (readers []*machine) {
+	before := make(map[*machine]int64)
 	for _, m := range c.machines {
-		if err = m.startNode(); err != nil {
-			return err
+		before[m] = m.operatorReads.Load()
+	}
+	time.Sleep(5 * time.Second)
+	for _, m := range c.machines {
+		if m.operatorReads.Load() > before[m] {
+			readers = append(readers, m)
+			c.logf("%s (%s) reads the store", m.name, m.zone)
 		}
-		if err = m.startServer("i-" + m.name); err != nil {
+	}
+	return readers
+}
+
+func (c *cluster) start() (err error) {
+	for _, m := range c.machines {
+		if err = m.startBoth(); err != nil {
 			return err
 		}
 	}
@@ -316,15 +345,20 @@
 // send sends one request on a new connection and returns the answer; status 0 means that there
 // was none.
 func (m *machine) send(method, path, id string, wait time.Duration, body string) (a answer) {
+	return m.sendWith(method, path, id, wait, "", body)
+}
+
+// sendWith is send with further header lines.
+func (m *machine) sendWith(method, path, id string, wait time.Duration, lines, body string) (a answer) {
 	conn, err := net.DialTimeout("tcp", m.outbound, time.Second)
 	if err != nil {
 		return answer{err: err}
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(wait))
-	length := ""
+	length := lines
 	if body != "" {
-		length = fmt.Sprintf("Content-Length: %d\r\n", len(body))
+		length += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
 	if _, err = io.WriteString(conn, method+" "+path+" HTTP/1.1\r\n"+operator.HeadLines(id, wait)+length+"\r\n"+body); err != nil {
 		return answer{err: err}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -18,6 +18,7 @@
 	"stale-watchers": staleWatchers,
 	"lost-leave":     lostLeave,
 	"locked-route":   lockedRoute,
+	"two-keepers":    twoKeepers,
 }
 
 func main() {
