review: build the stand-ins as test files

TestWireNamesOccurOnlyHere failed in a run of check: only test files and the package platform may have names of the platform's interfaces. The stand-ins are now test files with the build tag review, like those of the first review.

--- a/review/standins-2/cluster.go
+++ b/review/standins-2/cluster_test.go
@@ -1,9 +1,6 @@
 //go:build review
 
-// Command standins-2 runs the cases of the second review. Each case starts nodes as separate
-// processes on loopback addresses, with stand-ins for the platform's store, the backend servers
-// and the clients in this process, and checks one rule by what these have seen.
-package main
+package standins2
 
 import (
 	"bufio"
--- a/review/standins-2/stale_watchers.go
+++ b/review/standins-2/stale_watchers_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package standins2
 
 import (
 	"errors"
