Refuse answers with a malformed status line

Callers of this system got other harm from it. net/http takes three digits, also 000, +20 and 999, any version and any octet in the reason phrase. Package hop took a status below 200 for an informational response. It read on behind the head of a 000 answer: a second head there passed for the answer with status 200, and without one the request waited until its time limit (504). 600 and 999 were passed on with their signature.

Package framing checks the octets of responses below net/http, while they arrive, and fails at the first one that no valid response can have there. A status is 100 to 599, and 101 is refused because no request asks for it. The package follows the framing as well, because it has to know where the next response begins; it hands out nothing behind the end of a response until the next one is expected. All answers of backend servers and of other nodes to requests come through package hop. The attempt ends as lost, which promises nothing: 502 for what may run once, another server for what may run again. The connection is reset.

--- a/hop/answer.go
+++ b/hop/answer.go
@@ -108,7 +108,7 @@
 // and the connection can be reused, and resets it otherwise.
 func (a *Answer) Close() {
 	notAborted := a.stopAbort()
-	if !notAborted || !a.bodyRead || a.closesConnection || !a.requestWritten() || a.conn.reader.Buffered() > 0 {
+	if !notAborted || !a.bodyRead || a.closesConnection || !a.requestWritten() || a.conn.hasUnread() {
 		a.conn.abort()
 		return
 	}
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -12,7 +12,7 @@
 //
 // The package does not use http.Transport, because http.Transport resends some
 // requests on its own and can't skip an answer to an earlier request. Requests are still
-// written and answers parsed by net/http.
+// written and answers parsed by net/http, after package framing has checked them.
 package hop
 
 import (
@@ -34,6 +34,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/lacewingslip/lacewingslip/framing"
 )
 
 const (
@@ -174,6 +176,7 @@
 type conn struct {
 	net.Conn
 	head     *headReader
+	checked  *framing.Reader
 	request  *requestWriter
 	raw      syscall.RawConn
 	reader   *bufio.Reader
@@ -297,10 +300,11 @@
 func (c *conn) read(request *http.Request, matches func(status int, h http.Header) bool) (response *http.Response, err error) {
 	for range maxSkippedAnswers {
 		c.head.left, c.head.inHead = maxHeadBytes, true
+		c.checked.Expect(request.Method)
 		response, err = http.ReadResponse(c.reader, request)
 		c.head.inHead = false
 		if err != nil {
-			return nil, err
+			return nil, cmp.Or(c.checked.Err(), err)
 		}
 		if containsStatusLine(response) {
 			return nil, errSplicedHead
@@ -344,10 +348,13 @@
 	c.Close()
 }
 
+// hasUnread reports whether bytes have arrived behind the end of an answer.
+func (c *conn) hasUnread() bool { return c.reader.Buffered() > 0 || c.checked.HasUnread() }
+
 // usable reports whether an idle connection is still open and has received no
 // unsolicited data.
 func (c *conn) usable() bool {
-	if c.reader.Buffered() > 0 {
+	if c.hasUnread() {
 		return false
 	}
 	unread, open := Peek(c.raw)
@@ -421,9 +428,10 @@
 		return nil, err
 	}
 	head, request := &headReader{Conn: netConn}, &requestWriter{Conn: netConn}
+	checked := framing.NewReader(head)
 	return &conn{
-		Conn: netConn, raw: raw, head: head, request: request,
-		reader: bufio.NewReaderSize(head, bufferBytes),
+		Conn: netConn, raw: raw, head: head, checked: checked, request: request,
+		reader: bufio.NewReaderSize(checked, bufferBytes),
 		writer: bufio.NewWriterSize(request, bufferBytes),
 	}, nil
 }
--- /dev/null
+++ b/hop/malformed_test.go
@@ -0,0 +1,58 @@
+package hop_test
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/hop"
+	"github.com/lacewingslip/lacewingslip/internal/standin/malformed"
+)
+
+// malformedWait is far longer than the time in which a malformed answer is noticed, and ends a
+// request for which it is not.
+const malformedWait = 10 * time.Second
+
+// Guards against an answer that is no valid response and is passed on, taken for an answer to
+// another request or for an informational one, read as a body that the receiver did not send, or
+// waited for until the deadline although its beginning shows that it is none. Its connection must
+// not be used again.
+func TestMalformedAnswers(t *testing.T) {
+	const fields = "X-Request-Id: a\r\nX-Server-Signature: signed\r\n"
+	responses := make(map[string]malformed.Response)
+	for _, group := range []func(fields string) map[string]malformed.Response{
+		malformed.StatusLines,
+	} {
+		maps.Copy(responses, group(fields))
+	}
+	for name, response := range responses {
+		for part, text := range map[string]string{"whole": response.Text, "up to the breach": response.UpToBreach()} {
+			t.Run(name+"/"+part, func(t *testing.T) {
+				t.Parallel()
+				s, err := malformed.Start("127.0.0.1:0", func(r *http.Request) string {
+					if r.Header.Get(idHeader) == "a" {
+						return text
+					}
+					return success(r.Header.Get(idHeader))
+				})
+				must.NoError(t, err)
+				defer s.Close()
+				pool := hop.New(s.Address())
+				ctx, cancel := context.WithTimeout(t.Context(), malformedWait)
+				defer cancel()
+				body, err := send(ctx, pool, http.MethodPost, "a")
+				must.Error(t, err, must.Sprintf("body %q", body))
+				must.NoError(t, ctx.Err())
+				must.True(t, hop.MayHaveRun(err))
+				body, err = send(t.Context(), pool, http.MethodPost, "b")
+				must.NoError(t, err)
+				must.Eq(t, malformed.Body, body)
+				must.Eq(t, 2, s.Connections())
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/malformed/malformed.go
@@ -0,0 +1,151 @@
+// Package malformed has responses that are not valid HTTP/1.1 messages (RFC 9110, RFC 9112), and
+// is a stand-in for a server that sends such responses.
+//
+// # Usage
+//
+//	for name, response := range malformed.StatusLines("X-Request-Id: a\r\n") {
+//		s, err := malformed.Start("127.0.0.1:0", func(*http.Request) string { return response.Text })
+//		...
+//	}
+package malformed
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+)
+
+const (
+	// Body is the body of all responses, as far as they have one.
+	Body = "ok"
+
+	// breachMark follows the first octet that no valid response can have there.
+	breachMark = "|"
+	// fieldsMark stands for the fields of the server, and bodyMark for a length and the body.
+	fieldsMark, bodyMark = "{fields}", "{body}"
+
+	okHead = "HTTP/1.1 200 OK\r\n"
+)
+
+// Response is a malformed response.
+type Response struct {
+	// Text is the whole response. The body, if there is one, is that of a sound server.
+	Text string
+	// Breach is the number of octets after which the response can't be valid any more.
+	Breach int
+}
+
+// UpToBreach returns the octets of the response by which it is known to be malformed.
+func (r Response) UpToBreach() string { return r.Text[:r.Breach] }
+
+// StatusLines returns responses with a malformed status line by name. fields has the field lines
+// that a sound response would have, each with its line end.
+func StatusLines(fields string) map[string]Response {
+	return expand(fields, map[string]string{
+		"status 000":                "HTTP/1.1 0|00 OK\r\n{fields}{body}",
+		"status 000, no body":       "HTTP/1.1 0|00 OK\r\n{fields}Content-Length: 0\r\n\r\n",
+		"status 000, a head behind": "HTTP/1.1 0|00 OK\r\n{fields}Content-Length: 0\r\n\r\n" + okHead + "{fields}{body}",
+		"status 099":                "HTTP/1.1 0|99 OK\r\n{fields}{body}",
+		"status 600":                "HTTP/1.1 6|00 OK\r\n{fields}{body}",
+		"status 999":                "HTTP/1.1 9|99 OK\r\n{fields}{body}",
+		"status with a sign":        "HTTP/1.1 +|20 OK\r\n{fields}{body}",
+		"status of 2 digits":        "HTTP/1.1 20 |OK\r\n{fields}{body}",
+		"status of 4 digits":        "HTTP/1.1 2000| OK\r\n{fields}{body}",
+		"status is a word":          "HTTP/1.1 O|K\r\n{fields}{body}",
+		"no status":                 "HTTP/1.1\r|\n{fields}{body}",
+		"no space behind status":    "HTTP/1.1 200O|K\r\n{fields}{body}",
+		"tab behind status":         "HTTP/1.1 200\t|OK\r\n{fields}{body}",
+		"two spaces before status":  "HTTP/1.1  |200 OK\r\n{fields}{body}",
+		"tab before status":         "HTTP/1.1\t|200 OK\r\n{fields}{body}",
+		"NUL in reason":             "HTTP/1.1 200 O\x00|K\r\n{fields}{body}",
+		"ESC in reason":             "HTTP/1.1 200 O\x1b|K\r\n{fields}{body}",
+		"DEL in reason":             "HTTP/1.1 200 O\x7f|K\r\n{fields}{body}",
+		"CR in reason":              "HTTP/1.1 200 O\rK|\r\n{fields}{body}",
+		"version 2":                 "HTTP/2|.0 200 OK\r\n{fields}{body}",
+		"version 0.9":               "HTTP/0|.9 200 OK\r\n{fields}{body}",
+		"minor version of 2 digits": "HTTP/1.10| 200 OK\r\n{fields}{body}",
+		"minor version missing":     "HTTP/1. |200 OK\r\n{fields}{body}",
+		"version in lower case":     "h|ttp/1.1 200 OK\r\n{fields}{body}",
+		"another protocol":          "I|CY 200 OK\r\n{fields}{body}",
+		"space before version":      " |HTTP/1.1 200 OK\r\n{fields}{body}",
+		"line break before version": "\r|\nHTTP/1.1 200 OK\r\n{fields}{body}",
+		"octets of no protocol":     "\x16|\x03\x01",
+		"change of protocol":        "HTTP/1.1 101| Switching Protocols\r\n{fields}Upgrade: x\r\nConnection: upgrade\r\n\r\n",
+		"informational response":    "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 0|00 OK\r\n{fields}{body}",
+	})
+}
+
+func expand(fields string, cases map[string]string) map[string]Response {
+	responses := make(map[string]Response, len(cases))
+	for name, text := range cases {
+		text = strings.ReplaceAll(text, fieldsMark, fields)
+		text = strings.ReplaceAll(text, bodyMark, "Content-Length: 2\r\n\r\n"+Body)
+		before, after, _ := strings.Cut(text, breachMark)
+		responses[name] = Response{Text: before + after, Breach: len(before)}
+	}
+	return responses
+}
+
+// Server answers each request with octets that need not be a response, and keeps the connection
+// open until its client closes it. It is safe for concurrent use.
+type Server struct {
+	listener    net.Listener
+	answer      func(r *http.Request) string
+	connections atomic.Int64
+	requests    atomic.Int64
+}
+
+// Start starts a server on the address host:port. answer returns what is sent for a request.
+func Start(address string, answer func(r *http.Request) string) (s *Server, err error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s = &Server{listener: listener, answer: answer}
+	go s.accept()
+	return s, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Connections returns the number of connections accepted so far.
+func (s *Server) Connections() int { return int(s.connections.Load()) }
+
+// Requests returns the number of requests read so far.
+func (s *Server) Requests() int { return int(s.requests.Load()) }
+
+// Close stops listening. Connections end when their clients close them.
+func (s *Server) Close() { s.listener.Close() }
+
+func (s *Server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.connections.Add(1)
+		go s.serve(c)
+	}
+}
+
+func (s *Server) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err = io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		s.requests.Add(1)
+		if _, err = io.WriteString(c, s.answer(r)); err != nil {
+			return
+		}
+	}
+}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -94,6 +94,9 @@
 	ResetLong
 	// AnswerLong runs the request and answers it with a body of 200 KB.
 	AnswerLong
+	// AnswerRaw runs the request and sends the octets of SetRawAnswer, which need not be a
+	// response. The connection stays open.
+	AnswerRaw
 )
 
 // longAnswerBytes is the length of the body of a long answer. Nodes hold bodies of this size
@@ -123,6 +126,7 @@
 	load              string
 	// loadInAnswers is true if answers state the load too.
 	loadInAnswers bool
+	rawAnswer     string
 	runs          map[string]int
 	headers       map[string]http.Header
 	running       int
@@ -219,6 +223,13 @@
 	return "X-Server-Load: " + s.load + "\r\n"
 }
 
+// SetRawAnswer sets what the behaviour AnswerRaw sends.
+func (s *Server) SetRawAnswer(octets string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rawAnswer = octets
+}
+
 // answerLoadHeader returns the header line with the load for answers, or "".
 func (s *Server) answerLoadHeader() string {
 	s.mu.Lock()
@@ -324,7 +335,7 @@
 	behaviour := s.startRequest(id, r)
 	defer s.finishRequest()
 	s.mu.Lock()
-	serviceTime, runHook := s.serviceTime, s.runHook
+	serviceTime, runHook, rawAnswer := s.serviceTime, s.runHook, s.rawAnswer
 	s.mu.Unlock()
 	time.Sleep(serviceTime)
 	idHeader := "X-Request-Id: " + id + "\r\n"
@@ -384,6 +395,8 @@
 		writeResponse(c, "200 OK", signedHeaders, "answer of "+id)
 	case AnswerLong:
 		writeResponse(c, "200 OK", signedHeaders, strings.Repeat("x", longAnswerBytes))
+	case AnswerRaw:
+		_, _ = io.WriteString(c, rawAnswer)
 	}
 	return true
 }
--- /dev/null
+++ b/mesh/malformed_answer_test.go
@@ -0,0 +1,87 @@
+package mesh
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingslip/lacewingslip/internal/standin/malformed"
+	"github.com/lacewingslip/lacewingslip/internal/standin/server"
+)
+
+// malformedResponses returns malformed responses to the request with the ID.
+func malformedResponses(id string) map[string]malformed.Response {
+	fields := "X-Request-Id: " + id + "\r\nX-Server-Signature: signed\r\n"
+	responses := malformed.StatusLines(fields)
+	return responses
+}
+
+// Guards against a malformed answer of a backend server that reaches a caller, in part or as a
+// statement that the request has not run, or for which the caller waits until its time limit.
+func TestMalformedAnswerOfServer(t *testing.T) {
+	d := newDeployment(t, "orders", "catalogue")
+	orders := d.vms[0].server
+	orders.SetBehaviour(func(*http.Request) server.Behaviour { return server.AnswerRaw })
+	n := 0
+	for node, v := range map[string]*vm{"at its node": d.vms[0], "at another node": d.vms[1]} {
+		for name := range malformedResponses("") {
+			for _, whole := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s/%s/%t", name, node, whole), func(t *testing.T) {
+					n++
+					id := fmt.Sprintf("a%d", n)
+					response := malformedResponses(id)[name]
+					text := response.Text
+					if !whole {
+						text = response.UpToBreach()
+					}
+					orders.SetRawAnswer(text)
+					r := d.call(v, http.MethodPost, "/once/"+id, id)
+					must.NoError(t, r.err)
+					// At the time limit, the status would be 504.
+					must.Eq(t, http.StatusBadGateway, r.status)
+					must.Eq(t, "", r.body)
+					must.Eq(t, "", r.header.Get("X-Server-Signature"))
+					must.Eq(t, 1, d.runs(id))
+				})
+			}
+		}
+	}
+}
+
+// Guards against a malformed answer that keeps a request from a sound server, if it may run
+// there, and against one that passes on another way to the caller.
+func TestMalformedAnswersOnAllPaths(t *testing.T) {
+	d := newDeployment(t, "orders", "catalogue", "orders")
+	const text = "HTTP/1.1 000 OK\r\nX-Request-Id: a\r\nX-Server-Signature: signed\r\nContent-Length: 2\r\n\r\nok"
+	d.vms[0].server.SetRawAnswer(text)
+	d.vms[0].server.SetBehaviour(func(*http.Request) server.Behaviour { return server.AnswerRaw })
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost} {
+		for n, v := range d.vms {
+			t.Run(fmt.Sprintf("%s at node %d", method, n), func(t *testing.T) {
+				r := d.call(v, method, "/safe/", "a")
+				must.NoError(t, r.err)
+				must.Eq(t, http.StatusOK, r.status)
+				if method != http.MethodHead {
+					must.Eq(t, "answer of a", r.body)
+				}
+			})
+		}
+	}
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.0\r\nConnection: keep-alive", "HTTP/1.1", "HTTP/1.1\r\nConnection: close"} {
+		t.Run(version, func(t *testing.T) {
+			d.vms[2].server.SetRawAnswer(text)
+			d.vms[2].server.SetBehaviour(func(*http.Request) server.Behaviour { return server.AnswerRaw })
+			response, err := http.ReadResponse(bufio.NewReader(sendEmpty(t, d.vms[1], version+"\r\n", malformedWait)), nil)
+			must.NoError(t, err)
+			defer response.Body.Close()
+			must.Eq(t, http.StatusBadGateway, response.StatusCode)
+		})
+	}
+}
+
+// malformedWait is longer than a request takes whose answer is malformed.
+const malformedWait = 5 * time.Second
