Refuse answers with a malformed field line

Servers of net/http drop such a line when they pass the answer on. Names with other octets and values with control characters were refused before, but only when their line was complete.

The name of a field must be a token, its value must have no control characters but the tab, and the first line must not begin with white space. The same holds for informational responses and trailers. A folded value is still accepted as net/http reads it, with a space in place of the fold, as RFC 9112 allows.

--- a/framing/framing_test.go
+++ b/framing/framing_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"testing"
@@ -110,6 +111,11 @@
 // Guards against a breach that is noticed late, or only if octets arrive together.
 func TestMalformedResponses(t *testing.T) {
 	responses := malformed.StatusLines("A: b\r\n")
+	for _, group := range []func(fields string) map[string]malformed.Response{
+		malformed.FieldLines,
+	} {
+		maps.Copy(responses, group("A: b\r\n"))
+	}
 	for name, response := range responses {
 		for arrival, source := range sources {
 			t.Run(name+"/"+arrival, func(t *testing.T) {
--- a/framing/scanner.go
+++ b/framing/scanner.go
@@ -79,10 +79,12 @@
 
 	// name has the name of the present field in lower case, as far as it fits. value has its value
 	// if field is not otherField.
-	name       [len(transferEncoding)]byte
-	field      fieldKind
-	value      []byte
-	inTrailers bool
+	name  [len(transferEncoding)]byte
+	field fieldKind
+	value []byte
+	// isFirstLine is true until a field of the section has begun.
+	isFirstLine bool
+	inTrailers  bool
 
 	// isChunked and hasLength state what the head says of the body, whose length is length.
 	isChunked, hasLength bool
@@ -208,7 +210,7 @@
 	switch {
 	case isLineEnd(c):
 		s.endLine(c)
-	case s.state == inReason && !isText(c):
+	case !isText(c):
 		return malformed(element + " has " + quote(c))
 	case s.state == inValue && s.field != otherField:
 		s.value = append(s.value, c)
@@ -229,7 +231,7 @@
 }
 
 func (s *scanner) beginFields(trailers bool) {
-	s.state, s.inTrailers, s.field = lineStart, trailers, otherField
+	s.state, s.inTrailers, s.isFirstLine, s.field = lineStart, trailers, true, otherField
 }
 
 func (s *scanner) nextOfFields(c byte) error {
@@ -254,6 +256,9 @@
 
 func (s *scanner) startLine(c byte) error {
 	if c == ' ' || c == '\t' {
+		if s.isFirstLine {
+			return malformed("the first field line begins with white space")
+		}
 		// net/http replaces the fold of a value with a space (RFC 9112, section 5.2).
 		s.state = inValue
 		return s.nextOfText(c, "the value of a field")
@@ -268,7 +273,10 @@
 	case '\n':
 		return s.endSection()
 	default:
-		s.state, s.position = inName, 0
+		s.state, s.position, s.isFirstLine = inName, 0, false
+		if c == ':' {
+			return malformed("the name of a field is empty")
+		}
 		return s.nextOfName(c)
 	}
 }
@@ -279,6 +287,8 @@
 	case c == ':':
 		s.state, s.field, s.value = inValue, s.fieldOfName(), s.value[:0]
 		return nil
+	case !isToken(c):
+		return malformed("the name of a field has " + quote(c))
 	case s.position < len(s.name):
 		s.name[s.position] = toLower(c)
 	}
@@ -418,6 +428,11 @@
 // the octet. Control characters other than the tab are excluded.
 func isText(c byte) bool { return c >= ' ' && c != 0x7f || c == '\t' }
 
+// isToken reports whether the name of a field may contain the octet (RFC 9110, section 5.6.2).
+func isToken(c byte) bool {
+	return isDigit(c) || 'a' <= toLower(c) && toLower(c) <= 'z' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+}
+
 func toLower(c byte) byte {
 	if 'A' <= c && c <= 'Z' {
 		c += 'a' - 'A'
--- a/internal/standin/malformed/malformed.go
+++ b/internal/standin/malformed/malformed.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	for name, response := range malformed.StatusLines("X-Request-Id: a\r\n") {
+//	for name, response := range malformed.FieldLines("X-Request-Id: a\r\n") {
 //		s, err := malformed.Start("127.0.0.1:0", func(*http.Request) string { return response.Text })
 //		...
 //	}
@@ -78,6 +78,45 @@
 	})
 }
 
+// FieldLines returns responses with a malformed field line by name, as [StatusLines] does.
+func FieldLines(fields string) map[string]Response {
+	cases := make(map[string]string)
+	for name, line := range map[string]string{
+		"space in name":                 "X |Bad: 1",
+		"space behind name":             "X-Bad |: 1",
+		"tab in name":                   "X\t|Bad: 1",
+		"tab behind name":               "X-Bad\t|: 1",
+		"NUL in name":                   "X\x00|Bad: 1",
+		"control character in name":     "X\x01|Bad: 1",
+		"DEL in name":                   "X\x7f|Bad: 1",
+		"CR in name":                    "X\r|Bad: 1",
+		"octet beyond ASCII in name":    "X\xe4|Bad: 1",
+		"delimiter in name":             "X(|Bad): 1",
+		"quotation mark in name":        "\"|X\": 1",
+		"empty name":                    ":| 1",
+		"line without colon":            "XBad\r|",
+		"space behind transfer coding":  "Transfer-Encoding |: chunked",
+		"space behind length":           "Content-Length |: 1",
+		"NUL in value":                  "X-Bad: a\x00|b",
+		"control character in value":    "X-Bad: a\x01|b",
+		"ESC in value":                  "X-Bad: a\x1b|b",
+		"DEL in value":                  "X-Bad: a\x7f|b",
+		"CR in value":                   "X-Bad: a\rb|",
+		"two CR at the end":             "X-Bad: a\r\r|",
+		"control character, folded":     "X-Bad: a\r\n b\x00|",
+		"space in name behind a fold":   "X-Bad: a\r\n b\r\nX |Bad: 1",
+		"control character in own name": "X-Request\x02|-Id: a",
+	} {
+		cases[name] = okHead + "{fields}" + line + "\r\n{body}"
+		cases[name+", first"] = okHead + line + "\r\n{fields}{body}"
+		cases[name+", informational"] = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + okHead + "{fields}{body}"
+		cases[name+", no body"] = "HTTP/1.1 204 No Content\r\n{fields}" + line + "\r\n\r\n"
+	}
+	cases["space before first name"] = okHead + " |X-Bad: 1\r\n{fields}{body}"
+	cases["tab before first name"] = okHead + "\t|X-Bad: 1\r\n{fields}{body}"
+	return expand(fields, cases)
+}
+
 func expand(fields string, cases map[string]string) map[string]Response {
 	responses := make(map[string]Response, len(cases))
 	for name, text := range cases {
--- a/mesh/malformed_answer_test.go
+++ b/mesh/malformed_answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"net/http"
 	"testing"
 	"time"
@@ -17,6 +18,11 @@
 func malformedResponses(id string) map[string]malformed.Response {
 	fields := "X-Request-Id: " + id + "\r\nX-Server-Signature: signed\r\n"
 	responses := malformed.StatusLines(fields)
+	for _, group := range []func(fields string) map[string]malformed.Response{
+		malformed.FieldLines,
+	} {
+		maps.Copy(responses, group(fields))
+	}
 	return responses
 }
 
