Refuse answers that state two lengths

A caller got the chunk sizes as a part of a signed body, or the body of a message that RFC 9112, section 6.3, wants handled as an error, or waited for its time limit.

Both are malformed now. Equal lengths in two lines are accepted as before.

--- a/framing/scanner.go
+++ b/framing/scanner.go
@@ -75,6 +75,7 @@
 	isHead bool
 	// position is the number of octets of the present element that have been read.
 	position int
+	minor    byte
 	status   int
 
 	// name has the name of the present field in lower case, as far as it fits. value has its value
@@ -166,7 +167,7 @@
 		if !isDigit(c) {
 			return malformed("the minor version is " + quote(c))
 		}
-		s.state = beforeStatus
+		s.minor, s.state = c, beforeStatus
 	case beforeStatus:
 		if c != ' ' {
 			return malformed("the version is followed by " + quote(c))
@@ -343,6 +344,10 @@
 	switch {
 	case s.inTrailers:
 		s.state = notExpected
+	case s.isChunked && s.hasLength:
+		return malformed("it has both a content length and a transfer coding")
+	case s.isChunked && s.minor == '0':
+		return malformed("it has a transfer coding, which HTTP/1.0 lacks")
 	case s.status < firstFinalStatus:
 		s.beginHead()
 	case s.isHead, s.status == noContent, s.status == notModified:
--- a/internal/standin/malformed/malformed.go
+++ b/internal/standin/malformed/malformed.go
@@ -117,6 +117,34 @@
 	return expand(fields, cases)
 }
 
+// Lengths returns responses by name that state the length of their body in a way that is
+// invalid, or that receivers read differently, as [StatusLines] does.
+func Lengths(fields string) map[string]Response {
+	const chunks = "2\r\nok\r\n0\r\n\r\n"
+	return expand(fields, map[string]string{
+		"length and transfer coding":    okHead + "{fields}Content-Length: 12\r\nTransfer-Encoding: chunked\r\n\r\n|" + chunks,
+		"transfer coding and length":    okHead + "{fields}Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n|" + chunks,
+		"transfer coding, HTTP/1.0":     "HTTP/1.0 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n|" + chunks,
+		"kept open, HTTP/1.0":           "HTTP/1.0 200 OK\r\n{fields}Connection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: 12\r\n\r\n|" + chunks,
+		"chunked twice":                 okHead + "{fields}Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r|\n" + chunks,
+		"chunked twice in one line":     okHead + "{fields}Transfer-Encoding: chunked, chunked\r\n\r|\n" + chunks,
+		"another transfer coding":       okHead + "{fields}Transfer-Encoding: gzip, chunked\r\n\r|\n" + chunks,
+		"chunked is not the last":       okHead + "{fields}Transfer-Encoding: chunked, identity\r\n\r|\n" + chunks,
+		"transfer coding is empty":      okHead + "{fields}Transfer-Encoding:\r\n\r|\n" + chunks,
+		"negative length":               okHead + "{fields}Content-Length: -2\r\n\r|\nok",
+		"length with a sign":            okHead + "{fields}Content-Length: +2\r\n\r|\nok",
+		"length is a word":              okHead + "{fields}Content-Length: two\r\n\r|\nok",
+		"hexadecimal length":            okHead + "{fields}Content-Length: 0x2\r\n\r|\nok",
+		"length with a fraction":        okHead + "{fields}Content-Length: 2.0\r\n\r|\nok",
+		"length is empty":               okHead + "{fields}Content-Length:\r\n\r|\nok",
+		"length beyond 64 bits":         okHead + "{fields}Content-Length: 18446744073709551618\r\n\r|\nok",
+		"two lengths":                   okHead + "{fields}Content-Length: 2\r\nContent-Length: 1\r\n\r|\nok",
+		"two lengths in one line":       okHead + "{fields}Content-Length: 2, 1\r\n\r|\nok",
+		"lengths of a refusal differ":   "HTTP/1.1 503 Busy\r\n{fields}X-Not-Executed: 1\r\nContent-Length: 2\r\nContent-Length: 1\r\n\r|\nok",
+		"length and coding, no content": "HTTP/1.1 204 No Content\r\n{fields}Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n|",
+	})
+}
+
 func expand(fields string, cases map[string]string) map[string]Response {
 	responses := make(map[string]Response, len(cases))
 	for name, text := range cases {
