Refuse answers with control characters in a chunk extension

The rest of the class in bodies: net/http cuts off the extension of a chunk without a look at it. Control characters there make the answer malformed.

The new cases also hold what was handled before: sizes that are no numbers, chunks of another length than stated, and line feeds without carriage return, once their line was complete.

Before the change, NUL in an extension reached the caller as a whole answer (hop, and mesh at both nodes).

--- a/framing/framing_test.go
+++ b/framing/framing_test.go
@@ -112,7 +112,7 @@
 func TestMalformedResponses(t *testing.T) {
 	responses := malformed.StatusLines("A: b\r\n")
 	for _, group := range []func(fields string) map[string]malformed.Response{
-		malformed.FieldLines, malformed.Lengths,
+		malformed.FieldLines, malformed.Lengths, malformed.Chunks,
 	} {
 		maps.Copy(responses, group("A: b\r\n"))
 	}
--- a/framing/scanner.go
+++ b/framing/scanner.go
@@ -385,6 +385,8 @@
 	case inChunkExtension:
 		if c == '\r' {
 			s.state = chunkLineEnd
+		} else if !isText(c) {
+			return malformed("the extension of a chunk has " + quote(c))
 		}
 	case chunkReturn:
 		if c != '\r' {
--- a/hop/malformed_test.go
+++ b/hop/malformed_test.go
@@ -25,7 +25,7 @@
 	const fields = "X-Request-Id: a\r\nX-Server-Signature: signed\r\n"
 	responses := make(map[string]malformed.Response)
 	for _, group := range []func(fields string) map[string]malformed.Response{
-		malformed.StatusLines, malformed.FieldLines, malformed.Lengths,
+		malformed.StatusLines, malformed.FieldLines, malformed.Lengths, malformed.Chunks,
 	} {
 		maps.Copy(responses, group(fields))
 	}
--- a/internal/standin/malformed/malformed.go
+++ b/internal/standin/malformed/malformed.go
@@ -27,7 +27,8 @@
 	// fieldsMark stands for the fields of the server, and bodyMark for a length and the body.
 	fieldsMark, bodyMark = "{fields}", "{body}"
 
-	okHead = "HTTP/1.1 200 OK\r\n"
+	okHead  = "HTTP/1.1 200 OK\r\n"
+	chunked = okHead + fieldsMark + "Transfer-Encoding: chunked\r\n\r\n"
 )
 
 // Response is a malformed response.
@@ -145,6 +146,42 @@
 	})
 }
 
+// Chunks returns responses with a malformed chunked body or malformed trailers by name, as
+// [StatusLines] does.
+func Chunks(fields string) map[string]Response {
+	cases := map[string]string{
+		"size is no number":             chunked + "z|z\r\nok\r\n0\r\n\r\n",
+		"size is empty":                 chunked + "\r|\nok\r\n0\r\n\r\n",
+		"size is negative":              chunked + "-|2\r\nok\r\n0\r\n\r\n",
+		"size has a prefix":             chunked + "0x|2\r\nok\r\n0\r\n\r\n",
+		"size beyond 64 bits":           chunked + "00000000000000002|\r\nok\r\n0\r\n\r\n",
+		"space before size":             chunked + " |2\r\nok\r\n0\r\n\r\n",
+		"line feed behind size":         chunked + "2\n|ok\r\n0\r\n\r\n",
+		"NUL in extension":              chunked + "2;a\x00|b\r\nok\r\n0\r\n\r\n",
+		"CR in extension":               chunked + "2;a\rb|\r\nok\r\n0\r\n\r\n",
+		"line feed in extension":        chunked + "2;a\n|ok\r\n0\r\n\r\n",
+		"control character behind size": chunked + "2\x01|\r\nok\r\n0\r\n\r\n",
+		"chunk longer than its size":    chunked + "1\r\nok|\r\n0\r\n\r\n",
+		"chunk shorter than its size":   chunked + "4\r\nok\r\n0|\r\n\r\n",
+		"line feed behind chunk":        chunked + "2\r\nok\n|0\r\n\r\n",
+		"second chunk is no chunk":      chunked + "1\r\no\r\nk|\r\n0\r\n\r\n",
+		"line feed behind last chunk":   chunked + "2\r\nok\r\n0\n|\n",
+	}
+	for name, line := range map[string]string{
+		"space in name":      "X |Bad: 1",
+		"space behind name":  "X-Bad |: 1",
+		"control character":  "X\x01|Bad: 1",
+		"empty name":         ":| 1",
+		"line without colon": "XBad\r|",
+		"NUL in value":       "X-Bad: a\x00|b",
+		"space before name":  " |X-Bad: 1",
+		"a second response":  "HTTP/|1.1 200 OK\r\nContent-Length: 0",
+	} {
+		cases["trailer: "+name] = chunked + "2\r\nok\r\n0\r\n" + line + "\r\n\r\n"
+	}
+	return expand(fields, cases)
+}
+
 func expand(fields string, cases map[string]string) map[string]Response {
 	responses := make(map[string]Response, len(cases))
 	for name, text := range cases {
--- a/mesh/malformed_answer_test.go
+++ b/mesh/malformed_answer_test.go
@@ -19,7 +19,7 @@
 	fields := "X-Request-Id: " + id + "\r\nX-Server-Signature: signed\r\n"
 	responses := malformed.StatusLines(fields)
 	for _, group := range []func(fields string) map[string]malformed.Response{
-		malformed.FieldLines, malformed.Lengths,
+		malformed.FieldLines, malformed.Lengths, malformed.Chunks,
 	} {
 		maps.Copy(responses, group(fields))
 	}
