Read a refusal to its end before it counts as not run

A backend server that sent 503 with X-Not-Executed, or 421, and then a chunk or a trailer that is none, made its caller believe that the request had not run and never will: the error of reading the body was ignored. The same held for a refusal that was cut.

The body of a refusal is now read to its end, and an error makes the attempt lost, which promises nothing. The bytes are not kept any more, and a body beyond 4 MiB counts as an error, so that a server that sends without end does not hold its slot.

TestBrokenRefusalOfServer: four of six cases were answered 503 before the change; now the malformed ones are answered 502, and the cut one 504 when its time limit passes. Whole refusals, also of 512 KiB, are answered 503 as before.

--- a/hop/answer.go
+++ b/hop/answer.go
@@ -1,8 +1,11 @@
 package hop
 
 import (
+	"errors"
 	"io"
 	"net/http"
+
+	"github.com/rotisserie/eris"
 )
 
 // maxPreparedBytes is the length up to which the memory for a body is allocated before it has
@@ -55,6 +58,26 @@
 	return body, true, nil
 }
 
+// maxDiscardedBytes bounds the body of an answer that is only read to verify it.
+const maxDiscardedBytes = 4 << 20
+
+// errBodyTooLong is returned if a body that is discarded exceeds maxDiscardedBytes.
+var errBodyTooLong = eris.Errorf("the body of the answer exceeds %d bytes", maxDiscardedBytes)
+
+// Discard reads the body to its end, of up to 4 MiB. What the head of an answer states holds only
+// if err is nil, because an answer that is cut or malformed is no answer.
+func (a *Answer) Discard() (err error) {
+	_, err = io.CopyN(io.Discard, a.Body, maxDiscardedBytes)
+	switch {
+	case err == nil:
+		return errBodyTooLong
+	case !errors.Is(err, io.EOF):
+		return err
+	}
+	a.bodyRead = true
+	return nil
+}
+
 // ReadHeld reads at most limit bytes of the body as long as grow allows to hold more. complete is
 // false if the rest of the body has not been read. grow gets the number of bytes that are
 // allocated.
--- a/mesh/malformed_answer_test.go
+++ b/mesh/malformed_answer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -91,3 +92,33 @@
 
 // malformedWait is longer than a request takes whose answer is malformed.
 const malformedWait = 5 * time.Second
+
+// Guards against a refusal that is cut or malformed behind its head and still counts as a promise
+// that the request has not run.
+func TestBrokenRefusalOfServer(t *testing.T) {
+	const refused, busy = "X-Not-Executed: 1\r\n", "HTTP/1.1 503 Service Unavailable\r\n"
+	// The first chunk is longer than what is read at once, so that the head is read before the rest.
+	chunk := "Transfer-Encoding: chunked\r\n\r\n1388\r\n" + strings.Repeat("x", 0x1388) + "\r\n"
+	long := strings.Repeat("x", 2*maxBufferedBytes)
+	for name, c := range map[string]struct {
+		answer string
+		status int
+	}{
+		"whole":             {busy + refused + chunk + "0\r\n\r\n", http.StatusServiceUnavailable},
+		"whole, long":       {busy + refused + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long), http.StatusServiceUnavailable},
+		"malformed chunk":   {busy + refused + chunk + "zz\r\n", http.StatusBadGateway},
+		"malformed trailer": {busy + refused + chunk + "0\r\nX Bad: 1\r\n\r\n", http.StatusBadGateway},
+		"misdirected":       {"HTTP/1.1 421 Misdirected Request\r\n" + chunk + "zz\r\n", http.StatusBadGateway},
+		"cut":               {busy + refused + "Content-Length: 9\r\n\r\nbusy", http.StatusGatewayTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, "orders", "catalogue")
+			d.vms[0].server.SetBehaviour(func(*http.Request) server.Behaviour { return server.AnswerRaw })
+			head, rest, _ := strings.Cut(c.answer, "\r\n")
+			d.vms[0].server.SetRawAnswer(head + "\r\nX-Request-Id: a\r\n" + rest)
+			r := d.call(d.vms[1], http.MethodPost, "/once/", "a")
+			must.NoError(t, r.err)
+			must.Eq(t, c.status, r.status)
+		})
+	}
+}
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -464,10 +464,11 @@
 		return unknownResult(call.ReasonLost, "a refusal without request ID on a reused connection may belong to an earlier request")
 	}
 	if platform.NotRun(resp.StatusCode, resp.Header) {
-		// The error is ignored: its only consequence is that the connection is not
-		// reused.
-		_, _, _ = resp.ReadAll(maxBufferedBytes)
+		err := resp.Discard()
 		resp.Close()
+		if err != nil {
+			return lostResult(ctx, fmt.Errorf("the refusal of the backend server is incomplete: %w", err))
+		}
 		return notRunResult(call.ReasonShed, fmt.Sprintf("the backend server stated that it did not run the request: status %d", res.status))
 	}
 	if err := readResultBody(ctx, resp, res); err != nil {
