Read a refusal of another node to its end

The same fault at the other end of a call: the node that sent a request took "not run" from the head of another node's response and ignored an error in its body. Nodes send refusals without a body, so that took a node in trouble. Such a response is now lost, with the node and the load that its head states.

TestMalformedAnswerOfNode sends all malformed responses in place of another node's refusal and answer.

--- a/mesh/malformed_answer_test.go
+++ b/mesh/malformed_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"maps"
 	"net/http"
@@ -11,18 +12,26 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/internal/standin/malformed"
 	"github.com/lacewingslip/lacewingslip/internal/standin/server"
+	"github.com/lacewingslip/lacewingslip/nodeconfig"
 )
 
+// malformedWait is longer than a request takes whose answer is malformed.
+const malformedWait = 5 * time.Second
+
+// malformedGroups are functions that return malformed responses by name.
+var malformedGroups = []func(fields string) map[string]malformed.Response{
+	malformed.StatusLines, malformed.FieldLines, malformed.Lengths, malformed.Chunks,
+}
+
 // malformedResponses returns malformed responses to the request with the ID.
 func malformedResponses(id string) map[string]malformed.Response {
-	fields := "X-Request-Id: " + id + "\r\nX-Server-Signature: signed\r\n"
-	responses := malformed.StatusLines(fields)
-	for _, group := range []func(fields string) map[string]malformed.Response{
-		malformed.FieldLines, malformed.Lengths, malformed.Chunks,
-	} {
-		maps.Copy(responses, group(fields))
+	responses := make(map[string]malformed.Response)
+	for _, group := range malformedGroups {
+		maps.Copy(responses, group("X-Request-Id: "+id+"\r\nX-Server-Signature: signed\r\n"))
 	}
 	return responses
 }
@@ -90,9 +99,6 @@
 	}
 }
 
-// malformedWait is longer than a request takes whose answer is malformed.
-const malformedWait = 5 * time.Second
-
 // Guards against a refusal that is cut or malformed behind its head and still counts as a promise
 // that the request has not run.
 func TestBrokenRefusalOfServer(t *testing.T) {
@@ -122,3 +128,34 @@
 		})
 	}
 }
+
+// Guards against a malformed answer of another node that passes for a refusal or an answer, also
+// if only its body is malformed.
+func TestMalformedAnswerOfNode(t *testing.T) {
+	req := &request{id: "a", method: http.MethodPost, host: "example", target: "/once/", header: http.Header{}, deadline: time.Now().Add(time.Minute)}
+	for _, outcome := range []call.Outcome{call.Answered, call.NotRun} {
+		fields := fmt.Sprintf("%s: %x %s 1 0 0 8 1 0 0 0 -\r\n", headerHop, requestIDHash(req.id), outcome)
+		answers := make(map[string]string)
+		for _, group := range malformedGroups {
+			for name, response := range group(fields) {
+				answers[name] = response.Text
+			}
+		}
+		chunk := "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n1388\r\n" + strings.Repeat("x", 0x1388) + "\r\n"
+		answers["second chunk"] = chunk + "zz\r\n"
+		answers["trailer behind long chunk"] = chunk + "0\r\nX Bad: 1\r\n\r\n"
+		for name, answer := range answers {
+			t.Run(name+", "+outcome.String(), func(t *testing.T) {
+				s, err := malformed.Start("127.0.0.1:0", func(*http.Request) string { return answer })
+				must.NoError(t, err)
+				defer s.Close()
+				ctx, cancel := context.WithTimeout(t.Context(), malformedWait)
+				defer cancel()
+				res, _ := newBalancer(nodeconfig.Config{}, nil).send(ctx, &peer{node: "n", pool: hop.New(s.Address())}, req, 1)
+				defer res.close()
+				must.EqOp(t, call.Unknown, res.outcome)
+				must.EqOp(t, call.ReasonLost, res.reason)
+			})
+		}
+	}
+}
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -313,8 +313,11 @@
 		res.wait = expectedWait(resp.Header)
 		res.evidence = readEvidence(resp.Header)
 		// The body is discarded: the other node has logged the details.
-		_, _, _ = resp.ReadAll(maxBufferedBytes)
+		err = resp.Discard()
 		resp.Close()
+		if err != nil {
+			return incompletePeerResult(ctx, res, err), version
+		}
 		return res, version
 	}
 	// Nothing else reads the header of the response, so it is forwarded without a copy.
@@ -322,13 +325,19 @@
 	keepEndToEnd(res.header)
 	delete(res.header, "Content-Length")
 	if err = readResultBody(ctx, resp, res); err != nil {
-		incomplete := lostResult(ctx, eris.Wrap(err, "the response from the other node is incomplete"))
-		incomplete.node, incomplete.report = node, res.report
-		return incomplete, version
+		return incompletePeerResult(ctx, res, err), version
 	}
 	return res, version
 }
 
+// incompletePeerResult returns the result of an attempt whose response from another node began
+// as res and could not be read to its end.
+func incompletePeerResult(ctx context.Context, res *result, err error) (incomplete *result) {
+	incomplete = lostResult(ctx, eris.Wrap(err, "the response from the other node is incomplete"))
+	incomplete.node, incomplete.report = res.node, res.report
+	return incomplete
+}
+
 // parseResponseHop decodes the value of headerHop in a response.
 func parseResponseHop(value string) (res *result, version int64, err error) {
 	defer func() { err = wrapHop(err, "response") }()
