Read a health answer to its end

The same fault in health requests: a started node took the instance and the slots of its backend server from the head of an answer whose body was malformed, and a silent server counted as responsive again. Such an answer is now none, and the request is sent again as after any other failure.

TestMalformedHealthAnswer: a malformed chunk and a malformed trailer passed before the change.

--- a/mesh/malformed_answer_test.go
+++ b/mesh/malformed_answer_test.go
@@ -159,3 +159,33 @@
 		}
 	}
 }
+
+// Guards against a health answer that is malformed behind its head and still tells a started node
+// which server it is beside.
+func TestMalformedHealthAnswer(t *testing.T) {
+	const fields = "X-Instance-Id: i-1\r\nX-Server-Load: 0,0,8\r\n"
+	head := "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n1388\r\n" + strings.Repeat("x", 0x1388) + "\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		whole  bool
+	}{
+		"whole":             {head + "0\r\n\r\n", true},
+		"malformed head":    {malformed.StatusLines(fields)["status 000"].Text, false},
+		"malformed chunk":   {head + "zz\r\n", false},
+		"malformed trailer": {head + "0\r\nX Bad: 1\r\n\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, err := malformed.Start("127.0.0.1:0", func(*http.Request) string { return c.answer })
+			must.NoError(t, err)
+			defer s.Close()
+			sidecar := &sidecar{backend: newInstancePool(s.Address()), settings: nodeconfig.Config{Backend: s.Address()}}
+			_, status, err := sidecar.requestHealth(t.Context(), "/health")
+			if !c.whole {
+				must.Error(t, err)
+				return
+			}
+			must.NoError(t, err)
+			must.Eq(t, http.StatusOK, status)
+		})
+	}
+}
--- a/mesh/sidecar.go
+++ b/mesh/sidecar.go
@@ -375,7 +375,8 @@
 	}()
 }
 
-// requestHealth sends a health request to the backend server.
+// requestHealth sends a health request to the backend server. The header and the status are those
+// of a whole answer.
 func (s *sidecar) requestHealth(ctx context.Context, path string) (h http.Header, status int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
@@ -385,9 +386,9 @@
 		return nil, 0, err
 	}
 	defer resp.Close()
-	// The error is ignored: its only consequence is that the connection is not
-	// reused.
-	_, _, _ = resp.ReadAll(maxBufferedBytes)
+	if err = resp.Discard(); err != nil {
+		return nil, 0, err
+	}
 	return resp.Header, resp.StatusCode, nil
 }
 
