Refuse malformed replies of other nodes to messages

The messages between nodes (state, credit of caps, levels of refusals) are not requests of callers, but their replies change desired states, member records and what is admitted. They were read by net/http as it is, like those of the log service, and are read through framing.Transport now.

TestMalformedReplyOfNode sends the octets of each malformed response up to the first wrong one. The body of a reply is still applied once its JSON value is whole, which TestExchangeIsAppliedBeforeTheEndOfItsBody holds.

--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/fleet"
 	"github.com/lacewingslip/lacewingslip/follow"
+	"github.com/lacewingslip/lacewingslip/framing"
 	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/platform"
 )
@@ -141,10 +142,10 @@
 		stopping: stopping, endWaits: sync.OnceFunc(func() { close(stopping) }),
 		balancer: b, directory: directory, desired: d, era: era, events: events, fetching: make(map[string]bool),
 		readsLog: func() bool { return true }, tableID: rand.Int64(), ownRecordFetched: make(chan struct{}), ownRecordWait: defaultOwnRecordWait, startedAt: time.Now(),
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: framing.NewTransport(&http.Transport{
 			DialContext: hop.Dialer().DialContext, DisableCompression: true,
 			MaxIdleConns: maxIdleExchanges, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout,
-		}},
+		})},
 	}
 	proofs.balancer, proofs.exchange = b, e
 	q.send, q.ownMessage, q.directory = e.send, e.ownMessage, directory
--- a/mesh/level_messages.go
+++ b/mesh/level_messages.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/lacewingslip/lacewingslip/framing"
 	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/levelquery"
 	"github.com/lacewingslip/lacewingslip/metrics"
@@ -83,9 +84,9 @@
 	}
 	return &levelQuestions{
 		maxHeld: maxHeld, settings: settings, admission: a, balancer: b, sidecar: s, metrics: m,
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: framing.NewTransport(&http.Transport{
 			DialContext: hop.Dialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: levelsIdleTimeout, DisableCompression: true,
-		}},
+		})},
 	}
 }
 
--- a/mesh/malformed_answer_test.go
+++ b/mesh/malformed_answer_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"strings"
@@ -206,3 +207,29 @@
 		})
 	}
 }
+
+// Guards against a malformed reply of another node to a message of this one.
+func TestMalformedReplyOfNode(t *testing.T) {
+	d := newDeployment(t, "orders")
+	c := d.vms[0].node.lifecycle.components
+	for client, send := range map[string]*http.Client{"state": c.exchange.client, "credit": c.caps.client, "levels": c.levels.client} {
+		for name, answer := range malformedResponses("a") {
+			t.Run(client+"/"+name, func(t *testing.T) {
+				s, err := malformed.Start("127.0.0.1:0", func(*http.Request) string { return answer.UpToBreach() })
+				must.NoError(t, err)
+				defer s.Close()
+				ctx, cancel := context.WithTimeout(t.Context(), malformedWait)
+				defer cancel()
+				request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Address(), http.NoBody)
+				must.NoError(t, err)
+				response, err := send.Do(request)
+				if err == nil {
+					defer response.Body.Close()
+					_, err = io.Copy(io.Discard, response.Body)
+				}
+				must.Error(t, err)
+				must.NoError(t, ctx.Err())
+			})
+		}
+	}
+}
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -12,6 +12,7 @@
 	"github.com/lacewingslip/lacewingslip/desired"
 	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/fleet"
+	"github.com/lacewingslip/lacewingslip/framing"
 	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/metrics"
 	"github.com/lacewingslip/lacewingslip/nodeconfig"
@@ -79,9 +80,9 @@
 		settings: settings, desired: d, balancer: b, directory: dir, events: events, metrics: m, now: clock.now,
 		requester: quota.NewRequester(terms, rand.Float64), accounts: quota.NewAccounts(settings.Node, terms),
 		links: make(map[string]*quotaLink), refusing: make(map[string]*refusals),
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: framing.NewTransport(&http.Transport{
 			DialContext: hop.Dialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: quotaIdleTimeout, DisableCompression: true,
-		}},
+		})},
 	}
 }
 
