Refuse malformed answers on the product's own interface

A status of 600 or 999 reached the caller, a name with a space hid the length or the coding of a body, and chunk sizes were relayed as a part of it. A status of 000 made the handler panic, which closed the connection, so that its caller was told unknown by accident.

Both transports of a node are framing.Transport now. An answer that is malformed ends as unknown with reason lost, the outcome of a lost connection, and one that is malformed behind a part that was relayed already is cut.

A malformed chunk size was handled before.

--- a/node/backend.go
+++ b/node/backend.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/framing"
 	"github.com/lacewingslip/lacewingslip/hop"
 	"github.com/lacewingslip/lacewingslip/membership"
 )
@@ -39,7 +40,9 @@
 
 	mu        sync.RWMutex
 	announced announcement
-	client    *http.Transport
+	client    *framing.Transport
+	// connections is the limit of client, or 0 if it has none.
+	connections int
 	// connectFailures counts refused connections since the last announcement or
 	// successful probe.
 	connectFailures int
@@ -120,15 +123,20 @@
 func (b *backendServer) applyConnectionLimit(configured int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.client == nil || b.announced.Connections > 0 || b.client.MaxConnsPerHost == configured {
+	if b.client == nil || b.announced.Connections > 0 || b.connections == configured {
 		return
 	}
 	// Requests in progress end on the connections of the old transport.
 	old := b.client
-	b.client = newTransport(configured, backendIdleTimeout)
+	b.setTransport(configured)
 	old.CloseIdleConnections()
 }
 
+// setTransport replaces the transport. The mutex must be held.
+func (b *backendServer) setTransport(connections int) {
+	b.client, b.connections = newTransport(connections, backendIdleTimeout), connections
+}
+
 func (b *backendServer) address() string {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
@@ -181,7 +189,7 @@
 		b.client.CloseIdleConnections()
 	}
 	b.announced, b.deregistered, b.connectFailures = a, false, 0
-	b.client = newTransport(a.Connections, backendIdleTimeout)
+	b.setTransport(a.Connections)
 	b.limiter.restart()
 	return true, false
 }
@@ -249,16 +257,16 @@
 	return drained
 }
 
-// newTransport returns a transport that does not decompress bodies and opens at most
-// the given number of connections to one address; 0 means no limit.
-func newTransport(connections int, idle time.Duration) *http.Transport {
-	return &http.Transport{
+// newTransport returns a transport that does not decompress bodies, refuses malformed answers,
+// and opens at most the given number of connections to one address; 0 means no limit.
+func newTransport(connections int, idle time.Duration) *framing.Transport {
+	return framing.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		DisableCompression:  true,
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: maxIdlePerHost(connections),
 		IdleConnTimeout:     idle,
-	}
+	})
 }
 
 // maxIdlePerHost returns the number of idle connections to keep: as many as may be
