Read a refusal to its end on the product's own interface

As on the users' platform: a node took "not run" from the header of another node's refusal and closed the connection without a look at the rest. A refusal whose body was malformed or cut counted as a promise. The body, of up to 64 KiB, is read now, and an error ends the attempt as lost.

--- a/node/attempt.go
+++ b/node/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +17,9 @@
 	"github.com/lacewingslip/lacewingslip/routing"
 )
 
+// maxRefusalBytes bounds how much is read of the refusal of another node.
+const maxRefusalBytes = 64 << 10
+
 // attempt is a single transmission of a call to one upstream.
 type attempt struct {
 	upstream  routing.Upstream
@@ -60,12 +64,12 @@
 		s.events.Record(event.AnswerMismatched, attrNode(a.upstream.Node), attrCall(a.context.Call))
 		return attemptResult{failure: unknown(call.ReasonLost, "the answer has the ID of another call"), sent: true}
 	}
-	return s.readAnswer(answer, a)
+	return s.readAnswer(ctx, answer, a)
 }
 
 // readAnswer converts the sidecar's answer to the result of the attempt. The outcome
 // is unknown unless the answer explicitly reports another one.
-func (s *sender) readAnswer(answer *http.Response, a attempt) (result attemptResult) {
+func (s *sender) readAnswer(ctx context.Context, answer *http.Response, a attempt) (result attemptResult) {
 	result.sent = true
 	if left, err := call.ParseCount(answer.Header, call.HeaderTokensLeft, 0, a.context.Tokens); err == nil {
 		result.tokensLeft = left
@@ -82,6 +86,10 @@
 		result.failure = unknown(call.ReasonLost, err.Error())
 		return result
 	}
+	// What the header of a refusal states holds only if the whole refusal has arrived.
+	if _, err = io.Copy(io.Discard, io.LimitReader(answer.Body, maxRefusalBytes)); err != nil {
+		return attemptFailure(ctx, a, true, err)
+	}
 	result.failure = &failure{
 		outcome: outcome,
 		reason:  call.Reason(answer.Header.Get(call.HeaderReason)),
