Refuse malformed responses in the client library

It reads through framing.Transport now, and a failure counts once its body, of up to 64 KiB, has arrived.

WithTransport copies the transport, because its dial function is replaced. Client.CloseIdleConnections closes the connections of the copy; the tests use it in place of the method of the transport.

--- a/attempt.go
+++ b/attempt.go
@@ -171,9 +171,14 @@
 }
 
 func readFailure(resp *http.Response, outcome call.Outcome) *Error {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err != nil {
+		// What the header states holds only if the whole response has arrived.
+		return &Error{outcome: call.Unknown, reason: lostReason(resp.Request.Context()), status: resp.StatusCode, cause: err}
+	}
 	var body errorBody
 	// The body is only informative, so decoding errors are ignored.
-	_ = json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(&body)
+	_ = json.Unmarshal(data, &body)
 	seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
 	failure := &Error{
 		outcome:    outcome,
--- a/client.go
+++ b/client.go
@@ -35,6 +35,7 @@
 	"time"
 
 	"github.com/lacewingslip/lacewingslip/call"
+	"github.com/lacewingslip/lacewingslip/framing"
 )
 
 const (
@@ -104,9 +105,10 @@
 
 // WithTransport replaces the HTTP transport. It takes an [http.Transport] rather than
 // any [http.RoundTripper], because the client uses its trace hooks to determine
-// whether a request was sent.
+// whether a request was sent. The client uses a copy with connections of its own, which
+// [Client.CloseIdleConnections] closes.
 func WithTransport(transport *http.Transport) Option {
-	return func(c *Client) { c.http.Transport = transport }
+	return func(c *Client) { c.http.Transport = framing.NewTransport(transport) }
 }
 
 // New returns a client that uses the nodes with the given caller addresses.
@@ -125,7 +127,7 @@
 		attempts:       defaultAttempts,
 		maxAnswerBytes: defaultMaxAnswerBytes,
 		http: &http.Client{
-			Transport: newTransport(),
+			Transport: framing.NewTransport(newTransport()),
 			// A redirect is an answer of the backend server and is returned to the caller.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
@@ -156,6 +158,9 @@
 	return state.run(ctx)
 }
 
+// CloseIdleConnections closes the connections to nodes that are not in use.
+func (c *Client) CloseIdleConnections() { c.http.CloseIdleConnections() }
+
 // Propagate copies the headers that link a child call to the call that the backend
 // server is running.
 func Propagate(child, running http.Header) {
--- a/client_test.go
+++ b/client_test.go
@@ -336,9 +336,9 @@
 			return nil, ctx.Err()
 		}
 	}}
-	t.Cleanup(transport.CloseIdleConnections)
 	client, err := lacewingslip.New([]string{"node:1"}, lacewingslip.WithTransport(transport))
 	must.NoError(t, err)
+	t.Cleanup(client.CloseIdleConnections)
 	return client
 }
 
--- a/framing/transport.go
+++ b/framing/transport.go
@@ -15,10 +15,7 @@
 // NewTransport returns a transport with the options of base, but connections of its own.
 func NewTransport(base *http.Transport) *Transport {
 	base = base.Clone()
-	dial := base.DialContext
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
+	dial := dialOf(base)
 	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
@@ -29,6 +26,18 @@
 	return &Transport{base: base}
 }
 
+// dialOf returns the function by which a transport opens TCP connections.
+func dialOf(t *http.Transport) func(ctx context.Context, network, address string) (net.Conn, error) {
+	switch {
+	case t.DialContext != nil:
+		return t.DialContext
+	case t.Dial != nil: //nolint:staticcheck // Callers of this package may still set it.
+		return func(_ context.Context, network, address string) (net.Conn, error) { return t.Dial(network, address) }
+	default:
+		return (&net.Dialer{}).DialContext
+	}
+}
+
 // RoundTrip implements http.RoundTripper. Its error, or that of the response body, wraps a
 // [MalformedError] if the response is malformed.
 func (t *Transport) RoundTrip(request *http.Request) (response *http.Response, err error) {
