Refuse malformed responses between the parts of the product

The last readers of responses: the client of the product's log service, gossip, the follower that reads settings from other nodes, and the commands of operators. A malformed response confirmed an append, counted as a sign of life, or stated an offset of the settings. All read through framing.Transport now.

On the code before, a space in a field name and NUL in the reason phrase passed in appendlog, settings and membership, and version HTTP/2.0 in appendlog. A status of 000 there was refused before as another status than 200. All pass now.

--- a/appendlog/client.go
+++ b/appendlog/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/lacewingslip/lacewingslip/framing"
 )
 
 const (
@@ -44,7 +46,7 @@
 
 // New returns a client of the log service at the address host:port.
 func New(address string, opts ...Option) *Client {
-	c := &Client{baseURL: "http://" + address, http: &http.Client{}, timeout: defaultTimeout}
+	c := &Client{baseURL: "http://" + address, http: &http.Client{Transport: framing.NewDefaultTransport()}, timeout: defaultTimeout}
 	for _, opt := range opts {
 		opt(c)
 	}
--- a/framing/transport.go
+++ b/framing/transport.go
@@ -26,6 +26,9 @@
 	return &Transport{base: base}
 }
 
+// NewDefaultTransport returns a transport with the options of [http.DefaultTransport].
+func NewDefaultTransport() *Transport { return NewTransport(http.DefaultTransport.(*http.Transport)) }
+
 // dialOf returns the function by which a transport opens TCP connections.
 func dialOf(t *http.Transport) func(ctx context.Context, network, address string) (net.Conn, error) {
 	switch {
--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -18,6 +18,7 @@
 
 	"github.com/lacewingslip/lacewingslip/configcheck"
 	"github.com/lacewingslip/lacewingslip/desired"
+	"github.com/lacewingslip/lacewingslip/framing"
 	"github.com/lacewingslip/lacewingslip/settings"
 )
 
@@ -176,7 +177,8 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	client := &http.Client{Transport: framing.NewDefaultTransport()}
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/command/nodes.go
+++ b/internal/command/nodes.go
@@ -14,6 +14,8 @@
 
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/lacewingslip/lacewingslip/framing"
 )
 
 const (
@@ -63,7 +65,7 @@
 
 func newNodeClient(c *cli.Command) *nodeClient {
 	return &nodeClient{
-		client:  &http.Client{Timeout: c.Duration("timeout")},
+		client:  &http.Client{Timeout: c.Duration("timeout"), Transport: framing.NewDefaultTransport()},
 		address: c.String("operator"),
 	}
 }
--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/lacewingslip/lacewingslip/appendlog"
+	"github.com/lacewingslip/lacewingslip/framing"
 	"github.com/lacewingslip/lacewingslip/settings"
 )
 
@@ -180,7 +181,7 @@
 	}
 	s = &settingsSession{
 		log:     appendlog.New(c.String("log")),
-		nodes:   settings.Nodes{Client: &http.Client{}},
+		nodes:   settings.Nodes{Client: &http.Client{Transport: framing.NewDefaultTransport()}},
 		history: settings.NewHistory(key),
 	}
 	if operator := c.String("operator"); operator != "" {
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -14,6 +14,7 @@
 
 	"github.com/lacewingslip/lacewingslip/appendlog"
 	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/framing"
 )
 
 const (
@@ -141,7 +142,7 @@
 		self: self,
 		// Keep-alives are disabled because with 1,100 members a node exchanges
 		// with the same node only about every ten minutes.
-		client:          &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+		client:          &http.Client{Transport: framing.NewTransport(&http.Transport{DisableKeepAlives: true, DisableCompression: true})},
 		settingsOffset:  func() int64 { return 0 },
 		onNewerSettings: func(int64, string) {},
 		onChange:        func() {},
--- a/settings/follower.go
+++ b/settings/follower.go
@@ -16,6 +16,7 @@
 
 	"github.com/lacewingslip/lacewingslip/appendlog"
 	"github.com/lacewingslip/lacewingslip/event"
+	"github.com/lacewingslip/lacewingslip/framing"
 )
 
 const (
@@ -110,7 +111,7 @@
 	f := &Follower{
 		log:       log,
 		recorder:  discardRecorder{},
-		client:    &http.Client{},
+		client:    &http.Client{Transport: framing.NewDefaultTransport()},
 		peers:     func() []string { return nil },
 		members:   func() int { return 1 },
 		onChange:  func(*Tree) {},
