Keep connections in use after a malformed answer

A malformed answer ends its connection within a few milliseconds of the request, which looked like a connection that the receiver had dropped while it was idle. For 30 s, the other connections to that receiver were reused only up to half of that idle time, and a server in trouble got a new connection for nearly every request.

TestMalformedAnswerIsNoStaleConnection: three connections for four requests before, two after.

--- a/hop/hop.go
+++ b/hop/hop.go
@@ -260,7 +260,7 @@
 	started := time.Now()
 	defer func() {
 		if err != nil {
-			if c.reused && !Expired(ctx) && time.Since(started) < staleResetWindow {
+			if c.reused && c.checked.Err() == nil && !Expired(ctx) && time.Since(started) < staleResetWindow {
 				p.recordStale(started, c.idleTime)
 			}
 			answer.stopAbort()
--- a/hop/malformed_test.go
+++ b/hop/malformed_test.go
@@ -56,3 +56,23 @@
 		}
 	}
 }
+
+// Guards against a malformed answer on a reused connection that counts as a connection that the
+// receiver had dropped: others would be used only for a short time for 30 s.
+func TestMalformedAnswerIsNoStaleConnection(t *testing.T) {
+	s, err := malformed.Start("127.0.0.1:0", func(r *http.Request) string {
+		if r.Header.Get(idHeader) == "b" {
+			return "HTTP/1.1 000 OK\r\n\r\n"
+		}
+		return success(r.Header.Get(idHeader))
+	})
+	must.NoError(t, err)
+	defer s.Close()
+	pool := hop.New(s.Address())
+	for _, id := range []string{"a", "b", "c", "d"} {
+		_, err = send(t.Context(), pool, http.MethodPost, id)
+		must.Eq(t, id == "b", err != nil)
+		time.Sleep(100 * time.Millisecond)
+	}
+	must.Eq(t, 2, s.Connections())
+}
