--- a/framing/transport.go
+++ b/framing/transport.go
@@ -31,14 +31,13 @@
 
 // dialOf returns the function by which a transport opens TCP connections.
 func dialOf(t *http.Transport) func(ctx context.Context, network, address string) (net.Conn, error) {
-	switch {
-	case t.DialContext != nil:
+	if t.DialContext != nil {
 		return t.DialContext
-	case t.Dial != nil: //nolint:staticcheck // Callers of this package may still set it.
-		return func(_ context.Context, network, address string) (net.Conn, error) { return t.Dial(network, address) }
-	default:
-		return (&net.Dialer{}).DialContext
 	}
+	if dial := t.Dial; dial != nil { //nolint:staticcheck // Callers of the client library may still set it.
+		return func(_ context.Context, network, address string) (net.Conn, error) { return dial(network, address) }
+	}
+	return (&net.Dialer{}).DialContext
 }
 
 // RoundTrip implements http.RoundTripper. Its error, or that of the response body, wraps a
