--- a/framing/framing.go
+++ b/framing/framing.go
@@ -3,8 +3,8 @@
 // field names contain spaces, or whose length is stated twice. An intermediary that passes them
 // on, or reads a body of another length than the sender wrote, delivers what no server sent.
 //
-// The package parses nothing: it stands below net/http, and ends the connection at the first
-// octet that no valid response can have there, before net/http has seen it.
+// The package stands below net/http, which still parses the responses. Reads of the connection
+// fail at the first octet that no valid response can have there, before net/http has seen it.
 //
 // # Usage
 //
