Bound the age of what a node knows of the desired state

Cause: a node that does not read the log judged the two watchers that read it for the node by whether they answer. An answer proves nothing about the log.

Change: each node keeps the age of its proof that its desired state is the newest (package freshness), in all deployments and not only where keys are guarded. The age counts from a read that was sent to the log, whoever passes it on. This replaces the fallback after 1.4 s without an answer, which woke the node at each change for 5 s. Event 6010 proofOverdue takes the place of 5108.

--- a/event/members.go
+++ b/event/members.go
@@ -17,7 +17,6 @@
 	PeerBack          ID = 5105
 	PeerRefuses       ID = 5106
 	ExchangeFailed    ID = 5107
-	WatcherMissing    ID = 5108
 	MemberOverwritten ID = 5109
 	ProducerReplaced  ID = 5110
 )
@@ -35,7 +34,6 @@
 	{ID: PeerLost, Name: "peerLost", Level: slog.LevelWarn, Meaning: "Another node is unreachable. It receives no calls until it answers again."},
 	{ID: PeerBack, Name: "peerBack", Level: slog.LevelInfo, Meaning: "An unreachable node answers again and receives calls."},
 	{ID: ExchangeFailed, Name: "exchangeFailed", Level: slog.LevelWarn, Meaning: "Another node has a newer desired state but did not send it. It is asked again with the next call to it."},
-	{ID: WatcherMissing, Name: "watcherMissing", Level: slog.LevelWarn, Meaning: "This node could not receive updates from any node in its zone that reads the log, so it reads the log itself for a while."},
 	{ID: MemberOverwritten, Name: "memberOverwritten", Level: slog.LevelWarn, Meaning: "Another writer replaced this node's record in the log with one that is not this node's. The node writes its record again."},
 	{ID: ProducerReplaced, Name: "producerReplaced", Level: slog.LevelWarn, Meaning: "The log service kept rejecting this node's record as outdated, so the node writes it under another producer name. Another writer may use the node's name."},
 	{ID: PeerRefuses, Name: "peerRefuses", Level: slog.LevelInfo, Meaning: "A node answered that its backend server is shutting down. It receives no calls until it announces a change."},
--- a/event/settings.go
+++ b/event/settings.go
@@ -13,6 +13,7 @@
 	SettingsRestored ID = 6007
 	ProofMissing     ID = 6008
 	ProofRenewed     ID = 6009
+	ProofOverdue     ID = 6010
 )
 
 var settingsEvents = []Description{
@@ -25,4 +26,5 @@
 	{ID: SettingsRestored, Name: "settingsRestored", Level: slog.LevelInfo, Meaning: "A snapshot from the log replaced the records that this node had missed."},
 	{ID: ProofMissing, Name: "proofMissing", Level: slog.LevelWarn, Meaning: "The node can't prove any more that its desired state is the newest, because it has reached neither the log service nor a node that has, so it refuses requests with a key with status 503. The attribute ageMs is the age of the last proof."},
 	{ID: ProofRenewed, Name: "proofRenewed", Level: slog.LevelInfo, Meaning: "The node has a proof that its desired state is the newest, and serves requests with a key."},
+	{ID: ProofOverdue, Name: "proofOverdue", Level: slog.LevelWarn, Meaning: "No other node has passed on a recent proof that the desired state in force is the newest, so this node reads the log itself. The attribute ageMs is the age of its proof, and failedReads how many such reads have failed in a row."},
 }
--- a/mesh/freshness.go
+++ b/mesh/freshness.go
@@ -40,14 +40,17 @@
 	proofPollPause = 300 * time.Millisecond
 	// rolesInterval is how often a node determines which nodes read the log for proofs.
 	rolesInterval = 500 * time.Millisecond
-	// defaultRevoke is the revocation time if the settings do not give one.
+	// defaultRevoke and defaultApply are the revocation time and the time in which a version
+	// must take effect if the settings do not give them.
 	defaultRevoke = 5 * time.Second
+	defaultApply  = 2500 * time.Millisecond
 	// maxProofAge bounds the ages that other nodes state.
 	maxProofAge = 24 * time.Hour
 )
 
-// proofs holds the proof that the desired state in force is the newest, and renews it. It
-// does nothing unless the deployment fails closed and the desired state has workspaces.
+// proofs holds the proof that the desired state in force is the newest, and renews it. Package
+// freshness decides when; a node whose proof has become too old reads the log, whoever else
+// answers it.
 type proofs struct {
 	settings nodeconfig.Config
 	clock    bootClock
@@ -103,7 +106,7 @@
 func newProofs(settings nodeconfig.Config, clock bootClock, logClient *platform.LogClient, m *metrics.Metrics, events eventRecorder) (p *proofs) {
 	p = &proofs{
 		settings: settings, clock: clock, log: logClient, proofLog: logClient.WithReadTimeout(proofReadTimeout), metrics: m, events: events,
-		tracker: freshness.New(revocationTime(settings.Bounds)), renewed: make(chan struct{}),
+		tracker: freshness.New(revocationTime(settings.Bounds), freshness.WithApply(applyTime(settings.Bounds))), renewed: make(chan struct{}),
 	}
 	p.bounds.Store(&settings.Bounds)
 	return p
@@ -114,25 +117,44 @@
 	p.bounds.Store(&bounds)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tracker.SetRevoke(revocationTime(bounds))
+	p.tracker.SetBounds(revocationTime(bounds), applyTime(bounds))
 }
 
+// revocationTime returns the revocation time, or 0 if the deployment does not fail closed.
 func revocationTime(bounds nodeconfig.Bounds) time.Duration {
-	if bounds.Revoke <= 0 {
+	switch {
+	case !bounds.FailClosed:
+		return 0
+	case bounds.Revoke <= 0:
 		return defaultRevoke
+	default:
+		return bounds.Revoke
 	}
-	return bounds.Revoke
+}
+
+// applyTime returns the time in which a version must take effect.
+func applyTime(bounds nodeconfig.Bounds) time.Duration {
+	if bounds.ConfigApply <= 0 {
+		return defaultApply
+	}
+	return bounds.ConfigApply
 }
 
 // failsClosed reports whether requests with a key need a proof.
 func (p *proofs) failsClosed() bool { return p.bounds.Load().FailClosed }
 
-// inUse reports whether the deployment needs proofs now.
-func (p *proofs) inUse() bool {
+// guardsKeys reports whether requests are refused now for want of a proof.
+func (p *proofs) guardsKeys() bool {
 	state := p.desired.current()
 	return p.failsClosed() && state != nil && state.HasWorkspaces()
 }
 
+// inUse reports whether this node states and renews its proof: once it has a desired state,
+// and knows other nodes unless requests depend on the proof.
+func (p *proofs) inUse() bool {
+	return p.guardsKeys() || p.desired.current() != nil && p.watchers.isSettled()
+}
+
 // serves reports whether a request with a key that has been read may run.
 func (p *proofs) serves() bool {
 	if !p.failsClosed() {
@@ -152,14 +174,11 @@
 // knowsVersions reports whether all versions are known that may be in force for longer than
 // the time in which a version must take effect.
 func (p *proofs) knowsVersions() bool {
-	if !p.failsClosed() {
-		return !p.watchers.readsLog() || p.desired.follower.LogReachable()
-	}
+	limit := applyTime(*p.bounds.Load())
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	limit := p.tracker.ServeLimit()
-	if apply := p.bounds.Load().ConfigApply; apply > 0 {
-		limit = min(limit, apply)
+	if p.failsClosed() {
+		limit = min(limit, p.tracker.ServeLimit())
 	}
 	return p.tracker.YoungerThan(p.clock(), limit)
 }
@@ -205,7 +224,7 @@
 // recordResponse records that another node has responded to a request that was sent at the
 // time.
 func (p *proofs) recordResponse(sentAt, held time.Duration, age proofAge, version int64) {
-	if version > platform.MaxVersion || !p.failsClosed() {
+	if version > platform.MaxVersion {
 		return
 	}
 	inForce := p.desired.version()
@@ -265,7 +284,7 @@
 	p.recordRenewal(p.tracker.RecordRead(p.topicRead, inForce))
 }
 
-// start must be called before the first tick.
+// start begins the schedule anew. It must be called before the first tick.
 func (p *proofs) start() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -273,11 +292,14 @@
 	p.situation = freshness.Situation{LastAsk: now - time.Minute, LastRead: now, Jitter: rand.Float64()}
 }
 
-// tick renews the proof where the deployment needs one.
+// tick renews the proof.
 func (p *proofs) tick(ctx context.Context) {
 	if p.inUse() {
 		p.renew(ctx)
+		return
 	}
+	// When all nodes start together, only the readers read once they know each other.
+	p.start()
 }
 
 // renew starts the requests for a proof that are due.
@@ -299,6 +321,9 @@
 	if read && (p.reading == 0 || p.reading < maxProofReads && now-p.situation.LastRead >= lateReadTime) {
 		p.reading++
 		p.situation.LastRead, p.situation.Jitter = now, rand.Float64()
+		if !roles.isReader {
+			p.recordOverdue(now)
+		}
 		go p.readLog(ctx)
 	}
 	if roles.relays && len(roles.readers) > 0 && !p.polling {
@@ -321,6 +346,13 @@
 	return r
 }
 
+// recordOverdue records that no other node has passed on a recent proof. The mutex must be held.
+func (p *proofs) recordOverdue(now time.Duration) {
+	age, ok := p.tracker.Age(now)
+	p.events.Record(event.ProofOverdue, attrMs("ageMs", age), slog.Bool("proven", ok), slog.Int("failedReads", p.situation.FailedReads),
+		slog.Int64("version", p.desired.version()))
+}
+
 // recordServing records when requests with a key begin or cease to be refused. The mutex must
 // be held.
 func (p *proofs) recordServing(now time.Duration) {
@@ -329,7 +361,7 @@
 		p.metrics.SetProofAge(age)
 	}
 	serving := p.tracker.Serves(now)
-	if serving == p.serving {
+	if serving == p.serving || !p.guardsKeys() {
 		return
 	}
 	p.serving = serving
@@ -381,15 +413,19 @@
 
 // readLog reads the operator's topic without waiting, until there is nothing more.
 func (p *proofs) readLog(ctx context.Context) {
+	var err error
 	defer func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.reading--
-	}()
-	for range maxFurtherReads {
-		if more, err := p.readOnce(ctx); err != nil || !more {
-			return
+		p.situation.FailedReads++
+		if err == nil {
+			p.situation.FailedReads = 0
 		}
+	}()
+	more := true
+	for n := 0; n < maxFurtherReads && more && err == nil; n++ {
+		more, err = p.readOnce(ctx)
 	}
 }
 
--- a/mesh/lifecycle.go
+++ b/mesh/lifecycle.go
@@ -210,7 +210,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			l.components.watchers.tick(ctx, now)
+			l.components.watchers.tick(ctx)
 			l.components.proofs.tick(ctx)
 			l.components.balancer.tick(now)
 			l.components.sidecar.tick(now, l.components.balancer.countServices())
--- a/mesh/watchers.go
+++ b/mesh/watchers.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"hash/fnv"
-	"log/slog"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/lacewingslip/lacewingslip/event"
 	"github.com/lacewingslip/lacewingslip/follow"
 )
 
@@ -21,13 +18,8 @@
 	// still arrive while one of them is down.
 	watchersPerZone = 2
 	// maxChangeWait is how long a watcher holds a request for changes while there
-	// are none. A node to which no watcher has answered for maxAnswerGap reads the log
-	// itself: in the users' first deployments, a version must be in force within 2.5 s also
-	// if both watchers of a zone are frozen.
+	// are none.
 	maxChangeWait = time.Second
-	maxAnswerGap  = maxChangeWait + 400*time.Millisecond
-	// selectionInterval is how often a node selects the watchers that it follows.
-	selectionInterval = tickInterval
 	// changeBatchDelay is how long a watcher collects further changes after the
 	// first one.
 	changeBatchDelay = 100 * time.Millisecond
@@ -44,33 +36,24 @@
 	waitPerWatcher      = 500 * time.Millisecond
 	minDesiredStateWait = 2 * time.Second
 	maxDesiredStateWait = 8 * time.Second
-	// fallbackReadTime is how long a node reads the log itself after it could not
-	// follow any watcher.
-	fallbackReadTime = 5 * time.Second
 )
 
 // watcherSelection decides which nodes of a zone are watchers. On a node that is
-// not a watcher, it follows all of them: one that is cut off from the log goes on
-// answering, without the changes that it does not see. Each node selects from the nodes
-// that it can reach, without coordination: if two nodes select different watchers, one
-// node more or fewer reads the log for a while.
+// not a watcher, it follows all of them: one that the log does not serve goes on
+// answering, without the changes that it does not see. If none of them has the newest desired
+// state, the node notices by the age of its proof (package freshness). Each node selects from
+// the nodes that it can reach, without coordination: if two nodes select different watchers,
+// one node more or fewer reads the log for a while.
 type watcherSelection struct {
-	balancer *balancer
-	exchange *exchange
-	events   eventRecorder
-	// readsLogUntil is the time up to which this node reads the log because it
-	// could not follow a watcher, in Unix nanoseconds.
-	readsLogUntil atomic.Int64
-	startedAt     time.Time
+	balancer  *balancer
+	exchange  *exchange
+	startedAt time.Time
 	// followed has the watchers that this node follows, with the functions that end it. Only
 	// tick uses it. following counts those that have not ended yet.
 	followed  map[*peer]context.CancelFunc
 	following sync.WaitGroup
 
 	mu sync.Mutex
-	// lastAnswer is when a watcher that reads the log last answered, or when this node
-	// began to follow watchers.
-	lastAnswer time.Time
 	// positions has, for each watcher by its node's name, the changes that it has sent.
 	positions map[string]watcherPosition
 	// sharedVersion and sharedEra are those that were shared at the last recovery.
@@ -80,21 +63,21 @@
 // watcherPosition identifies the last change that a watcher has sent. See exchangeMessage.
 type watcherPosition struct{ seenChanges, tableID int64 }
 
-func newWatcherSelection(b *balancer, e *exchange, events eventRecorder) *watcherSelection {
-	w := &watcherSelection{balancer: b, exchange: e, events: events, startedAt: time.Now(), positions: make(map[string]watcherPosition), followed: make(map[*peer]context.CancelFunc)}
+func newWatcherSelection(b *balancer, e *exchange) *watcherSelection {
+	w := &watcherSelection{balancer: b, exchange: e, startedAt: time.Now(), positions: make(map[string]watcherPosition), followed: make(map[*peer]context.CancelFunc)}
 	e.readsLog = w.readsLog
 	return w
 }
 
-// readsLog reports whether this node reads the log itself: because it is a
-// watcher, or because it could not follow one.
-func (w *watcherSelection) readsLog() bool {
-	return time.Now().UnixNano() < w.readsLogUntil.Load() || len(w.watchersToFollow()) == 0
-}
+// readsLog reports whether this node is a watcher.
+func (w *watcherSelection) readsLog() bool { return len(w.watchersToFollow()) == 0 }
+
+// isSettled reports whether this node has been running for long enough to know other nodes.
+func (w *watcherSelection) isSettled() bool { return time.Since(w.startedAt) > settleTime }
 
 // readsDesiredState reports whether this node follows the desired state in the log.
 func (w *watcherSelection) readsDesiredState() bool {
-	return time.Since(w.startedAt) > settleTime && w.readsLog()
+	return w.isSettled() && w.readsLog()
 }
 
 // maxWaitForDesiredState returns the longest time for which a read of the desired state waits.
@@ -110,8 +93,7 @@
 // once this node, if it is a watcher, has read the log again. A read that they sent to a
 // silent log may go on for maxWaitForDesiredState, and ends when they hear of a higher era.
 func (w *watcherSelection) shareRecovery() {
-	isWatcher := time.Since(w.startedAt) > settleTime && len(w.watchersToFollow()) == 0
-	if !isWatcher || !w.recoveryIsNews() {
+	if !w.readsDesiredState() || !w.recoveryIsNews() {
 		return
 	}
 	for _, p := range w.balancer.otherWatchers() {
@@ -144,7 +126,7 @@
 
 // tick follows the watchers that the zone has now, until the context ends, unless this node is
 // one of them.
-func (w *watcherSelection) tick(ctx context.Context, now time.Time) {
+func (w *watcherSelection) tick(ctx context.Context) {
 	watchers := w.watchersToFollow()
 	for p, stop := range w.followed {
 		if !slices.Contains(watchers, p) {
@@ -159,7 +141,6 @@
 			w.following.Go(func() { w.follow(followCtx, p) })
 		}
 	}
-	w.checkAnswers(now, len(watchers))
 }
 
 // follow requests the changes that a watcher sees, one after the other, until the context
@@ -177,7 +158,7 @@
 			follow.Pause(ctx, peerPollInterval)
 			continue
 		}
-		w.recordAnswer(time.Now(), received)
+		w.recordAnswer(received)
 		if !received.ReadsLog {
 			follow.Pause(ctx, peerPollInterval)
 		}
@@ -190,30 +171,11 @@
 	return w.positions[watcher]
 }
 
-// recordAnswer records the answer of a watcher.
-func (w *watcherSelection) recordAnswer(now time.Time, received exchangeMessage) {
+// recordAnswer records how far the answer of a watcher has brought this node.
+func (w *watcherSelection) recordAnswer(received exchangeMessage) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.positions[received.Self.Node] = watcherPosition{received.SeenChanges, received.TableID}
-	if received.ReadsLog {
-		w.lastAnswer = now
-	}
-}
-
-// checkAnswers makes this node read the log if it follows watchers and none has answered in
-// time.
-func (w *watcherSelection) checkAnswers(now time.Time, watchers int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if watchers == 0 || w.lastAnswer.IsZero() {
-		w.lastAnswer = now
-	}
-	if now.Sub(w.lastAnswer) <= maxAnswerGap {
-		return
-	}
-	w.lastAnswer = now
-	w.readsLogUntil.Store(now.Add(fallbackReadTime).UnixNano())
-	w.events.Record(event.WatcherMissing, slog.Int("asked", watchers))
 }
 
 // watcherOrder returns a hash of the node's name. The reachable nodes of a zone
