Let a started node ask its server before it believes that it is ready

The log was down at the acknowledgement, all nodes were killed after it, and a check-in of before arrived later.

Cause: the acknowledgement promised more than any number of nodes can remember, and a started process took a message that does not show when it was said for the present. The node's log told this from the alternatives: both writes of the leave had failed with 503, the new process read the record of before the outage, and took the check-in as "changed" without a health request.

Change: a process that may have had an earlier one contests each announcement that the server is ready until the server confirms by a health response that it is not leaving, which is of the present whatever was forgotten. Only a log that has been read and has no record of the node shows that there was none, so a leave is acknowledged without the log only if the log has one.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -79,8 +79,12 @@
 	self Member
 	// firstEpoch is the epoch of the first update, and earlier the newest known record of
 	// the local node that an earlier process wrote.
-	firstEpoch     int64
-	earlier        Member
+	firstEpoch int64
+	earlier    Member
+	// seenInLog is true once the log had a record of the local node, and seenEra is the era of
+	// the log then.
+	seenInLog      bool
+	seenEra        int64
 	publishedEpoch int64
 	// publishedEra is the era of the log that has the record with publishedEpoch.
 	publishedEra int64
@@ -149,6 +153,29 @@
 	return d.earlier
 }
 
+// IsFirstProcess reports whether the log has been read and neither it nor another node has a
+// record of the local node, not even an unreadable one. It must be called before the first
+// update.
+func (d *Directory) IsFirstProcess() bool {
+	select {
+	case <-d.loaded:
+	default:
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.earlier.Epoch == 0 && !d.seenInLog
+}
+
+// IsRecorded reports whether the log has a record of the local node, of any time, so that each
+// later process knows that it has had an earlier one.
+func (d *Directory) IsRecorded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	lost, _ := d.era.Since(max(d.seenEra, d.publishedEra))
+	return (d.seenInLog || d.publishedEpoch > 0) && !lost
+}
+
 // LogReachable reports whether the last read of the log succeeded. See
 // [follow.Follower.LogReachable].
 func (d *Directory) LogReachable() bool { return d.follower.LogReachable() }
@@ -274,6 +301,7 @@
 		m, err := decodeRecord(record)
 		if record.Key == ownName {
 			ownOverwritten = err != nil
+			d.recordSeen()
 		}
 		if err != nil {
 			d.events.Record(event.MemberUnreadable, slog.String("key", record.Key),
@@ -297,6 +325,13 @@
 	d.loadOnce.Do(func() { close(d.loaded) })
 }
 
+// recordSeen records that the log has a record of the local node.
+func (d *Directory) recordSeen() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seenInLog, d.seenEra = true, d.era.Known()
+}
+
 // publication is the state of the local node's record in the log.
 type publication int
 
--- a/mesh/announcements.go
+++ b/mesh/announcements.go
@@ -31,7 +31,7 @@
 	// recordCopyDelay, other nodes are asked to hold it. The server takes an announcement
 	// for lost that is not acknowledged within a second, so it is told to repeat it after
 	// maxLeaveAckWait.
-	recordCopyDelay = 200 * time.Millisecond
+	recordCopyDelay = 100 * time.Millisecond
 	maxLeaveAckWait = 800 * time.Millisecond
 	// maxHeldReports bounds the reports that a started node holds back. A
 	// backend server sends one every 1.5 s.
@@ -42,8 +42,9 @@
 // this node.
 //
 // An announcement may arrive late, when the server has left already. A process that has
-// just started does not know what an earlier process of the node has acknowledged, so it
-// holds back all reports until it does.
+// just started does not know what an earlier process of the node has acknowledged. It holds back
+// all reports until it knows the earlier record, and uses the server only once that has
+// confirmed by a health response that it is not leaving: nobody else may know of the leave.
 type announcementHandler struct {
 	settings  nodeconfig.Config
 	tracker   *upstream.Tracker
@@ -59,6 +60,10 @@
 	// closed once they have been applied.
 	held     []platform.Report
 	released chan struct{}
+	// contested is the last contested announcement that the server is ready, until the server
+	// has confirmed one, and asking is true while it is asked for that.
+	contested *upstream.Announcement
+	asking    bool
 }
 
 // ServeHTTP receives an announcement. It is in force as soon as it is applied here, because
@@ -99,6 +104,9 @@
 
 // awaitLeaveHeld waits until the log or other nodes hold the record of this node, if it says
 // that the backend server takes no work. held is false if the context ended before.
+//
+// Other nodes may be lost together with this one. What binds a later process then is that it
+// finds some record of the node in the log and asks the server. Without one, only the log counts.
 func (a *announcementHandler) awaitLeaveHeld(ctx context.Context) (held bool) {
 	if self := a.directory.Self(); self.Epoch == 0 || self.TakesWork {
 		return true
@@ -108,6 +116,9 @@
 	if a.directory.AwaitHeld(inLog, 0) {
 		return true
 	}
+	if !a.directory.IsRecorded() {
+		return a.directory.AwaitHeld(ctx, 0)
+	}
 	return a.directory.AwaitHeld(ctx, a.exchange.copyOwnRecord(context.WithoutCancel(ctx)))
 }
 
@@ -139,7 +150,11 @@
 	}
 	a.recordChange(report, before, change)
 	if change == upstream.Contested && !report.Leaves() {
-		go a.confirm(announcement)
+		a.contested = &announcement
+		if !a.asking {
+			a.asking = true
+			go a.askServer(context.Background())
+		}
 	}
 	return change
 }
@@ -159,23 +174,6 @@
 	}
 }
 
-// confirm asks the backend server which instance it is, and applies a contested announcement
-// that it is ready if the server confirms it.
-func (a *announcementHandler) confirm(announcement upstream.Announcement) {
-	path := a.sidecar.healthPath()
-	if path == "" {
-		return
-	}
-	h, status, err := a.sidecar.requestHealth(context.Background(), path)
-	if err != nil || status != http.StatusOK || platform.AnsweredBy(h) != announcement.Instance {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	before := a.tracker.Server()
-	a.recordChange(platform.Report{Announcement: announcement}, before, a.tracker.Confirm(time.Now(), announcement))
-}
-
 // recordReport records an event about a report.
 func (a *announcementHandler) recordReport(id event.ID, report platform.Report, attrs ...slog.Attr) {
 	announcement := report.Announcement
@@ -187,11 +185,15 @@
 }
 
 // release applies the reports that were held back. The record of an earlier process must have
-// been restored.
+// been restored. The server is asked for its state afterwards.
 func (a *announcementHandler) release() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sidecar.serverKnown.Store(true)
+	a.asking = true
+	if a.directory.IsFirstProcess() {
+		a.tracker.RecordFirstProcess()
+	}
 	for _, report := range a.held {
 		a.apply(report)
 	}
@@ -241,22 +243,30 @@
 	defer a.restoreFromLog(ctx)
 	select {
 	case <-a.desired.loaded:
+		a.askServer(ctx)
 	case <-ctx.Done():
-		return
-	}
-	path := a.sidecar.healthPath()
-	if path == "" {
-		return
 	}
+}
+
+// askServer sends health requests to the backend server while its state is unknown or its
+// announcement is contested. After the last attempt, the next announcement makes this node ask
+// again.
+func (a *announcementHandler) askServer(ctx context.Context) {
 	for range healthAttempts {
-		if a.tracker.Server().State() != upstream.Unknown {
-			return
-		}
-		if a.restoreFromHealth(ctx, path) {
-			return
+		if a.isServerKnown() || a.restoreFromHealth(ctx) {
+			break
 		}
 		follow.Pause(ctx, healthRetryInterval)
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.asking = false
+}
+
+func (a *announcementHandler) isServerKnown() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.contested == nil && a.tracker.Server().State() != upstream.Unknown
 }
 
 // awaitOwnRecord waits until the record that an earlier process wrote is known as far as
@@ -342,23 +352,35 @@
 
 // restoreFromHealth sends one health request and applies the response. done is
 // false if the request should be repeated.
-func (a *announcementHandler) restoreFromHealth(ctx context.Context, path string) (done bool) {
+func (a *announcementHandler) restoreFromHealth(ctx context.Context) (done bool) {
+	path := a.sidecar.healthPath()
+	if path == "" {
+		a.confirmUnasked()
+		return true
+	}
 	h, status, err := a.sidecar.requestHealth(ctx, path)
 	if err != nil {
 		return false
 	}
 	instance := platform.AnsweredBy(h)
-	load, hasLoad := platform.ServerLoad(h)
-	if status != http.StatusOK || instance == "" || !hasLoad {
+	if status != http.StatusOK || instance == "" {
 		// A server that responds with 503 is leaving, and announces itself when it
 		// is ready again.
 		return status == http.StatusServiceUnavailable
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.contested != nil && a.contested.Instance == instance {
+		a.applyContested(a.tracker.Confirm)
+		return true
+	}
+	load, hasLoad := platform.ServerLoad(h)
+	if !hasLoad {
+		return false
+	}
 	if a.recordedAsLeaving() && a.directory.Earlier().Instance == instance {
 		return true
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	if a.tracker.Restore(instance, 0, load.Slots, upstream.Ready) == upstream.Changed {
 		a.events.Record(event.BackendAnnounced, slog.String("instance", instance), slog.Int("slots", load.Slots),
 			slog.String("source", "health request"))
@@ -368,6 +390,26 @@
 	return true
 }
 
+// confirmUnasked applies a contested announcement of a server without a health path if it can't
+// be a late one.
+func (a *announcementHandler) confirmUnasked() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.contested != nil {
+		a.applyContested(a.tracker.ConfirmByTime)
+	}
+}
+
+// applyContested applies the contested announcement. The mutex must be held.
+func (a *announcementHandler) applyContested(confirm func(now time.Time, a upstream.Announcement) upstream.Change) {
+	announcement, before := *a.contested, a.tracker.Server()
+	change := confirm(time.Now(), announcement)
+	if change != upstream.Contested {
+		a.contested = nil
+	}
+	a.recordChange(platform.Report{Announcement: announcement}, before, change)
+}
+
 // recordedAsLeaving reports whether an earlier process of this node recorded that the
 // backend server is leaving, as far as the log or other nodes have the record. The
 // responses to health requests do not necessarily show that.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -53,6 +53,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/dig"
@@ -142,7 +143,9 @@
 			func(era *follow.EraTracker) *platform.LogClient {
 				return platform.NewLogClient(settings.Log, platform.WithEraObserver(era.Observe))
 			},
-			func() *upstream.Tracker { return upstream.New(settings.Service, settings.Backend) },
+			func() *upstream.Tracker {
+				return upstream.New(settings.Service, settings.Backend, upstream.WithUnknownPast(time.Now()))
+			},
 			func(dir *fleet.Directory) *retryBudget { return newRetryBudget(settings.Bounds, dir.Table().Len) },
 			metrics.New, newListeners, newDesiredState, newCallSuccess, newBalancer, newSidecar, newDirectory, newExchange, newWatcherSelection, newLifecycle,
 			newAnnouncementHandler, newCustomerAdmission, newAccessControl, newBootClock, newProofs, newCaps, newLevelQuestions, quarantine.New, newQuarantineSync, newIngress, newPeerHandler, newClientLimits, newServers,
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -19,6 +19,13 @@
 // started again after its clock was set back. It takes effect if the server confirms by a
 // health response which instance it is, or if the incarnation repeats it while the current
 // one is quiet. A leave that is contested must not be acknowledged.
+//
+// An acknowledged leave binds all later processes of the node, also those that nobody can tell
+// of it: the log may be unavailable until all processes that know of it have ended. What a
+// server said before may arrive afterwards and does not show when it was said. A process that
+// may have had an earlier one therefore contests each announcement that a server is ready until
+// one is confirmed. The same holds for one instance after a leave that did not state which
+// incarnation it was of.
 package upstream
 
 import (
@@ -44,6 +51,8 @@
 	// minRepeatInterval is the time after which a repeated message shows that its sender is
 	// running. Servers send one every 1.5 s, and late ones arrive together.
 	minRepeatInterval = time.Second
+	// maxMessageDelay bounds how late a message of a server arrives.
+	maxMessageDelay = 10 * time.Second
 	// maxTextBytes bounds each text of an announcement or a record.
 	maxTextBytes = 1 << 10
 )
