Move the reads of a topic for proofs into package follow

Change: follow.Cursor reads a topic without waiting from where its last read ended, and reads the newest records again after the log deleted records, was restored or was not read for a minute. The logic is unchanged.

--- a/mesh/freshness.go
+++ b/mesh/freshness.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -31,9 +30,6 @@
 	proofReadTimeout = 2 * time.Second
 	// maxFurtherReads bounds the reads that follow each other until one returns no record.
 	maxFurtherReads = 3
-	// positionLifetime is how long after a read for a proof the next one continues there.
-	// Afterwards, the newest version is read, since there may be many in between.
-	positionLifetime = time.Minute
 	// maxProofAsks bounds the requests to other nodes in progress. A frozen node answers none.
 	maxProofAsks = 4
 	// proofPollPause is the pause after a waiting request that brought no proof.
@@ -55,11 +51,11 @@
 	settings nodeconfig.Config
 	clock    bootClock
 	log      *platform.LogClient
-	// proofLog is the log with the time-out of reads for proofs.
-	proofLog *platform.LogClient
-	events   eventRecorder
-	metrics  *metrics.Metrics
-	bounds   atomic.Pointer[nodeconfig.Bounds]
+	// cursor reads the operator's topic for proofs.
+	cursor  *follow.Cursor
+	events  eventRecorder
+	metrics *metrics.Metrics
+	bounds  atomic.Pointer[nodeconfig.Bounds]
 	// desired, balancer, exchange and watchers are set once all of them have been built.
 	desired  *desiredState
 	balancer *balancer
@@ -72,9 +68,6 @@
 	renewed chan struct{}
 	// topicRead is the read of the operator's topic whose records are being applied.
 	topicRead freshness.Read
-	// position continues the last read of the topic, at the time readAt.
-	position platform.Position
-	readAt   time.Duration
 	// situation has the times of the last requests for proofs. reading and asking count those
 	// in progress to the log and to other nodes, and polling is true while one waits at a
 	// reader.
@@ -105,7 +98,7 @@
 
 func newProofs(settings nodeconfig.Config, clock bootClock, logClient *platform.LogClient, m *metrics.Metrics, events eventRecorder) (p *proofs) {
 	p = &proofs{
-		settings: settings, clock: clock, log: logClient, proofLog: logClient.WithReadTimeout(proofReadTimeout), metrics: m, events: events,
+		settings: settings, clock: clock, log: logClient, cursor: follow.NewCursor(logClient.WithReadTimeout(proofReadTimeout), platform.DesiredStateTopic), metrics: m, events: events,
 		tracker: freshness.New(revocationTime(settings.Bounds), freshness.WithApply(applyTime(settings.Bounds))), renewed: make(chan struct{}),
 	}
 	p.bounds.Store(&settings.Bounds)
@@ -429,51 +422,19 @@
 	}
 }
 
-// readOnce reads from the position of the last read, or the newest version. more is true if
-// there may be further versions.
+// readOnce reads the versions since the last read. more is true if there may be further ones.
 func (p *proofs) readOnce(ctx context.Context) (more bool, err error) {
-	p.mu.Lock()
-	sentAt, from := p.clock(), p.position
-	known := from != platform.Position{} && sentAt-p.readAt < positionLifetime
-	p.mu.Unlock()
-	var records []platform.Record
-	var next platform.Position
-	if known {
-		records, next, err = p.proofLog.Read(ctx, platform.DesiredStateTopic, from, 0)
-	} else {
-		records, next, err = p.proofLog.Newest(ctx, platform.DesiredStateTopic)
-	}
-	if err == nil && known && (next.Era != from.Era || next.Offset < from.Offset) {
-		p.forgetPosition(from)
-		return true, nil
-	}
-	if errors.Is(err, platform.ErrTrimmed) {
-		p.forgetPosition(from)
-		return true, nil
-	}
+	sentAt := p.clock()
+	read, err := p.cursor.Read(ctx, sentAt)
 	if err != nil {
 		return false, err
 	}
-	complete := !known || next.Offset == from.Offset
-	highest := p.desired.applyAll(records)
+	highest := p.desired.applyAll(read.Records)
 	inForce := p.desired.version()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if sentAt > p.readAt {
-		p.position, p.readAt = next, sentAt
-	}
-	p.recordRenewal(p.tracker.RecordRead(freshness.Read{SentAt: sentAt, Era: next.Era, Version: highest, Complete: complete}, inForce))
-	return !complete, nil
-}
-
-// forgetPosition makes the next read one of the newest version, because the log was restored
-// or has deleted the records at the position.
-func (p *proofs) forgetPosition(position platform.Position) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.position == position {
-		p.position = platform.Position{}
-	}
+	p.recordRenewal(p.tracker.RecordRead(freshness.Read{SentAt: sentAt, Era: read.Era, Version: highest, Complete: read.Complete}, inForce))
+	return !read.Complete, nil
 }
 
 // helpful returns a channel that is closed once the proof of this node helps the sender of a
