Forget a contested announcement once the server has answered

Cause: a contested announcement of another instance than the one that answers the health path stayed pending, so that each later question was repeated up to three times. Found by reading.

Change: an answer for another instance ends it; the next announcement of that instance contests again. mesh/watchers.go stores the position of an answer where it uses it.

--- a/mesh/announcements.go
+++ b/mesh/announcements.go
@@ -374,6 +374,7 @@
 		a.applyContested(a.tracker.Confirm)
 		return true
 	}
+	a.contested = nil
 	load, hasLoad := platform.ServerLoad(h)
 	if !hasLoad {
 		return false
--- a/mesh/watchers.go
+++ b/mesh/watchers.go
@@ -158,7 +158,9 @@
 			follow.Pause(ctx, peerPollInterval)
 			continue
 		}
-		w.recordAnswer(received)
+		w.mu.Lock()
+		w.positions[watcher.node] = watcherPosition{received.SeenChanges, received.TableID}
+		w.mu.Unlock()
 		if !received.ReadsLog {
 			follow.Pause(ctx, peerPollInterval)
 		}
@@ -171,13 +173,6 @@
 	return w.positions[watcher]
 }
 
-// recordAnswer records how far the answer of a watcher has brought this node.
-func (w *watcherSelection) recordAnswer(received exchangeMessage) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.positions[received.Self.Node] = watcherPosition{received.SeenChanges, received.TableID}
-}
-
 // watcherOrder returns a hash of the node's name. The reachable nodes of a zone
 // with the lowest values are its watchers.
 func watcherOrder(node string) uint64 { return hashOf(node) }
