Record a leave in one place

Cause: the history marked an incarnation as left in four places, three of them before the one that all deregistrations pass. Found in the read of the change. Change: only that one is left; the comment of Deregister says what a missing start time means.

--- a/upstream/history.go
+++ b/upstream/history.go
@@ -295,7 +295,8 @@
 
 // Deregister records that an instance has deregistered, in a message that was received at
 // the time now. startMs is the start time of the incarnation, or 0 if the message did not
-// state it; the current incarnation of the instance is then assumed.
+// state it. Then the current incarnation of the instance takes no work until it confirms that
+// it is ready.
 func (h *History) Deregister(now time.Time, instance string, startMs int64) (change Change) {
 	if change = h.deregister(now, instance, startMs); change != Contested {
 		h.markLeft(now, incarnation{instance, startMs})
@@ -303,6 +304,7 @@
 	return change
 }
 
+// deregister decides on the effect of a deregistration.
 func (h *History) deregister(now time.Time, instance string, startMs int64) (change Change) {
 	if startMs == 0 && h.server.startMs != 0 && h.server.instance == instance {
 		return h.leaveUnidentified(now, Announcement{Instance: instance, State: Gone})
@@ -316,10 +318,8 @@
 			return change
 		}
 	case sent != h.current() && (h.server.state == Ready || h.server.state == Draining || startMs <= h.server.startMs):
-		h.left.add(sent)
 		return Stale
 	}
-	h.left.add(sent)
 	h.replaceServer(now, Announcement{Instance: instance, StartMs: startMs, Slots: h.server.slots, State: Gone})
 	return Changed
 }
@@ -331,7 +331,6 @@
 	case order == newer:
 		return Changed
 	case order == older || h.isLeaving():
-		h.left.add(sent)
 		return Stale
 	// A deregistration has no sequence number. The server repeats it until it is
 	// acknowledged.
