Name what the orders of leaves delay

Cause: the last read of the change found a constant that repeated another of the package under a name of its own, late700, and a map with the name of the latter. Change: names only, in one test file.

--- a/upstream/leave_orders_test.go
+++ b/upstream/leave_orders_test.go
@@ -43,7 +43,7 @@
 	history := upstream.NewHistory("orders", "10.1.0.8:1", upstream.WithUnknownPast(now))
 	history.RecordFirstProcess()
 	var left *liveServer
-	late := make(map[int][]upstream.Announcement)
+	delayed := make(map[int][]upstream.Announcement)
 	receive := func(a upstream.Announcement) {
 		change := history.Apply(now, a)
 		if change == upstream.Contested && a.State == upstream.Ready && server.healthy && server.instance == a.Instance {
@@ -72,7 +72,7 @@
 		sequence++
 		switch step {
 		case "ready":
-			late[o.arrivals[ready]] = append(late[o.arrivals[ready]], newAnnouncement(server.instance, server.startMs, sequence, upstream.Ready))
+			delayed[o.arrivals[ready]] = append(delayed[o.arrivals[ready]], newAnnouncement(server.instance, server.startMs, sequence, upstream.Ready))
 			ready++
 		case "draining":
 			server.healthy, server.acknowledged = false, history.Apply(now, newAnnouncement(server.instance, startMs, sequence, upstream.Draining)) != upstream.Contested
@@ -87,7 +87,7 @@
 		case "exits and starts":
 			server, sequence = &liveServer{instance: second, startMs: 2, healthy: true}, 0
 		}
-		for _, a := range late[n] {
+		for _, a := range delayed[n] {
 			receive(a)
 		}
 		if used := history.Server(); server.acknowledged && used.TakesWork() && used.Instance() == server.instance {
@@ -96,7 +96,7 @@
 	}
 	if server.healthy {
 		for range 2 {
-			now = now.Add(late700)
+			now = now.Add(late)
 			sequence++
 			receive(newAnnouncement(server.instance, server.startMs, sequence, upstream.Ready))
 		}
@@ -107,9 +107,6 @@
 	return ""
 }
 
-// late700 is the time between two messages of a server that is in use.
-const late700 = 1500 * time.Millisecond
-
 // forEachOrder calls play with each combination of arrivals and of up to two kills.
 func forEachOrder(o leaveOrder, play func(o leaveOrder)) {
 	var sent []int
