Tell the end of a response from the loss of its connection

Callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The part reached callers as a whole answer.

Cause: the kernel reports the error that ends a connection to one call only, of either direction. If the write of the upload got it, the next read returned io.EOF, which net/http takes for the end of a body without a length. The same happened to each reader of responses: hop, framing.Transport, and with a refusal in place of an answer in node and the client library.

Evidence: on plain loopback connections, a read after a write that failed with ECONNRESET returns io.EOF, as one after a read or a look ahead that got the reset. After an orderly close with a reset behind it, the first write gets EPIPE.

Change: framing.Conn observes the errors of both directions, and ending decides by their order whether io.EOF is an orderly end. A read that has come to the end waits for the error of a write only if the kernel says that both directions are over, so an early answer is still delivered while its upload waits. Answers with a length or in chunks count as before, once their last octet has been read.

--- /dev/null
+++ b/framing/conn.go
@@ -0,0 +1,98 @@
+package framing
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/lacewingslip/lacewingslip/internal/socket"
+)
+
+// errUnknownEnd is observed in place of io.EOF if a write is in progress that may have taken the
+// error of the connection.
+var errUnknownEnd = errors.New("the connection has ended during a write")
+
+// Conn is a connection whose reads return io.EOF only if the other side has closed its sending
+// side in order, and not if an earlier call has got the error that ended the connection.
+type Conn struct {
+	net.Conn
+	// raw is nil if the state of the connection can't be asked for.
+	raw syscall.RawConn
+	// writing is held until the error of a write has been observed.
+	writing sync.Mutex
+
+	mu     sync.Mutex
+	ending ending
+}
+
+// NewConn returns a connection on which nothing has been read or written yet.
+func NewConn(c net.Conn) *Conn {
+	checked := &Conn{Conn: c}
+	if tcp, ok := c.(syscall.Conn); ok {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			checked.raw = raw
+		}
+	}
+	return checked
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (n int, err error) {
+	n, err = c.Conn.Read(b)
+	if err == nil {
+		return n, nil
+	}
+	if errors.Is(err, io.EOF) && !c.awaitErrorOfWrite() {
+		err = errUnknownEnd
+	}
+	return n, c.observe(received, err)
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (n int, err error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if n, err = c.Conn.Write(b); err == nil {
+		return n, nil
+	}
+	return n, c.observe(sent, err)
+}
+
+func (c *Conn) observe(d direction, err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending.observe(d, err)
+}
+
+// awaitErrorOfWrite must be called when a read has returned io.EOF. It waits until the error has
+// been observed that a write may have got before. ok is false if that can't be known.
+func (c *Conn) awaitErrorOfWrite() (ok bool) {
+	isOver, known := c.isOver()
+	switch {
+	case known && !isOver:
+		// No call has got an error, and a write may wait for the other side for long.
+		return true
+	case known:
+		// A write in progress returns at once.
+		c.writing.Lock()
+	case !c.writing.TryLock():
+		return false
+	}
+	c.writing.Unlock()
+	return true
+}
+
+// isOver reports whether both directions of the connection have ended. known is false if that
+// can't be determined, also because this process has closed it.
+func (c *Conn) isOver() (isOver, known bool) {
+	if c.raw == nil {
+		return false, false
+	}
+	var pollErr error
+	err := c.raw.Control(func(fd uintptr) { isOver, pollErr = socket.Has(fd, unix.POLLHUP) })
+	return isOver, err == nil && pollErr == nil
+}
--- a/framing/framing.go
+++ b/framing/framing.go
@@ -6,10 +6,14 @@
 // The package stands below net/http, which still parses the responses. Reads of the connection
 // fail at the first octet that no valid response can have there, before net/http has seen it.
 //
+// A response that states no length ends with the connection. [Conn] tells its end from the loss of
+// the connection.
+//
 // # Usage
 //
 // Where responses are read with [http.ReadResponse]:
 //
+//	conn = framing.NewConn(conn) // The request is written to it too.
 //	checked := framing.NewReader(conn)
 //	reader := bufio.NewReader(checked)
 //	checked.Expect(request.Method)
--- a/framing/transport.go
+++ b/framing/transport.go
@@ -21,7 +21,8 @@
 		if err != nil {
 			return nil, err
 		}
-		return &checkedConn{Conn: c, responses: NewReader(c)}, nil
+		checked := NewConn(c)
+		return &checkedConn{Conn: checked, responses: NewReader(checked)}, nil
 	}
 	return &Transport{base: base}
 }
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -427,7 +427,8 @@
 		netConn.Close()
 		return nil, err
 	}
-	head, request := &headReader{Conn: netConn}, &requestWriter{Conn: netConn}
+	whole := framing.NewConn(netConn)
+	head, request := &headReader{Conn: whole}, &requestWriter{Conn: whole}
 	checked := framing.NewReader(head)
 	return &conn{
 		Conn: netConn, raw: raw, head: head, checked: checked, request: request,
--- a/mesh/early_answer_test.go
+++ b/mesh/early_answer_test.go
@@ -86,8 +86,16 @@
 			body <- read
 		}
 	}()
+	d.replaceServer(v, listener.Addr().String())
+	return sent, body
+}
+
+// replaceServer restarts the node of the VM with the backend server at the address, which answers
+// health requests.
+func (d *deployment) replaceServer(v *vm, address string) {
+	d.t.Helper()
 	kill(v.node)
-	v.settings.Backend = listener.Addr().String()
+	v.settings.Backend = address
 	d.startNode(v)
 	d.announce(v, "ready")
 	d.awaitConvergence()
@@ -96,7 +104,6 @@
 			return len(other.node.lifecycle.components.balancer.reachableInZone()) < len(d.vms)
 		})
 	})
-	return sent, body
 }
 
 // acceptRequest accepts connections until one has a request other than a health request. It
