--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -20,3 +20,8 @@
 		}
 	}
 }
+
+// Unread returns how many octets have arrived that no read has returned.
+func Unread(fd uintptr) (octets int, err error) {
+	return unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+}
