Pass resets on through the link of the fault soak

The link that stands between processes of the soak reads and writes each connection in two goroutines. If the write of one direction took the reset of a server, the other one read an orderly end and closed its side in order. An answer without a length that was cut would have looked whole behind the link.

Change: both sides are read and written through framing.Conn.

--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/lacewingslip/lacewingslip/framing"
 	"github.com/lacewingslip/lacewingslip/hop"
 )
 
@@ -141,9 +142,11 @@
 	l.mu.Lock()
 	l.conns[p] = true
 	l.mu.Unlock()
+	// A reset that one direction notices must not look like an orderly end to the other one.
+	clientSide, serverSide := framing.NewConn(client), framing.NewConn(server)
 	var directions sync.WaitGroup
-	directions.Go(func() { l.forward(p, server, client, cutForward) })
-	directions.Go(func() { l.forward(p, client, server, cutBackward) })
+	directions.Go(func() { l.forward(p, serverSide, clientSide, cutForward) })
+	directions.Go(func() { l.forward(p, clientSide, serverSide, cutBackward) })
 	directions.Wait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -151,11 +154,11 @@
 }
 
 // forward copies data in one direction. In mode cut or cutBoth it holds the data back.
-func (l *link) forward(p *proxiedConn, to, from net.Conn, cut linkMode) {
+func (l *link) forward(p *proxiedConn, to, from *framing.Conn, cut linkMode) {
 	buffer := make([]byte, linkBufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		if held := l.waitForwarding(p, cut); held && wasReset(from) {
+		if held := l.waitForwarding(p, cut); held && wasReset(from.Conn) {
 			p.reset()
 			return
 		}
@@ -168,7 +171,7 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			// The other direction may still carry data.
-			_ = to.(*net.TCPConn).CloseWrite()
+			_ = to.Conn.(*net.TCPConn).CloseWrite()
 			return
 		case err != nil:
 			p.reset()
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -1,15 +1,19 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingslip/lacewingslip/framing"
 	"github.com/lacewingslip/lacewingslip/hop"
+	"github.com/lacewingslip/lacewingslip/internal/standin/early"
 )
 
 // startEchoServer starts a server that sends back all data that it reads, and also sends
@@ -172,3 +176,27 @@
 	_, violations = newLedger(time.Now()).result(retryBudget{seconds: 10, ratio: 0.2, slack: 10})
 	must.SliceEmpty(t, violations)
 }
+
+// Guards against a reset of the server that the link passes on as an orderly end, because its write
+// has taken the error.
+func TestLinkPassesOnReset(t *testing.T) {
+	const tries, uploadBytes = 50, 8 << 20
+	s, err := early.Start("127.0.0.1:0", "", func(*http.Request) early.Answer { return early.Answer{Text: "HTTP/1.1 200 OK\r\n\r\npart"} })
+	must.NoError(t, err)
+	defer s.Close()
+	l, err := newLink("127.0.0.1:0", s.Address())
+	must.NoError(t, err)
+	defer l.close()
+	for range tries {
+		c, err := net.Dial("tcp", l.address())
+		must.NoError(t, err)
+		conn := framing.NewConn(c)
+		go func() {
+			// Fails when the link resets the connection.
+			_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: example\r\nContent-Length: %d\r\n\r\n%s", uploadBytes, make([]byte, uploadBytes))
+		}()
+		_, err = io.Copy(io.Discard, conn)
+		must.Error(t, err)
+		must.NoError(t, conn.Close())
+	}
+}
