Let the caller of the early answers observe its own writes

Cause: the caller in the tests of early answers uploads while it reads, and the node may reset its connection. A plain connection could then show an HTTP/1.0 caller an orderly end, which is the fault under test on the wrong side. Measured: the tests of early answers of mesh pass three times.

--- a/mesh/reset_answer_test.go
+++ b/mesh/reset_answer_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingslip/lacewingslip/framing"
 	"github.com/lacewingslip/lacewingslip/internal/standin/early"
 	"github.com/lacewingslip/lacewingslip/platform"
 )
@@ -52,10 +53,10 @@
 			// Nodes write short bodies before they read the answer, hold longer ones, and pass on long
 			// ones as they arrive.
 			for size, bytes := range map[string]int{"short": 30_000, "held": 200_000, "passed on": 900_000} {
-				for framing, head := range map[string]string{"length": fmt.Sprintf("Content-Length: %d", bytes), "chunks": "Transfer-Encoding: chunked"} {
-					t.Run(fmt.Sprintf("%s, %s, %s, %s", route, node, size, framing), func(t *testing.T) {
+				for framed, head := range map[string]string{"length": fmt.Sprintf("Content-Length: %d", bytes), "chunks": "Transfer-Encoding: chunked"} {
+					t.Run(fmt.Sprintf("%s, %s, %s, %s", route, node, size, framed), func(t *testing.T) {
 						body := strings.Repeat("x", bytes)
-						if framing == "chunks" {
+						if framed == "chunks" {
 							body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", bytes, body)
 						}
 						for name, c := range cases {
@@ -77,14 +78,16 @@
 }
 
 // uploadTo sends a request with a body to the node of the VM, also while the answer is read.
-func uploadTo(t *testing.T, v *vm, route, version, framing, body string) net.Conn {
+func uploadTo(t *testing.T, v *vm, route, version, lengthField, body string) net.Conn {
 	t.Helper()
-	conn, err := net.Dial("tcp", v.settings.Listen.Caller)
+	dialed, err := net.Dial("tcp", v.settings.Listen.Caller)
 	must.NoError(t, err)
+	// The node may reset the connection during the upload too.
+	conn := framing.NewConn(dialed)
 	must.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
 	go func() {
 		// Fails if the node answers early.
-		_, _ = fmt.Fprintf(conn, "POST /%s/ %s\r\nHost: example\r\nX-Request-Id: a\r\nX-Deadline-Ms: 5000\r\n%s\r\n\r\n%s", route, version, framing, body)
+		_, _ = fmt.Fprintf(conn, "POST /%s/ %s\r\nHost: example\r\nX-Request-Id: a\r\nX-Deadline-Ms: 5000\r\n%s\r\n\r\n%s", route, version, lengthField, body)
 	}()
 	return conn
 }
