--- a/framing/conn.go
+++ b/framing/conn.go
@@ -32,10 +32,9 @@
 // NewConn returns a connection on which nothing has been read or written yet.
 func NewConn(c net.Conn) *Conn {
 	checked := &Conn{Conn: c}
-	if tcp, ok := c.(syscall.Conn); ok {
-		if raw, err := tcp.SyscallConn(); err == nil {
-			checked.raw = raw
-		}
+	if socketConn, ok := c.(syscall.Conn); ok {
+		// An error means that this process has closed the connection.
+		checked.raw, _ = socketConn.SyscallConn()
 	}
 	return checked
 }
--- a/internal/standin/early/early.go
+++ b/internal/standin/early/early.go
@@ -38,6 +38,8 @@
 	HalfClose
 	// HalfCloseAndReset does both, so that the reset follows the orderly end.
 	HalfCloseAndReset
+	// Stay leaves the connection as it is. The server reads nothing more.
+	Stay
 )
 
 // Answer is what the server sends, and how it ends the connection. The zero value resets the
@@ -47,8 +49,8 @@
 	End  End
 	// ReadFirst is how many octets of the body of the request are read before, or -1 for all.
 	ReadFirst int64
-	// KeepsOpen is true if the server reads the whole body and expects another request.
-	KeepsOpen bool
+	// IsKept is true if the server reads the whole body and, in place of End, another request.
+	IsKept bool
 }
 
 // maxEnds is the number of ends that may be waiting for AwaitEnd.
@@ -106,8 +108,8 @@
 	}
 }
 
-// serve answers the requests of a connection, which stays open after a half-close. Errors of
-// writes are ignored, because the client notices them.
+// serve answers the requests of a connection. If it is not reset, it stays open until the server is
+// closed. Errors of writes are ignored, because the client notices them.
 func (s *Server) serve(c *net.TCPConn) {
 	for reader := bufio.NewReader(c); ; {
 		r, err := http.ReadRequest(reader)
@@ -121,12 +123,12 @@
 		}
 		answer := s.answer(r)
 		body := io.Reader(r.Body)
-		if !answer.KeepsOpen && answer.ReadFirst >= 0 {
+		if !answer.IsKept && answer.ReadFirst >= 0 {
 			body = io.LimitReader(body, answer.ReadFirst)
 		}
 		_, _ = io.Copy(io.Discard, body)
 		_, _ = io.WriteString(c, answer.Text)
-		if answer.KeepsOpen {
+		if answer.IsKept {
 			continue
 		}
 		end(c, answer.End)
@@ -139,10 +141,10 @@
 }
 
 func end(c *net.TCPConn, end End) {
-	if end != Reset {
+	if end == HalfClose || end == HalfCloseAndReset {
 		_ = c.CloseWrite()
 	}
-	if end != HalfClose {
+	if end == Reset || end == HalfCloseAndReset {
 		hop.Reset(c)
 	}
 }
