Give the state of a connection a type, and say plainly what its end means

Two booleans stood for three states of a connection in the kernel; comments of ending, of the stand-in and of a test had to be guessed at; two cases of one test repeated each other; and nothing showed that a short request which this process fails to write does not wait for an answer.

Change: connState in place of the booleans; HasEvent, closedEvents and readErr as names; comments; one loop in TestAnswerAfterUpload, with the same cases; TestShortUploadThatFailsEndsAtOnce, whose request stays open to a silent server. No behaviour changes.

--- a/framing/conn.go
+++ b/framing/conn.go
@@ -20,7 +20,7 @@
 // side in order, and not if an earlier call has got the error that ended the connection.
 type Conn struct {
 	net.Conn
-	// raw is nil if the state of the connection can't be asked for.
+	// raw is nil if the connection has no descriptor.
 	raw syscall.RawConn
 	// writing is held until the error of a write has been observed.
 	writing sync.Mutex
@@ -70,16 +70,17 @@
 // awaitErrorOfWrite must be called when a read has returned io.EOF. It waits until the error has
 // been observed that a write may have got before. ok is false if that can't be known.
 func (c *Conn) awaitErrorOfWrite() (ok bool) {
-	isOver, known := c.state()
-	switch {
-	case known && !isOver:
+	switch c.state() {
+	case stateOpen:
 		// No call has got an error, and a write may wait for the other side for long.
 		return true
-	case known:
+	case stateOver:
 		// A write in progress returns at once.
 		c.writing.Lock()
-	case !c.writing.TryLock():
-		return false
+	default:
+		if !c.writing.TryLock() {
+			return false
+		}
 	}
 	c.writing.Unlock()
 	return true
@@ -87,18 +88,34 @@
 
 // IsOver reports whether both directions of the connection have ended, so that reads and writes
 // do not wait any more. It is false if that can't be determined.
-func (c *Conn) IsOver() bool {
-	isOver, known := c.state()
-	return isOver && known
-}
+func (c *Conn) IsOver() bool { return c.state() == stateOver }
+
+// connState is the state of a connection in the kernel.
+type connState uint8
+
+const (
+	// stateUnknown: the connection has no descriptor, or this process has closed it.
+	stateUnknown connState = iota
+	// stateOpen: at least one direction is open.
+	stateOpen
+	// stateOver: both directions have ended.
+	stateOver
+)
 
-// state reports whether both directions of the connection have ended. known is false if that
-// can't be determined, also because this process has closed it.
-func (c *Conn) state() (isOver, known bool) {
+func (c *Conn) state() (state connState) {
 	if c.raw == nil {
-		return false, false
+		return stateUnknown
 	}
-	var pollErr error
-	err := c.raw.Control(func(fd uintptr) { isOver, pollErr = socket.Has(fd, unix.POLLHUP) })
-	return isOver, err == nil && pollErr == nil
+	// An error means that this process has closed the connection, so that the state stays unknown.
+	_ = c.raw.Control(func(fd uintptr) {
+		isOver, err := socket.HasEvent(fd, unix.POLLHUP)
+		switch {
+		case err != nil:
+		case isOver:
+			state = stateOver
+		default:
+			state = stateOpen
+		}
+	})
+	return state
 }
--- a/framing/ending.go
+++ b/framing/ending.go
@@ -9,7 +9,7 @@
 	"syscall"
 )
 
-// direction is that in which a call on a connection moves octets.
+// direction tells the reads of a connection from its writes.
 type direction uint8
 
 const (
@@ -17,16 +17,15 @@
 	sent
 )
 
-// ending decides whether the end of a connection is that of the octets that the other side has
-// sent. Only then is a response whole that states no length (RFC 9112, section 8). All others are
-// whole once their last octet has been read, whatever happens to the connection.
+// ending decides whether io.EOF means that the other side has closed the connection in order. Only
+// then is a response whole that states no length (RFC 9112, section 8). All others are whole once
+// their last octet has been read, whatever happens to the connection.
 //
-// A kernel reports the error that ends a connection to one call only, of either direction. What
-// later calls get is the same as behind an orderly close: reads io.EOF, and writes EPIPE. An
-// orderly close that has arrived stays valid if the connection is reset behind it: the first
-// write then gets EPIPE too.
+// The kernel reports the error that ends a connection to one call only, a read or a write. Later
+// calls get the same as after an orderly close: reads io.EOF, and writes EPIPE. An orderly close
+// that has arrived stays valid if a reset follows it: the first write then gets EPIPE.
 //
-// Its zero value is a connection without an end.
+// The zero value is a connection of which no error has been observed.
 type ending struct {
 	// isOrderly is true once a read has returned a valid io.EOF.
 	isOrderly bool
@@ -34,8 +33,9 @@
 	lost error
 }
 
-// observe takes the error of a call, or nil. Calls are observed in the order in which they got
-// their errors. It returns what the call should return: reads get io.EOF only at an orderly end.
+// observe records the error of a read or write, or nil, and returns the error that it should
+// return: a read gets io.EOF only at an orderly end. A read that got io.EOF is observed after the
+// write that got the error of the connection.
 func (e *ending) observe(d direction, err error) error {
 	switch {
 	case err == nil || isLocal(err):
@@ -45,15 +45,14 @@
 		}
 		e.isOrderly = true
 	case d == sent && errors.Is(err, syscall.EPIPE):
-		// The error that would make the end invalid has been observed before.
+		// Either the other side has closed in order, or a call observed before got the error.
 	case !e.isOrderly && e.lost == nil:
 		e.lost = err
 	}
 	return err
 }
 
-// isLocal reports whether an error comes from this process, so that it tells nothing of the
-// connection.
+// isLocal reports whether an error was caused by this process, and not by the connection.
 func isLocal(err error) bool {
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)
 }
--- a/hop/early_answer_test.go
+++ b/hop/early_answer_test.go
@@ -91,7 +91,7 @@
 		}
 		s.AwaitEnd()
 		upload.Release(nil)
-		// Behind a half-close the upload goes on.
+		// After a half-close the upload goes on.
 		if c.answer.End != early.HalfClose {
 			<-upload.Closed()
 		}
@@ -124,33 +124,32 @@
 // Guards against a part of an answer that passes for a whole one after the upload, or after it has
 // been given up because the caller has gone.
 func TestAnswerAfterUpload(t *testing.T) {
-	for name, c := range early.Cases("") {
+	ends := map[string]struct {
+		rest      int
+		err       error
+		readFirst int64
+	}{
+		"whole":    {readFirst: -1},
+		"given up": {rest: early.Endless, err: io.ErrUnexpectedEOF, readFirst: firstBytes / 2},
+	}
+	for answerName, c := range early.Cases("") {
 		for framing, hasLength := range uploadFramings {
-			t.Run(name+"/"+framing+", whole", func(t *testing.T) {
-				upload := early.NewUpload(firstBytes, 0)
-				upload.Release(nil)
-				answer := c.Answer
-				answer.ReadFirst = -1
-				s, err := early.Start("127.0.0.1:0", "", func(*http.Request) early.Answer { return answer })
-				must.NoError(t, err)
-				defer s.Close()
-				status, body, err := uploadEarly(t.Context(), t, hop.New(s.Address()), upload, hasLength, func() {})
-				must.NoError(t, c.Check(status, body, err))
-			})
-			t.Run(name+"/"+framing+", given up", func(t *testing.T) {
-				upload := early.NewUpload(firstBytes, early.Endless)
-				upload.Release(io.ErrUnexpectedEOF)
-				answer := c.Answer
-				answer.ReadFirst = firstBytes / 2
-				s, err := early.Start("127.0.0.1:0", "", func(*http.Request) early.Answer {
-					<-upload.Closed()
-					return answer
+			for name, end := range ends {
+				t.Run(answerName+"/"+framing+", "+name, func(t *testing.T) {
+					upload := early.NewUpload(firstBytes, end.rest)
+					upload.Release(end.err)
+					answer := c.Answer
+					answer.ReadFirst = end.readFirst
+					s, err := early.Start("127.0.0.1:0", "", func(*http.Request) early.Answer {
+						<-upload.Closed()
+						return answer
+					})
+					must.NoError(t, err)
+					defer s.Close()
+					status, body, err := uploadEarly(t.Context(), t, hop.New(s.Address()), upload, hasLength, func() {})
+					must.NoError(t, c.Check(status, body, err))
 				})
-				must.NoError(t, err)
-				defer s.Close()
-				status, body, err := uploadEarly(t.Context(), t, hop.New(s.Address()), upload, hasLength, func() {})
-				must.NoError(t, c.Check(status, body, err))
-			})
+			}
 		}
 	}
 }
@@ -216,3 +215,16 @@
 		})
 	}
 }
+
+// Guards against a wait for an answer after a short request that this process has not written to
+// its end: the connection is open, and the server has nothing to answer.
+func TestShortUploadThatFailsEndsAtOnce(t *testing.T) {
+	s, err := early.Start("127.0.0.1:0", "", func(*http.Request) early.Answer { return early.Answer{End: early.Stay} })
+	must.NoError(t, err)
+	defer s.Close()
+	upload := early.NewUpload(firstShortBytes, 1)
+	upload.Release(io.ErrUnexpectedEOF)
+	_, _, err = uploadEarly(t.Context(), t, hop.New(s.Address()), upload, true, func() {})
+	must.Error(t, err)
+	must.True(t, hop.MayHaveRun(err))
+}
--- a/hop/peek.go
+++ b/hop/peek.go
@@ -8,9 +8,8 @@
 	"github.com/lacewingslip/lacewingslip/internal/socket"
 )
 
-// ended has the events of poll(2) by which the other side has ended its sending side, or the
-// connection is over.
-const ended = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+// closedEvents are the events of poll(2) after which the other side sends nothing more.
+const closedEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
 
 // Peek reports whether bytes have arrived on a connection that were not read yet. open is
 // false if the other side has closed the connection. Peek does not wait for a concurrent
@@ -18,7 +17,7 @@
 func Peek(raw syscall.RawConn) (unread, open bool) {
 	// Unlike Control, RawConn.Read would wait for a concurrent read.
 	if err := raw.Control(func(fd uintptr) {
-		hasEvent, err := socket.Has(fd, unix.POLLIN|ended)
+		hasEvent, err := socket.HasEvent(fd, unix.POLLIN|closedEvents)
 		if open = err == nil && !hasEvent; open {
 			return
 		}
@@ -35,7 +34,7 @@
 // that have not been read. It ends with an error when the read deadline passes.
 func AwaitClose(raw syscall.RawConn) (err error) {
 	return raw.Read(func(fd uintptr) (closed bool) {
-		closed, err := socket.Has(fd, ended)
+		closed, err := socket.HasEvent(fd, closedEvents)
 		return closed && err == nil
 	})
 }
--- a/hop/peek_test.go
+++ b/hop/peek_test.go
@@ -20,15 +20,15 @@
 		part         string
 		end          func(c net.Conn)
 		unread, open bool
-		// err is that of the read behind the part.
-		err error
+		// readErr is the error of the read after the part.
+		readErr error
 	}{
 		"open":         {open: true},
 		"part":         {part: "part", unread: true, open: true},
-		"closed":       {end: closeInOrder, err: io.EOF},
-		"part, closed": {part: "part", end: closeInOrder, unread: true, open: true, err: io.EOF},
-		"reset":        {end: hop.Reset, err: syscall.ECONNRESET},
-		"part, reset":  {part: "part", end: hop.Reset, unread: true, open: true, err: syscall.ECONNRESET},
+		"closed":       {end: closeInOrder, readErr: io.EOF},
+		"part, closed": {part: "part", end: closeInOrder, unread: true, open: true, readErr: io.EOF},
+		"reset":        {end: hop.Reset, readErr: syscall.ECONNRESET},
+		"part, reset":  {part: "part", end: hop.Reset, unread: true, open: true, readErr: syscall.ECONNRESET},
 	} {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -60,7 +60,7 @@
 			_, open := hop.Peek(raw)
 			must.False(t, open)
 			_, err = conn.Read(make([]byte, 1))
-			must.ErrorIs(t, err, c.err)
+			must.ErrorIs(t, err, c.readErr)
 		})
 	}
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -4,14 +4,14 @@
 // # Usage
 //
 //	err := raw.Control(func(fd uintptr) {
-//		isOver, err := socket.Has(fd, unix.POLLHUP)
+//		isOver, err := socket.HasEvent(fd, unix.POLLHUP)
 //	})
 package socket
 
 import "golang.org/x/sys/unix"
 
-// Has reports whether one of the events of poll(2) has occurred on a descriptor. It does not wait.
-func Has(fd uintptr, events int16) (occurred bool, err error) {
+// HasEvent reports whether one of the events of poll(2) has occurred on a descriptor. It does not wait.
+func HasEvent(fd uintptr, events int16) (occurred bool, err error) {
 	descriptors := [1]unix.PollFd{{Fd: int32(fd), Events: events}} //nolint:gosec // Descriptors are below the limit of open files.
 	for {
 		// A signal of the Go scheduler can interrupt even a call that does not wait.
--- a/internal/standin/early/case.go
+++ b/internal/standin/early/case.go
@@ -6,20 +6,20 @@
 	"net/http"
 )
 
-// Case is an answer with what its client may take it for.
+// Case is an answer and what a client must read of it.
 type Case struct {
 	Answer
-	// Status and Body are those of the answer if it is whole.
+	// Status and Body are what a client must read if IsWhole is true. Otherwise it must get an error.
 	Status int
 	Body   string
-	// IsWhole is false if it can't be known whether more of the answer would have followed.
+	// IsWhole is false if more of the answer may have been lost with the connection.
 	IsWhole bool
 	// StatesLength is true if the answer states its length or is in chunks.
 	StatesLength bool
 }
 
-// Check returns an error if what a client has read of the answer is not what it may take it for.
-// readErr is the error of reading it, also of its head.
+// Check returns an error if a client has not read what the case requires. readErr is the error of
+// reading the head or the body of the answer.
 func (c Case) Check(status int, body string, readErr error) error {
 	switch {
 	case !c.IsWhole && readErr == nil:
--- a/internal/standin/early/early.go
+++ b/internal/standin/early/early.go
@@ -47,9 +47,10 @@
 type Answer struct {
 	Text string
 	End  End
-	// ReadFirst is how many octets of the body of the request are read before, or -1 for all.
+	// ReadFirst is how many octets of the request's body are read before the answer is sent, or -1
+	// for all.
 	ReadFirst int64
-	// IsKept is true if the server reads the whole body and, in place of End, another request.
+	// IsKept is true if the server reads the whole body and then the next request. End has no effect.
 	IsKept bool
 }
 
--- a/internal/standin/early/upload.go
+++ b/internal/standin/early/upload.go
@@ -5,7 +5,7 @@
 	"sync"
 )
 
-// Endless is the length of the rest of an [Upload] of which no connection takes all.
+// Endless is a length for the rest of an [Upload] that is never written to its end.
 const Endless = 1 << 40
 
 // Upload is the body of a request. After its first part it waits until it is released.
--- a/internal/standin/early/write_first.go
+++ b/internal/standin/early/write_first.go
@@ -8,9 +8,9 @@
 	"sync"
 )
 
-// DialWriteFirst connects as [net.Dialer.DialContext] does. On the connection, the error by which
-// it ends goes to a write: reads wait for that error once the first one has returned octets. The
-// write returns when a read has got io.EOF, as if its goroutine had been interrupted meanwhile.
+// DialWriteFirst connects as [net.Dialer.DialContext] does. It makes sure that a write gets the error
+// that ends the connection: after the first read, reads wait until a write has failed. The failed
+// write returns only when a read has got io.EOF, as if its goroutine had been interrupted.
 func DialWriteFirst(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
 	if err != nil {
